Report an unknown outcome when a later attempt finds no instance

Cause: a retry of an idempotent request that broke after sending found no further instance and was refused as "not run", although the first attempt may have run. Seen by test_refusal_says_whether_it_ran before the change. Ruled out: never retrying after a broken answer; it costs availability on idempotent routes and only hides the wrong word. Change: the exchange remembers that an attempt may have run.

--- a/src/bronzewall/proxy.py
+++ b/src/bronzewall/proxy.py
@@ -62,6 +62,8 @@
 
     :param deadline: clock time at which the caller's deadline passes.
     :param key: the caller's key, never sent to an upstream.
+    :param may_have_run: an attempt ended with an unknown outcome, so no
+        later refusal may say "not run".
     """
 
     request: CallerRequest
@@ -75,6 +77,7 @@
     body: bytes = b''
     tried_ids: set[InstanceId] = attrs.field(factory=set)
     attempts: int = 0
+    may_have_run: bool = False
 
 
 @attrs.define(kw_only=True)
@@ -216,6 +219,8 @@
                 await self._attempt(exchange)
             except UpstreamError as exc:
                 self._check_retry(exchange, exc)
+            except RefusalError as refusal:
+                raise _with_history(exchange, refusal) from refusal
             else:
                 return
 
@@ -311,6 +316,7 @@
         cause = type(exc).__name__
         self.note(exchange, 'attempt_failed', error=cause)
         did_not_run = isinstance(exc, _NOT_RUN_ERRORS)
+        exchange.may_have_run |= not did_not_run
         is_safe = did_not_run or exchange.route.idempotent
         if (
             is_safe
@@ -319,7 +325,7 @@
         ):
             self.metrics.retries[cause] += 1
             return
-        raise _refusal_of(exc) from exc
+        raise _with_history(exchange, _refusal_of(exc)) from exc
 
     async def _refuse(
         self,
@@ -352,6 +358,13 @@
         return RequestId(f'{self.vm_id}-{number:016x}')
 
 
+def _with_history(exchange: Exchange, refusal: RefusalError) -> RefusalError:
+    """Return the refusal, corrected by what earlier attempts may have run."""
+    if exchange.may_have_run:
+        refusal.ran = Ran.UNKNOWN
+    return refusal
+
+
 def _refusal_of(exc: UpstreamError) -> RefusalError:
     detail = str(exc)
     if isinstance(exc, UpstreamShedError):
