--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,9 @@
 PYTHON ?= python3
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
+export PYTHONPATH := src
 
-.PHONY: test demo bench format setup
+.PHONY: test check demo bench format setup
 
 setup: $(STAMP)
 
@@ -13,11 +14,14 @@
 	$(BIN)/python -m pip install --quiet --no-deps --editable .
 	touch $(STAMP)
 
-format: $(STAMP)
+format:
 	$(BIN)/ruff check --fix --quiet src tests bench
 	$(BIN)/ruff format --quiet src tests bench
 
-test: $(STAMP)
+test: $(STAMP) check
+
+# Runs the checks with the tools that are installed already.
+check:
 	$(BIN)/ruff format --check src tests bench
 	$(BIN)/ruff check src tests bench
 	$(BIN)/flake8 src tests bench
