--- a/bench/harness.py
+++ b/bench/harness.py
@@ -49,7 +49,7 @@
     arguments = parser.parse_args()
     report = {'bench': name, 'seed': arguments.seed}
     report.update(measure(arguments.seed))
-    missed = [t.figure for t in targets if not t.is_held(report)]
+    missed = [target.figure for target in targets if not target.is_held(report)]
     report['missed'] = missed
     indent = None if arguments.json else 2
     sys.stdout.write(f'{json.dumps(report, indent=indent)}\n')
