--- a/src/bronzewall/config_files.py
+++ b/src/bronzewall/config_files.py
@@ -1,18 +1,31 @@
 """Reads and checks the operators' TOML files."""
 
+import difflib
+import itertools
 import pathlib
 import tomllib
+from collections.abc import Iterable, Sequence
 from typing import Any
 
+import attrs
+
 from bronzewall.config_model import (
-    DEFAULT_CONNECTIONS,
-    DEFAULT_SLOTS,
     Account,
     Configuration,
     Instance,
     Route,
     Service,
 )
+from bronzewall.config_schema import (
+    ACCOUNT_FIELDS,
+    INSTANCE_FIELDS,
+    ROUTE_FIELDS,
+    SERVICE_FIELDS,
+    Field,
+    NotAllowedError,
+)
+from bronzewall.errors import ConfigurationFilesError, FileProblem
+from bronzewall.toml_lines import LineIndex, TablePlace, index_lines
 from bronzewall.types import (
     AccountId,
     InstanceId,
@@ -22,60 +35,290 @@
 )
 
 ACCOUNTS_FILE = 'accounts.toml'
+_Table = dict[str, Any]
+_SERVICE_TABLES = ('service', 'instances', 'routes')
+_ACCOUNT_TABLES = ('accounts',)
+
+
+@attrs.define(kw_only=True)
+class _Document:
+    """One file while it is checked."""
+
+    path: str
+    tables: dict[str, Any]
+    lines: LineIndex
+    problems: list[FileProblem]
+
+    def report(
+        self, place: TablePlace, key: str, found: Any, allowed: str
+    ) -> None:
+        """Record one mistake."""
+        self.problems.append(
+            FileProblem(
+                path=self.path,
+                line=self.lines.find(place, key),
+                key=f'{place}.{key}' if key else str(place),
+                found=repr(found),
+                allowed=allowed,
+            )
+        )
+
+    def array(self, name: str) -> list[tuple[TablePlace, _Table]]:
+        """Return the tables of an array with their places."""
+        found = self.tables.get(name, [])
+        if not isinstance(found, list) or not found:
+            place = TablePlace(name=name)
+            self.report(place, '', found, f'at least one [[{name}]]')
+            return []
+        return [
+            (TablePlace(name=name, index=number), table)
+            for number, table in enumerate(found)
+        ]
 
 
 def load_directory(path: pathlib.Path) -> Configuration:
     """Return the configuration of a directory, with generation 0.
 
     :param path: directory with one file per service and one
-        ``accounts.toml``.
+        ``accounts.toml``, at any depth.
+    :raises ConfigurationFilesError: some files have mistakes; it lists
+        all of them.
     """
-    services = [
-        _service(tomllib.loads(file.read_text()))
-        for file in sorted(path.rglob('*.toml'))
-        if file.name != ACCOUNTS_FILE
-    ]
-    accounts = tomllib.loads((path / ACCOUNTS_FILE).read_text())
+    problems: list[FileProblem] = []
+    files = sorted(path.rglob('*.toml')) if path.is_dir() else []
+    documents = [_open(file, path, problems) for file in files]
+    services: list[Service] = []
+    accounts: list[Account] = []
+    for document in filter(None, documents):
+        if pathlib.PurePath(document.path).name == ACCOUNTS_FILE:
+            accounts.extend(_read_accounts(document))
+        else:
+            services.extend(_read_service(document))
+    if not files:
+        problems.append(_no_files(path))
+    if not problems:
+        problems.extend(_conflicts(services, accounts))
+    if problems:
+        raise ConfigurationFilesError(problems=problems)
     return Configuration(
         generation=0,
         services_by_name={service.name: service for service in services},
-        accounts_by_id={
-            account['id']: _account(account) for account in accounts['accounts']
-        },
+        accounts_by_id={account.account_id: account for account in accounts},
+    )
+
+
+def _no_files(path: pathlib.Path) -> FileProblem:
+    return FileProblem(
+        path=str(path),
+        line=None,
+        key='directory',
+        found='no files',
+        allowed='a directory with service files and accounts.toml',
     )
 
 
+def _open(
+    file: pathlib.Path, base: pathlib.Path, problems: list[FileProblem]
+) -> _Document | None:
+    name = str(file.relative_to(base))
+    try:
+        content = file.read_text(encoding='utf-8')
+        tables = tomllib.loads(content)
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as exc:
+        problems.append(
+            FileProblem(
+                path=name,
+                line=None,
+                key='file',
+                found=str(exc),
+                allowed='a readable TOML file in UTF-8',
+            )
+        )
+        return None
+    return _Document(
+        path=name, tables=tables, lines=index_lines(content), problems=problems
+    )
+
+
+def _read_accounts(document: _Document) -> Iterable[Account]:
+    _reject_unknown_tables(document, _ACCOUNT_TABLES)
+    accounts = []
+    for place, table in document.array('accounts'):
+        fields = _read(document, place, table, ACCOUNT_FIELDS)
+        if fields is not None:
+            accounts.append(_account(fields))
+    return accounts
+
+
+def _read_service(document: _Document) -> Iterable[Service]:
+    _reject_unknown_tables(document, _SERVICE_TABLES)
+    place = TablePlace(name='service')
+    table = document.tables.get('service')
+    if not isinstance(table, dict):
+        document.report(place, '', table, 'a table [service]')
+        return []
+    fields = _read(document, place, table, SERVICE_FIELDS)
+    instances = _read_instances(document)
+    name = ServiceName(fields['name']) if fields else ServiceName('')
+    routes = _read_routes(document, name)
+    if fields is None:
+        return []
+    fields.pop('name')
+    return [
+        Service(
+            name=name,
+            instances_by_id={item.instance_id: item for item in instances},
+            routes_by_id={route.route_id: route for route in routes},
+            **fields,
+        )
+    ]
+
+
+def _read_instances(document: _Document) -> list[Instance]:
+    instances: list[Instance] = []
+    for place, table in document.array('instances'):
+        fields = _read(document, place, table, INSTANCE_FIELDS)
+        if fields is None:
+            continue
+        if any(item.instance_id == fields['id'] for item in instances):
+            document.report(place, 'id', fields['id'], 'a unique id')
+        instances.append(_instance(fields))
+    return instances
+
+
+def _read_routes(document: _Document, service: ServiceName) -> list[Route]:
+    routes: list[Route] = []
+    for place, table in document.array('routes'):
+        fields = _read(document, place, table, ROUTE_FIELDS)
+        if fields is None:
+            continue
+        if fields['idempotent'] and 'idempotency_key' in fields:
+            document.report(
+                place,
+                'idempotency_key',
+                fields['idempotency_key'],
+                'nothing, because the route is idempotent',
+            )
+        if not fields['idempotent'] and fields.get('hedge'):
+            document.report(
+                place,
+                'hedge',
+                found=True,
+                allowed='false, because the route is not idempotent',
+            )
+        route = _route(service, fields)
+        if any(other.route_id == route.route_id for other in routes):
+            document.report(place, 'name', fields['name'], 'a unique name')
+        routes.append(route)
+    return routes
+
+
+def _read(
+    document: _Document,
+    place: TablePlace,
+    table: dict[str, Any],
+    known: Sequence[Field],
+) -> dict[str, Any] | None:
+    """Return the checked fields, or ``None`` if there are mistakes."""
+    before = len(document.problems)
+    names = [field.name for field in known]
+    for key in table:
+        if key not in names:
+            document.report(place, key, key, _nearest(key, names))
+    fields: dict[str, Any] = {}
+    for field in known:
+        if field.name in table:
+            try:
+                fields[field.name] = field.check(table[field.name])
+            except NotAllowedError as exc:
+                document.report(place, field.name, table[field.name], f'{exc}')
+        elif field.is_required:
+            document.report(place, field.name, None, 'a value is required')
+    return fields if len(document.problems) == before else None
+
+
+def _reject_unknown_tables(document: _Document, known: Sequence[str]) -> None:
+    for name in document.tables:
+        if name not in known:
+            document.report(
+                TablePlace(name=name), '', name, _nearest(name, known)
+            )
+
+
+def _nearest(name: str, known: Sequence[str]) -> str:
+    near = difflib.get_close_matches(name, known, n=1, cutoff=0)
+    return f'unknown name; the nearest known one is {near[0]}'
+
+
+@attrs.frozen(kw_only=True)
+class _Claim:
+    """Something that only one owner may have."""
+
+    kind: str
+    found: str
+    owner: str
+
+
+def _conflicts(
+    services: Iterable[Service], accounts: Iterable[Account]
+) -> Iterable[FileProblem]:
+    """Return what is wrong between files that are each correct."""
+    owners: dict[tuple[str, str], str] = {}
+    claims = itertools.chain(
+        _service_claims(services), _account_claims(accounts)
+    )
+    for claim in claims:
+        other = owners.setdefault((claim.kind, claim.found), claim.owner)
+        if other != claim.owner:
+            yield FileProblem(
+                path=claim.owner,
+                line=None,
+                key=claim.kind,
+                found=claim.found,
+                allowed=f'one that is not used by {other}',
+            )
+
+
+def _service_claims(services: Iterable[Service]) -> Iterable[_Claim]:
+    for position, service in enumerate(services):
+        yield _Claim(
+            kind='service', found=service.name, owner=f'service {position}'
+        )
+        for route in service.routes_by_id.values():
+            yield from _route_claims(route)
+
+
+def _route_claims(route: Route) -> Iterable[_Claim]:
+    for method in sorted(route.methods):
+        yield _Claim(
+            kind='route', found=f'{method} {route.path}', owner=route.route_id
+        )
+
+
+def _account_claims(accounts: Iterable[Account]) -> Iterable[_Claim]:
+    for position, account in enumerate(accounts):
+        owner = f'account {position} ({account.account_id})'
+        yield _Claim(kind='account id', found=account.account_id, owner=owner)
+        for digest in account.key_digests:
+            yield _Claim(kind='key digest', found=digest.hex(), owner=owner)
+
+
 def _account(fields: dict[str, Any]) -> Account:
     return Account(
         account_id=AccountId(fields['id']),
-        rate=float(fields['rate']),
-        burst=int(fields['burst']),
+        rate=fields['rate'],
+        burst=fields['burst'],
         key_digests=tuple(
-            bytes.fromhex(text) for text in fields['key_digests']
+            bytes.fromhex(digest) for digest in fields['key_digests']
         ),
     )
 
 
-def _service(document: dict[str, Any]) -> Service:
-    fields = dict(document['service'])
-    name = ServiceName(fields.pop('name'))
-    instances = [_instance(item) for item in document['instances']]
-    routes = [_route(name, item) for item in document['routes']]
-    return Service(
-        name=name,
-        instances_by_id={item.instance_id: item for item in instances},
-        routes_by_id={route.route_id: route for route in routes},
-        **fields,
-    )
-
-
 def _instance(fields: dict[str, Any]) -> Instance:
+    own = dict(fields)
+    placement = Placement(region=own.pop('region'), zone=own.pop('zone'))
     return Instance(
-        instance_id=InstanceId(fields['id']),
-        address=fields['address'],
-        placement=Placement(region=fields['region'], zone=fields['zone']),
-        slots=fields.get('slots', DEFAULT_SLOTS),
-        connections=fields.get('connections', DEFAULT_CONNECTIONS),
+        instance_id=InstanceId(own.pop('id')), placement=placement, **own
     )
 
 
