--- a/src/bronzewall/demo.py
+++ b/src/bronzewall/demo.py
@@ -106,6 +106,7 @@
                 vm_id=VmId(name),
                 placement=Placement(region=region, zone=zone),
                 peer_address=peer,
+                admin_address=admin,
             )
         )
         environment = {
--- a/src/bronzewall/errors.py
+++ b/src/bronzewall/errors.py
@@ -29,6 +29,10 @@
     """The object store has no object of this name."""
 
 
+class AdminUnavailableError(BronzewallError):
+    """The admin endpoint of a VM did not answer."""
+
+
 class PeerError(BronzewallError):
     """Communication with another VM failed."""
 
--- a/src/bronzewall/platform_wire.py
+++ b/src/bronzewall/platform_wire.py
@@ -63,6 +63,7 @@
         'zone': record.placement.zone,
         'peer_address': record.peer_address,
         'state': record.state.value,
+        'admin_address': record.admin_address,
     }
 
 
@@ -73,4 +74,5 @@
         placement=Placement(region=wire['region'], zone=wire['zone']),
         peer_address=wire['peer_address'],
         state=VmState(wire['state']),
+        admin_address=wire.get('admin_address', ''),
     )
--- a/src/bronzewall/settings.py
+++ b/src/bronzewall/settings.py
@@ -2,23 +2,25 @@
 
 import difflib
 from collections.abc import Mapping
+from typing import Any
 
 import attrs
+import typed_settings
 
 from bronzewall.errors import SettingsError
 
+PREFIX = 'BRONZEWALL_'
 _MAX_PORT = 65535
 _DEFAULT_NOTICE_S = 5.0
 _DEFAULT_STOP_LIMIT_S = 30.0
 _DEFAULT_BODY_BYTES = 1_048_576
-PREFIX = 'BRONZEWALL_'
 
 
 def _not_empty(
     _instance: object, field: 'attrs.Attribute[str]', found: str
 ) -> None:
     if not found:
-        raise SettingsError(f'{field.name} must be set')
+        raise ValueError(f'{field.name} must not be empty')
 
 
 def _host_port(
@@ -26,7 +28,14 @@
 ) -> None:
     host, _, port = found.rpartition(':')
     if not host or not port.isdigit() or int(port) > _MAX_PORT:
-        raise SettingsError(f'{field.name} is {found!r}; expected HOST:PORT')
+        raise ValueError(f'{field.name} is {found!r}; expected HOST:PORT')
+
+
+def _positive(
+    _instance: object, field: 'attrs.Attribute[Any]', found: float
+) -> None:
+    if not found > 0:
+        raise ValueError(f'{field.name} is {found}; expected more than 0')
 
 
 @attrs.frozen(kw_only=True)
@@ -40,6 +49,7 @@
     :param platform: base URL of the platform's store.
     :param notice_s: seconds for the balancer to notice a planned stop.
     :param stop_limit_s: most seconds of a planned stop.
+    :param max_body_bytes: largest request body in bytes.
     """
 
     vm_id: str = attrs.field(validator=_not_empty)
@@ -49,12 +59,14 @@
     peer_listen: str = attrs.field(validator=_host_port)
     admin_listen: str = attrs.field(validator=_host_port)
     platform: str = attrs.field(validator=_not_empty)
-    notice_s: float = attrs.field(default=_DEFAULT_NOTICE_S, converter=float)
+    notice_s: float = attrs.field(
+        default=_DEFAULT_NOTICE_S, validator=attrs.validators.ge(0)
+    )
     stop_limit_s: float = attrs.field(
-        default=_DEFAULT_STOP_LIMIT_S, converter=float
+        default=_DEFAULT_STOP_LIMIT_S, validator=_positive
     )
     max_body_bytes: int = attrs.field(
-        default=_DEFAULT_BODY_BYTES, converter=int
+        default=_DEFAULT_BODY_BYTES, validator=_positive
     )
     log_format: str = attrs.field(
         default='json', validator=attrs.validators.in_(('console', 'json'))
@@ -89,28 +101,57 @@
     :raises SettingsError: a value is missing, not valid or unknown.
     """
     names = [field.name for field in attrs.fields(Settings)]
-    chosen, origins = {}, []
-    _reject_unknown(names, environment)
-    for name in names:
-        variable = PREFIX + name.upper()
-        if name in flags:
-            chosen[name] = flags[name]
-            origins.append(Origin(name=name, source='flag'))
-        elif variable in environment:
-            chosen[name] = environment[variable]
-            origins.append(Origin(name=name, source=variable))
-        else:
-            origins.append(Origin(name=name, source='default'))
+    variables = {PREFIX + name.upper(): name for name in names}
+    _reject_unknown(flags, names)
+    own = {
+        name: text
+        for name, text in environment.items()
+        if name.startswith(PREFIX)
+    }
+    _reject_unknown(own, variables)
+    chosen = {variables[name]: text for name, text in own.items()}
+    chosen.update(flags)
+    origins = tuple(
+        Origin(name=name, source=_source(name, flags, own)) for name in names
+    )
+    return _convert(chosen), origins
+
+
+def _convert(chosen: dict[str, str]) -> Settings:
+    converter = typed_settings.converters.get_default_ts_converter()
+    missing = [
+        field.name
+        for field in attrs.fields(Settings)
+        if field.default is attrs.NOTHING and field.name not in chosen
+    ]
+    if missing:
+        variables = ', '.join(PREFIX + name.upper() for name in missing)
+        raise SettingsError(f'not set: {variables}')
     try:
-        return Settings(**chosen), tuple(origins)
+        return converter.structure(chosen, Settings)
     except (TypeError, ValueError) as exc:
-        raise SettingsError(str(exc)) from exc
+        raise SettingsError(_message(exc)) from exc
+
+
+def _message(exc: BaseException) -> str:
+    """Return the causes of an exception group in one line."""
+    if isinstance(exc, BaseExceptionGroup):
+        return '; '.join(_message(part) for part in exc.exceptions)
+    return str(exc)
 
 
-def _reject_unknown(names: list[str], environment: Mapping[str, str]) -> None:
-    known = {PREFIX + name.upper() for name in names}
-    for variable in environment:
-        if variable.startswith(PREFIX) and variable not in known:
-            near = difflib.get_close_matches(variable, known, n=1)
+def _source(name: str, flags: Mapping[str, str], own: Mapping[str, str]) -> str:
+    variable = PREFIX + name.upper()
+    if name in flags:
+        return 'flag'
+    return variable if variable in own else 'default'
+
+
+def _reject_unknown(
+    given: Mapping[str, str], known: Mapping[str, str] | list[str]
+) -> None:
+    for name in given:
+        if name not in known:
+            near = difflib.get_close_matches(name, known, n=1)
             hint = f'; did you mean {near[0]}?' if near else ''
-            raise SettingsError(f'unknown variable {variable}{hint}')
+            raise SettingsError(f'unknown setting {name}{hint}')
--- a/src/bronzewall/types.py
+++ b/src/bronzewall/types.py
@@ -38,12 +38,14 @@
     """One entry of the platform's lagging VM list.
 
     :param peer_address: ``host:port`` of the peer link.
+    :param admin_address: ``host:port`` of the admin endpoint, or empty.
     """
 
     vm_id: VmId
     placement: Placement
     peer_address: str
     state: VmState = VmState.LIVE
+    admin_address: str = ''
 
 
 @attrs.frozen(kw_only=True)
