Answer bad input with counted problem documents

Cause: a request that cannot be parsed got a plain text answer that no counter saw, and an unexpected error in the path ended without an answer. Ruled out: leaving parse errors to the balancer; conflicting framing must be refused by whoever forwards the request.

--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 from multidict import CIMultiDict
 
+from bronzewall.adapters.entry_protocol import BadInputReporter, ProblemServer
 from bronzewall.errors import (
     BodyTimeoutError,
     BodyTooLargeError,
@@ -24,6 +25,11 @@
     request: web.BaseRequest
     response: web.StreamResponse | None = None
 
+    @property
+    def is_started(self) -> bool:
+        """Whether the status line may be out."""
+        return self.response is not None
+
     async def start(self, *, status: int, headers: Headers) -> None:
         """Send the status line and headers."""
         response = web.StreamResponse(
@@ -63,18 +69,22 @@
     """Accepts callers' requests.
 
     :param listen: ``host:port``.
+    :param on_bad_input: counts a request that cannot be parsed and
+        returns the answer to it.
     :param max_body_bytes: largest request body.
     """
 
     listen: str
     handler: CallerHandler
+    on_bad_input: BadInputReporter
     max_body_bytes: int
     _runner: web.ServerRunner | None = None
 
     async def start(self) -> None:
         """Listen for callers."""
-        server = web.Server(
+        server = ProblemServer(
             self._handle,
+            on_bad_input=self.on_bad_input,
             handler_cancellation=True,
             max_line_size=_MAX_LINE_BYTES,
             max_field_size=_MAX_LINE_BYTES,
--- a/src/bronzewall/daemon.py
+++ b/src/bronzewall/daemon.py
@@ -62,6 +62,7 @@
         entry = EntryServer(
             listen=self.settings.listen,
             handler=self.path.handle,
+            on_bad_input=self.path.bad_input,
             max_body_bytes=self.settings.max_body_bytes,
         )
         admin = AdminServer(
--- a/src/bronzewall/ports.py
+++ b/src/bronzewall/ports.py
@@ -165,6 +165,10 @@
 class AnswerWriter(Protocol):
     """Answer to one caller."""
 
+    @property
+    def is_started(self) -> bool:
+        """Whether the status line may be out."""
+
     async def start(self, *, status: int, headers: Headers) -> None:
         """Send the status line and headers."""
 
--- a/src/bronzewall/problems.py
+++ b/src/bronzewall/problems.py
@@ -33,6 +33,7 @@
     KEY_REUSED = ('key_reused', 422)
     IDEMPOTENCY_KEY_REQUIRED = ('idempotency_key_required', 428)
     RATE_EXCEEDED = ('rate_exceeded', 429)
+    INTERNAL_ERROR = ('internal_error', 500)
     ANSWER_LOST = ('answer_lost', 502)
     NOT_CONFIGURED = ('not_configured', 503)
     CUT_OFF = ('cut_off', 503)
--- a/src/bronzewall/proxy.py
+++ b/src/bronzewall/proxy.py
@@ -36,6 +36,7 @@
     UpstreamRequest,
 )
 from bronzewall.problems import (
+    Problem,
     Ran,
     Reason,
     RefusalError,
@@ -111,10 +112,25 @@
             await self._serve(request, request_id, writer)
         except RefusalError as refusal:
             await self._refuse(refusal, request_id, writer)
+        except Exception:
+            await self._fail(request_id, writer)
         finally:
             self.in_flight_by_request.pop(request_id, None)
             self.metrics.record_latency(self.clock.now() - started)
 
+    def bad_input(self, error: str) -> Problem:
+        """Count a request that cannot be parsed and return its refusal.
+
+        :param error: name of the parser's error.
+        """
+        self.metrics.requests += 1
+        self.metrics.refusals[Reason.BAD_REQUEST.code] += 1
+        self.metrics.events[f'bad_input_{error}'] += 1
+        return problem_document(
+            refusal=RefusalError(reason=Reason.BAD_REQUEST, detail=error),
+            request_id=self._new_request_id(),
+        )
+
     def note(self, exchange: Exchange, event: str, **fields: object) -> None:
         """Record a decision about a request."""
         self.journal.add(
@@ -327,6 +343,17 @@
             return
         raise _with_history(exchange, _refusal_of(exc)) from exc
 
+    async def _fail(self, request_id: RequestId, writer: AnswerWriter) -> None:
+        """Answer after an error that no other rule covers."""
+        _LOG.exception('internal_error', request_id=request_id)
+        if writer.is_started:
+            writer.abort()
+            self.metrics.events['internal_error'] += 1
+            return
+        # Nothing is known about how far the request came.
+        refusal = RefusalError(reason=Reason.INTERNAL_ERROR, ran=Ran.UNKNOWN)
+        await self._refuse(refusal, request_id, writer)
+
     async def _refuse(
         self,
         refusal: RefusalError,
--- a/src/bronzewall/standins/__main__.py
+++ b/src/bronzewall/standins/__main__.py
@@ -9,6 +9,8 @@
 from bronzewall.standins.platform import serve_platform
 from bronzewall.standins.upstream import serve_upstream
 
+_DEFAULT_DELAY_S = 0.005
+
 
 async def _run(arguments: argparse.Namespace) -> None:
     stop = asyncio.Event()
@@ -19,7 +21,9 @@
         runner = await serve_platform(listen=arguments.listen)
     else:
         runner = await serve_upstream(
-            listen=arguments.listen, name=arguments.name
+            listen=arguments.listen,
+            name=arguments.name,
+            delay=arguments.delay,
         )
     await stop.wait()
     await runner.cleanup()
@@ -31,6 +35,7 @@
     parser.add_argument('kind', choices=['platform', 'upstream'])
     parser.add_argument('--listen', required=True)
     parser.add_argument('--name', default='upstream')
+    parser.add_argument('--delay', type=float, default=_DEFAULT_DELAY_S)
     asyncio.run(_run(parser.parse_args()))
 
 
--- a/src/bronzewall/standins/upstream.py
+++ b/src/bronzewall/standins/upstream.py
@@ -132,9 +132,11 @@
         return web.json_response({'status': 'ok', 'load': 0})
 
 
-async def serve_upstream(*, listen: str, name: str) -> web.AppRunner:
+async def serve_upstream(
+    *, listen: str, name: str, delay: float
+) -> web.AppRunner:
     """Start an instance on ``host:port`` and return its runner."""
-    standin = UpstreamStandin(name=name)
+    standin = UpstreamStandin(name=name, delay=delay)
     runner = web.AppRunner(
         standin.application(),
         access_log=None,
--- /dev/null
+++ b/tests/test_entry_http.py
@@ -0,0 +1,85 @@
+"""Bad input at the callers' port, sent over a raw socket."""
+
+import asyncio
+import socket
+
+import pytest
+
+from bronzewall.adapters.entry_http import EntryServer
+from bronzewall.ports import AnswerWriter, CallerRequest
+from bronzewall.problems import (
+    Problem,
+    Reason,
+    RefusalError,
+    problem_document,
+)
+from bronzewall.types import RequestId
+
+_LIMIT = 1000
+_HEAD = b'POST /drafts/1 HTTP/1.1\r\nHost: a\r\n'
+
+
+async def _handle(request: CallerRequest, writer: AnswerWriter) -> None:
+    body = await request.read_body()
+    await writer.start(status=200, headers=[('X-Size', str(len(body)))])
+    await writer.finish()
+
+
+async def _send(payload: bytes, errors: list[str]) -> bytes:
+    def on_bad_input(error: str) -> Problem:
+        errors.append(error)
+        return problem_document(
+            refusal=RefusalError(reason=Reason.BAD_REQUEST),
+            request_id=RequestId('r'),
+        )
+
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        port = probe.getsockname()[1]
+    server = EntryServer(
+        listen=f'127.0.0.1:{port}',
+        handler=_handle,
+        on_bad_input=on_bad_input,
+        max_body_bytes=_LIMIT,
+    )
+    await server.start()
+    try:
+        reader, writer = await asyncio.open_connection('127.0.0.1', port)
+        writer.write(payload)
+        return await reader.read(2000)
+    finally:
+        writer.close()
+        await server.stop()
+
+
+@pytest.mark.parametrize(
+    'payload',
+    [
+        b'\x16\x03\x01\x02\x00\x01\x00\r\n\r\n',
+        b'GET /drafts/1\r\n\r\n',
+        _HEAD + b'Content-Length: ten\r\n\r\n',
+        _HEAD + b'Content-Length: 1\r\nContent-Length: 2\r\n\r\nab',
+        _HEAD
+        + b'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+        _HEAD + b'X-Long: ' + b'a' * 20_000 + b'\r\n\r\n',
+        _HEAD + b'Bad Header: a\r\n\r\n',
+    ],
+)
+async def test_bad_http_is_a_counted_problem_document(payload: bytes) -> None:
+    """Guards against request smuggling and against silent bad input."""
+    errors: list[str] = []
+    answer = await _send(payload, errors)
+    status_line = answer.split(b'\r\n')[0]
+    # The version of an unparsable request is not known; aiohttp says 1.0.
+    assert status_line.split(b' ')[1] == b'400'
+    assert b'application/problem+json' in answer
+    assert b'"ran": "no"' in answer
+    assert len(errors) == 1
+
+
+async def test_whole_body_is_read_once() -> None:
+    """Guards against a body that is cut or read into the next request."""
+    errors: list[str] = []
+    answer = await _send(_HEAD + b'Content-Length: 3\r\n\r\nabc', errors)
+    assert b'X-Size: 3' in answer
+    assert not errors
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -47,7 +47,7 @@
 class FakeUpstreams:
     """Fails as listed, then answers with the given chunks."""
 
-    failures: list[BronzewallError] = attrs.field(factory=list)
+    failures: list[Exception] = attrs.field(factory=list)
     chunks: Sequence[bytes | BronzewallError] = (b'ok',)
     sent: list[UpstreamRequest] = attrs.field(factory=list)
 
@@ -79,6 +79,11 @@
     is_finished: bool = False
     is_aborted: bool = False
 
+    @property
+    def is_started(self) -> bool:
+        """Whether a status was sent."""
+        return self.status > 0
+
     async def start(self, *, status: int, headers: Headers) -> None:
         """Record the start."""
         self.status, self.headers = status, headers
@@ -193,3 +198,11 @@
     assert writer.status == 401
     assert not upstreams.sent
     assert path.metrics.refusals == {'key_unknown': 1}
+
+
+def test_unexpected_error_is_answered_and_does_not_claim_not_run() -> None:
+    """Guards against a silent caller after an internal error."""
+    writer, path = _serve(FakeUpstreams(failures=[KeyError('x')]), _request())
+    assert writer.status == 500
+    assert b'"ran": "unknown"' in writer.body
+    assert path.metrics.refusals == {'internal_error': 1}
