Refuse HTTP/0.9 requests

Cause: the parser accepts a request line without a version; the bad input table found it answered with 200. Ruled out: treating it as HTTP/1.0; such a caller cannot read a refusal. Change: one check of the version before the request is handled.

--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import attrs
-from aiohttp import web
+from aiohttp import HttpVersion10, web
 from multidict import CIMultiDict
 
 from bronzewall.adapters.entry_protocol import BadInputReporter, ProblemServer
@@ -101,6 +101,14 @@
             await self._runner.cleanup()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.version < HttpVersion10:
+            # The parser accepts HTTP/0.9, whose answers have no status.
+            problem = self.on_bad_input('HttpVersion')
+            return web.Response(
+                status=problem.status,
+                headers=CIMultiDict(problem.headers),
+                body=problem.body,
+            )
         writer = AiohttpAnswerWriter(request=request)
         await self.handler(self._caller_request(request), writer)
         assert writer.response is not None
