Test the peer port against garbage

Cause: the peer port had no fault table. Change: a table of bad messages, fuzzing with random bytes and random CBOR, a one-way cut during a call, and garbage over a real websocket.

--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,138 @@
+"""The peer port: garbage is a typed error and never stops the VM."""
+
+import asyncio
+import random
+import socket
+
+import attrs
+import cbor2
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from bronzewall.adapters.websocket_link import WebSocketLink
+from bronzewall.errors import (
+    PeerKindError,
+    PeerMessageError,
+    PeerTimeoutError,
+    PeerVersionError,
+)
+from bronzewall.messages import Envelope, decode, encode, message
+from bronzewall.peer_calls import PeerEndpoint
+from bronzewall.standins.memory_link import MemoryLink, MemoryNetwork
+from bronzewall.standins.virtual_time import run_virtual
+from bronzewall.types import VmId
+
+
+@message('test_ping')
+@attrs.frozen(kw_only=True)
+class Ping:
+    """Message of these tests."""
+
+    number: int
+
+
+def _wire(**changes: object) -> bytes:
+    wire = {'v': 1, 't': 'test_ping', 'f': 'a', 'i': 1, 'n': 2}
+    return cbor2.dumps({**wire, 'b': {'number': 3}, **changes})
+
+
+@pytest.mark.parametrize(
+    ('payload', 'error'),
+    [
+        (b'', PeerMessageError),
+        (b'\xff\xff', PeerMessageError),
+        (cbor2.dumps([1]), PeerMessageError),
+        (_wire()[:-3], PeerMessageError),
+        (_wire(v=2), PeerVersionError),
+        (_wire(t='unknown'), PeerKindError),
+        (_wire(b={'number': 'x'}), PeerKindError),
+        (_wire(b={'number': 1, 'more': 2}), PeerKindError),
+        (_wire(b=None), PeerKindError),
+        (_wire(f=7), PeerMessageError),
+        (_wire(n=None), PeerMessageError),
+    ],
+)
+def test_garbage_is_a_typed_error(payload: bytes, error: type) -> None:
+    """Guards against a peer's bad message ending a connection."""
+    with pytest.raises(PeerMessageError) as caught:
+        decode(payload)
+    assert caught.type is error
+
+
+_CBOR_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text() | st.binary(),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.sampled_from('vtfinbcr'), inner, max_size=8)
+    ),
+    max_leaves=8,
+)
+
+
+@given(st.binary(max_size=40) | _CBOR_VALUES.map(cbor2.dumps))
+def test_decode_raises_only_message_errors(payload: bytes) -> None:
+    """Guards against untyped errors from bytes that nobody thought of."""
+    try:
+        decode(payload)
+    except PeerMessageError:
+        return
+    pytest.fail('random bytes were accepted')
+
+
+@given(st.integers(-(2**63), 2**63), st.none() | st.integers(0, 9))
+def test_envelope_survives_the_wire(number: int, call_id: int | None) -> None:
+    """Guards against fields that are lost or changed on the wire."""
+    sent = Envelope(
+        sender=VmId('a'),
+        incarnation=1,
+        sequence=2,
+        body=Ping(number=number),
+        call_id=call_id,
+    )
+    assert decode(encode(sent)) == sent
+
+
+def test_call_times_out_when_replies_are_cut() -> None:
+    """Guards against a caller that waits for ever after a one-way cut."""
+
+    async def main() -> None:
+        network = MemoryNetwork(random=random.Random(1))
+        first, second = (
+            PeerEndpoint(
+                vm_id=VmId(name),
+                incarnation=1,
+                link=MemoryLink(vm_id=VmId(name), network=network),
+            )
+            for name in ('a', 'b')
+        )
+        second.serve(Ping, lambda envelope: envelope.body)
+        sent = Ping(number=4)
+        reply = await first.call(to=VmId('b'), message=sent, timeout=1)
+        assert reply == sent
+        network.cut(sender=VmId('b'), receiver=VmId('a'))
+        with pytest.raises(PeerTimeoutError):
+            await first.call(to=VmId('b'), message=sent, timeout=1)
+
+    run_virtual(main())
+
+
+async def test_websocket_link_goes_on_after_garbage() -> None:
+    """Guards against a link that one bad message closes."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        port = probe.getsockname()[1]
+    receiving = WebSocketLink(listen=f'127.0.0.1:{port}')
+    endpoint = PeerEndpoint(vm_id=VmId('b'), incarnation=1, link=receiving)
+    arrived = asyncio.Event()
+    endpoint.serve(Ping, lambda _envelope: arrived.set())
+    sending = WebSocketLink(listen='127.0.0.1:1')
+    sending.set_addresses({VmId('b'): f'127.0.0.1:{port}'})
+    await receiving.start()
+    for payload in (b'\xff', _wire(v=9), _wire()):
+        sending.send(to=VmId('b'), payload=payload)
+    await asyncio.wait_for(arrived.wait(), 10)
+    await sending.stop()
+    await receiving.stop()
+    assert endpoint.counters['PeerMessageError'] == 1
+    assert endpoint.counters['PeerVersionError'] == 1
