Check the call fields of a peer message

Cause: a reply number that is a list or map passed decode() and raised an untyped TypeError in the look-up of waiting calls, which ends the task that reads the peer's connection. Ruled out: catching TypeError in the endpoint; it would hide own errors.

--- a/src/bronzewall/messages.py
+++ b/src/bronzewall/messages.py
@@ -11,6 +11,7 @@
 
 PROTOCOL_VERSION = 1
 
+_FieldT = TypeVar('_FieldT')
 _ClassT = TypeVar('_ClassT', bound=type)
 
 _converter = make_converter(forbid_extra_keys=True)
@@ -100,18 +101,18 @@
 
 
 def _envelope(wire: dict[str, Any], body: object) -> Envelope:
-    sender, incarnation, sequence = wire.get('f'), wire.get('i'), wire.get('n')
-    if (
-        not isinstance(sender, str)
-        or not isinstance(incarnation, int)
-        or not isinstance(sequence, int)
-    ):
-        raise PeerMessageError('sender, incarnation or sequence is missing')
     return Envelope(
-        sender=VmId(sender),
-        incarnation=incarnation,
-        sequence=sequence,
+        sender=VmId(_field(wire, 'f', str)),
+        incarnation=_field(wire, 'i', int),
+        sequence=_field(wire, 'n', int),
         body=body,
-        call_id=wire.get('c'),
-        reply_to=wire.get('r'),
+        call_id=_field(wire, 'c', int) if 'c' in wire else None,
+        reply_to=_field(wire, 'r', int) if 'r' in wire else None,
     )
+
+
+def _field(wire: dict[str, Any], key: str, kind: type[_FieldT]) -> _FieldT:
+    found = wire.get(key)
+    if not isinstance(found, kind):
+        raise PeerMessageError(f'field {key!r} is {found!r}')
+    return found
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -51,6 +51,8 @@
         (_wire(b=None), PeerKindError),
         (_wire(f=7), PeerMessageError),
         (_wire(n=None), PeerMessageError),
+        (_wire(c=[1]), PeerMessageError),
+        (_wire(r={}), PeerMessageError),
     ],
 )
 def test_garbage_is_a_typed_error(payload: bytes, error: type) -> None:
