--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -20,9 +20,13 @@
 
 @attrs.define(kw_only=True, eq=False)
 class AiohttpAnswerWriter:
-    """Port ``AnswerWriter`` for one aiohttp request."""
+    """Port ``AnswerWriter`` for one aiohttp request.
+
+    :param is_last: close the connection after this answer.
+    """
 
     request: web.BaseRequest
+    is_last: bool = False
     response: web.StreamResponse | None = None
 
     @property
@@ -36,6 +40,8 @@
             status=status, headers=CIMultiDict(headers)
         )
         self.response = response
+        if self.is_last:
+            response.force_close()
         try:
             await response.prepare(self.request)
         except OSError as exc:
@@ -78,6 +84,7 @@
     handler: CallerHandler
     on_bad_input: BadInputReporter
     max_body_bytes: int
+    _is_draining: bool = False
     _runner: web.ServerRunner | None = None
 
     async def start(self) -> None:
@@ -95,6 +102,14 @@
         host, _, port = self.listen.rpartition(':')
         await web.TCPSite(self._runner, host, int(port)).start()
 
+    def drain(self) -> None:
+        """Close each connection after its next answer.
+
+        A caller that keeps its connection would otherwise send a request
+        on it in the moment in which the server closes it.
+        """
+        self._is_draining = True
+
     async def stop(self) -> None:
         """Close idle connections and wait for the others."""
         if self._runner is not None:
@@ -109,7 +124,7 @@
                 headers=CIMultiDict(problem.headers),
                 body=problem.body,
             )
-        writer = AiohttpAnswerWriter(request=request)
+        writer = AiohttpAnswerWriter(request=request, is_last=self._is_draining)
         await self.handler(self._caller_request(request), writer)
         assert writer.response is not None
         return writer.response
--- a/src/bronzewall/daemon.py
+++ b/src/bronzewall/daemon.py
@@ -77,6 +77,7 @@
         await entry.start()
         _LOG.info('started', vm=self.settings.vm_id, zone=self.settings.zone)
         await stop_asked.wait()
+        entry.drain()
         await self._drain(stop_forced)
         await entry.stop()
         await admin.stop()
