Spread configuration, members and freshness over the fleet

Cause: every VM polled the store and the VM list by itself, a publish replaced the whole configuration, and a VM that was cut off went on accepting keys.

Change: a publish writes the rows of its own services, the accounts row and the generation row in one transaction; bodies are parts addressed by digest. Two readers for each zone poll the generation row; all others learn of it from heartbeat acks and pull the parts that differ. Freshness is counted from the own heartbeat. Keys are kept packed. The peer link no longer logs an error when a peer breaks its connection.

--- a/src/bronzewall/adapters/websocket_link.py
+++ b/src/bronzewall/adapters/websocket_link.py
@@ -8,7 +8,7 @@
 import structlog
 from websockets.asyncio.client import connect
 from websockets.asyncio.server import Server, ServerConnection, serve
-from websockets.exceptions import WebSocketException
+from websockets.exceptions import ConnectionClosedError, WebSocketException
 
 from bronzewall.ports import PayloadHandler
 from bronzewall.types import VmId
@@ -116,8 +116,14 @@
                 await connection.send(await queue.get())
 
     async def _receive(self, connection: ServerConnection) -> None:
-        async for payload in connection:
-            if isinstance(payload, str):
-                self.counters['text_message'] += 1
-            elif self._handler is not None:
-                self._handler(payload)
+        try:
+            async for payload in connection:
+                self._handle(payload)
+        except ConnectionClosedError:
+            self.counters['connection_broken'] += 1
+
+    def _handle(self, payload: str | bytes) -> None:
+        if isinstance(payload, str):
+            self.counters['text_message'] += 1
+        elif self._handler is not None:
+            self._handler(payload)
--- /dev/null
+++ b/src/bronzewall/config_exchange.py
@@ -0,0 +1,171 @@
+"""Passes the configuration between VMs."""
+
+import asyncio
+
+import attrs
+
+from bronzewall.config_codec import PartEntry
+from bronzewall.config_feed import ConfigFeed
+from bronzewall.errors import PeerTimeoutError, SnapshotError, StoreError
+from bronzewall.messages import Envelope, message
+from bronzewall.peer_calls import PeerEndpoint
+from bronzewall.types import VmId
+
+_PULL_TIMEOUT_S = 0.5
+_MAX_BODY_BYTES = 1_048_576
+_PARTS_PER_PULL = 256
+
+
+@message('config_pull')
+@attrs.frozen(kw_only=True)
+class ConfigPull:
+    """Asks for what changed.
+
+    :param have: generation in force at the sender.
+    """
+
+    have: int = 0
+
+
+@message('config_body')
+@attrs.frozen(kw_only=True)
+class ConfigBody:
+    """What changed, with as many bodies as fit."""
+
+    generation: int
+    digest: bytes
+    changes: dict[str, PartEntry]
+    bodies_by_part: dict[str, bytes]
+
+
+@message('parts_pull')
+@attrs.frozen(kw_only=True)
+class PartsPull:
+    """Asks for the bodies of some parts."""
+
+    digests_by_part: dict[str, bytes]
+
+
+@message('parts_body')
+@attrs.frozen(kw_only=True)
+class PartsBody:
+    """Bodies of parts; what the sender does not hold is left out."""
+
+    bodies_by_part: dict[str, bytes]
+
+
+@attrs.define(kw_only=True, eq=False)
+class ConfigExchange:
+    """Answers pulls of other VMs and pulls from those that are ahead."""
+
+    endpoint: PeerEndpoint
+    feed: ConfigFeed
+    _offers_by_id: dict[VmId, int] = attrs.field(factory=dict)
+    _pulls: 'asyncio.Task[None] | None' = None
+
+    def __attrs_post_init__(self) -> None:
+        """Answer other VMs."""
+        self.endpoint.serve(ConfigPull, self._answer)
+        self.endpoint.serve(PartsPull, self._answer_parts)
+
+    def offered(self, sender: VmId, generation: int) -> None:
+        """Pull from a member that has a newer generation."""
+        self._offers_by_id[sender] = generation
+        if self._pulls is None or self._pulls.done():
+            self._pulls = asyncio.create_task(self._pull_offers())
+
+    async def close(self) -> None:
+        """End a pull that is under way."""
+        if self._pulls is not None:
+            self._pulls.cancel()
+            await asyncio.gather(self._pulls, return_exceptions=True)
+
+    async def pull(self, sender: VmId) -> bool:
+        """Pull from one member and return whether that brought news."""
+        try:
+            return await self._pull(sender)
+        except (PeerTimeoutError, StoreError):
+            self.endpoint.counters['config_pull_failed'] += 1
+        except SnapshotError:
+            self.endpoint.counters['config_digest'] += 1
+        return False
+
+    async def _pull_offers(self) -> None:
+        while self._offers_by_id:
+            sender = max(self._offers_by_id, key=self._offers_by_id.__getitem__)
+            generation = self._offers_by_id.pop(sender)
+            if generation > self.feed.generation:
+                await self.pull(sender)
+
+    async def _pull(self, sender: VmId) -> bool:
+        body: ConfigBody = await self.endpoint.call(
+            to=sender,
+            message=ConfigPull(have=self.feed.generation),
+            timeout=_PULL_TIMEOUT_S,
+        )
+        if body.generation <= self.feed.generation:
+            return False
+        bodies = dict(body.bodies_by_part)
+        await self._complete(sender, body, bodies)
+        return self.feed.advance(
+            generation=body.generation,
+            digest=body.digest,
+            changes=body.changes,
+            bodies_by_part=bodies,
+        )
+
+    async def _complete(
+        self, sender: VmId, body: ConfigBody, bodies: dict[str, bytes]
+    ) -> None:
+        """Add the bodies that did not fit into the first answer."""
+        missing = self.feed.state.missing(body.changes)
+        wanted = {
+            part: digest
+            for part, digest in missing.items()
+            if part not in bodies
+        }
+        while wanted:
+            some = dict(list(wanted.items())[:_PARTS_PER_PULL])
+            answer: PartsBody = await self.endpoint.call(
+                to=sender,
+                message=PartsPull(digests_by_part=some),
+                timeout=_PULL_TIMEOUT_S,
+            )
+            if not answer.bodies_by_part:
+                bodies.update(await self.feed.fetch(wanted))
+                return
+            bodies.update(answer.bodies_by_part)
+            for part in answer.bodies_by_part:
+                wanted.pop(part, None)
+
+    def _answer(self, envelope: Envelope) -> ConfigBody:
+        state = self.feed.state
+        changes = state.changes_since(envelope.body.have)
+        return ConfigBody(
+            generation=state.generation,
+            digest=state.digest,
+            changes=changes,
+            bodies_by_part=self._bodies(
+                {part: entry.digest for part, entry in changes.items()}
+            ),
+        )
+
+    def _answer_parts(self, envelope: Envelope) -> PartsBody:
+        return PartsBody(
+            bodies_by_part=self._bodies(envelope.body.digests_by_part)
+        )
+
+    def _bodies(self, digests_by_part: dict[str, bytes]) -> dict[str, bytes]:
+        state = self.feed.state
+        found: dict[str, bytes] = {}
+        size = 0
+        for part, digest in digests_by_part.items():
+            entry = state.entries_by_part.get(part)
+            body = state.bodies_by_part.get(part)
+            if entry is None or body is None or entry.digest != digest:
+                continue
+            size += len(body)
+            if found and size > _MAX_BODY_BYTES:
+                break
+            found[part] = body
+        return found
--- /dev/null
+++ b/src/bronzewall/config_state.py
@@ -0,0 +1,242 @@
+"""The parts of the configuration in force and how a change is applied."""
+
+from collections.abc import Iterator, Mapping
+from functools import lru_cache
+
+import attrs
+
+from bronzewall.config_codec import (
+    ACCOUNTS_PREFIX,
+    SERVICE_PREFIX,
+    PartEntry,
+    account_part,
+    body_digest,
+    decode_accounts,
+    decode_service,
+    encode_accounts,
+    encode_service,
+    manifest_digest,
+    service_part,
+)
+from bronzewall.config_model import Account, Configuration, Service
+from bronzewall.errors import SnapshotError
+from bronzewall.key_table import KeyTable
+from bronzewall.routing import RouteTable
+from bronzewall.types import AccountId, ServiceName
+
+# Decoded parts kept; at two years' size 512 of 4,096 take about 20 MB.
+_DECODED_PARTS = 512
+
+
+@attrs.frozen(kw_only=True)
+class ConfigState:
+    """All parts at one generation, as bodies with digests."""
+
+    generation: int = 0
+    digest: bytes = b''
+    entries_by_part: Mapping[str, PartEntry] = attrs.field(factory=dict)
+    bodies_by_part: Mapping[str, bytes] = attrs.field(factory=dict)
+
+    def changes_since(self, generation: int) -> dict[str, PartEntry]:
+        """Return the parts that changed after a generation."""
+        return {
+            part: entry
+            for part, entry in self.entries_by_part.items()
+            if entry.generation > generation
+        }
+
+    def missing(self, changes: Mapping[str, PartEntry]) -> dict[str, bytes]:
+        """Return the digests of the changed parts whose body is unknown."""
+        return {
+            part: entry.digest
+            for part, entry in changes.items()
+            if entry.digest and not self._holds(part, entry.digest)
+        }
+
+    def advanced(
+        self,
+        *,
+        generation: int,
+        digest: bytes,
+        changes: Mapping[str, PartEntry],
+        bodies_by_part: Mapping[str, bytes],
+    ) -> 'ConfigState':
+        """Return the state after a change.
+
+        :param digest: manifest digest that the result must have.
+        :raises SnapshotError: a body or the result has another digest.
+        """
+        bodies = dict(self.bodies_by_part)
+        for part, entry in changes.items():
+            if not entry.digest:
+                bodies.pop(part, None)
+            elif not self._holds(part, entry.digest):
+                bodies[part] = _verified(part, entry, bodies_by_part)
+        entries = {**self.entries_by_part, **changes}
+        if manifest_digest(entries) != digest:
+            raise SnapshotError(f'manifest of generation {generation} differs')
+        return ConfigState(
+            generation=generation,
+            digest=digest,
+            entries_by_part=entries,
+            bodies_by_part=bodies,
+        )
+
+    def _holds(self, part: str, digest: bytes) -> bool:
+        entry = self.entries_by_part.get(part)
+        return entry is not None and entry.digest == digest
+
+
+class PackedAccounts(Mapping[AccountId, Account]):
+    """Accounts by id, decoded from their parts when they are asked for.
+
+    640,000 decoded accounts would exceed the memory of a VM.
+    """
+
+    def __init__(self, *, bodies_by_part: Mapping[str, bytes]) -> None:
+        """Keep the bodies of the accounts' parts."""
+        self._bodies_by_part = bodies_by_part
+
+    def __getitem__(self, account_id: AccountId) -> Account:
+        """Return one account."""
+        body = self._bodies_by_part.get(account_part(account_id))
+        if body is None:
+            raise KeyError(account_id)
+        return _accounts_by_id(body)[account_id]
+
+    def __iter__(self) -> Iterator[AccountId]:
+        """Return all account ids."""
+        for body in self._bodies_by_part.values():
+            for account in decode_accounts(body):
+                yield account.account_id
+
+    def __len__(self) -> int:
+        """Return the number of accounts."""
+        return sum(1 for _ in self)
+
+
+@attrs.frozen(kw_only=True)
+class InForce:
+    """A configuration with the look-up tables built from it.
+
+    The tables are changed in place when the next generation is taken, so
+    a caller reads them without waiting in between.
+    """
+
+    configuration: Configuration
+    routes: RouteTable
+    keys: KeyTable
+
+
+def state_of(configuration: Configuration) -> ConfigState:
+    """Return the parts of a configuration, all as new."""
+    bodies = encode_accounts(configuration.accounts_by_id.values())
+    for service in configuration.services_by_name.values():
+        bodies[service_part(service.name)] = encode_service(service)
+    entries = {
+        part: PartEntry(
+            generation=configuration.generation, digest=body_digest(body)
+        )
+        for part, body in bodies.items()
+    }
+    return ConfigState(
+        generation=configuration.generation,
+        digest=manifest_digest(entries),
+        entries_by_part=entries,
+        bodies_by_part=bodies,
+    )
+
+
+def put_in_force(
+    *, previous: InForce | None, old: ConfigState, new: ConfigState
+) -> InForce:
+    """Return the look-up tables of a state, built from the previous ones.
+
+    :raises SnapshotError: a part has another form; nothing was changed.
+    """
+    known = {**old.entries_by_part, **new.entries_by_part}
+    changed = [
+        part
+        for part in known
+        if old.entries_by_part.get(part) != new.entries_by_part.get(part)
+    ]
+    services = _changed_services(changed, new)
+    removed, added = _changed_accounts(changed, old, new)
+    services_by_name: dict[ServiceName, Service] = {}
+    routes, keys = RouteTable(), KeyTable()
+    if previous is not None:
+        services_by_name.update(previous.configuration.services_by_name)
+        routes, keys = previous.routes, previous.keys
+    _replace_services(services_by_name, routes, services)
+    keys.update(removed=removed, added=added)
+    return InForce(
+        configuration=Configuration(
+            generation=new.generation,
+            services_by_name=services_by_name,
+            accounts_by_id=PackedAccounts(bodies_by_part=new.bodies_by_part),
+        ),
+        routes=routes,
+        keys=keys,
+    )
+
+
+def _changed_services(
+    changed: list[str], new: ConfigState
+) -> dict[ServiceName, Service | None]:
+    services: dict[ServiceName, Service | None] = {}
+    for part in changed:
+        if not part.startswith(SERVICE_PREFIX):
+            continue
+        name = ServiceName(part.removeprefix(SERVICE_PREFIX))
+        body = new.bodies_by_part.get(part)
+        services[name] = None if body is None else decode_service(body)
+    return services
+
+
+def _changed_accounts(
+    changed: list[str], old: ConfigState, new: ConfigState
+) -> tuple[list[Account], list[Account]]:
+    removed: list[Account] = []
+    added: list[Account] = []
+    for part in changed:
+        if part.startswith(ACCOUNTS_PREFIX):
+            removed.extend(_accounts_of(old, part))
+            added.extend(_accounts_of(new, part))
+    return removed, added
+
+
+def _accounts_of(state: ConfigState, part: str) -> list[Account]:
+    body = state.bodies_by_part.get(part)
+    return [] if body is None else list(decode_accounts(body))
+
+
+def _replace_services(
+    services_by_name: dict[ServiceName, Service],
+    routes: RouteTable,
+    changes: Mapping[ServiceName, Service | None],
+) -> None:
+    for name, service in changes.items():
+        before = services_by_name.pop(name, None)
+        if before is not None:
+            for old_route in before.routes_by_id.values():
+                routes.remove(old_route)
+        if service is not None:
+            services_by_name[name] = service
+            for route in service.routes_by_id.values():
+                routes.add(route)
+
+
+def _verified(
+    part: str, entry: PartEntry, bodies_by_part: Mapping[str, bytes]
+) -> bytes:
+    body = bodies_by_part.get(part)
+    if body is None:
+        raise SnapshotError(f'the body of {part} is missing')
+    if body_digest(body) != entry.digest:
+        raise SnapshotError(f'the body of {part} has another digest')
+    return body
+
+
+@lru_cache(maxsize=_DECODED_PARTS)
+def _accounts_by_id(body: bytes) -> Mapping[AccountId, Account]:
+    return {account.account_id: account for account in decode_accounts(body)}
--- a/src/bronzewall/daemon.py
+++ b/src/bronzewall/daemon.py
@@ -17,20 +17,18 @@
 from bronzewall.adapters.upstream_http import AiohttpUpstreams, open_session
 from bronzewall.adapters.websocket_link import WebSocketLink
 from bronzewall.admin import AdminView
-from bronzewall.config_feed import ConfigFeed
+from bronzewall.control_plane import ControlPlane
 from bronzewall.dispatch import Dispatcher
-from bronzewall.errors import StoreError
 from bronzewall.journal import Journal
 from bronzewall.membership import Members
 from bronzewall.metrics import Metrics
 from bronzewall.peer_calls import PeerEndpoint
-from bronzewall.ports import Clock, VmList
+from bronzewall.ports import Clock
 from bronzewall.proxy import RequestPath
 from bronzewall.quota import StaticSplitQuota
 from bronzewall.settings import Origin, Settings
-from bronzewall.types import Placement, RequestId, VmId
+from bronzewall.types import Placement, RequestId, VmId, VmState
 
-_LIST_INTERVAL_S = 2.0
 _DRAIN_CHECK_S = 0.05
 _LOG = structlog.get_logger()
 
@@ -45,14 +43,12 @@
     members: Members
     endpoint: PeerEndpoint
     link: WebSocketLink
-    vm_list: VmList
-    feed: ConfigFeed
+    control: ControlPlane
     path: RequestPath
     metrics: Metrics
     journal: Journal
     sessions: tuple[aiohttp.ClientSession, ...]
     is_stopping: bool = False
-    _tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
 
     async def run(self) -> None:
         """Serve until a planned stop is complete."""
@@ -68,10 +64,8 @@
             listen=self.settings.admin_listen, view=self.admin_view()
         )
         await self.link.start()
-        self._tasks = [
-            asyncio.create_task(self.feed.run()),
-            asyncio.create_task(self._follow_vm_list()),
-        ]
+        self.members.on_change(self._use_addresses)
+        self.control.start()
         await admin.start()
         await entry.start()
         _LOG.info('started', vm=self.settings.vm_id, zone=self.settings.zone)
@@ -85,7 +79,9 @@
     def admin_view(self) -> AdminView:
         """Return the reports of this VM."""
         return AdminView(
-            is_ready=lambda: not self.is_stopping and self.feed.generation > 0,
+            is_ready=lambda: (
+                not self.is_stopping and self.control.feed.generation > 0
+            ),
             status=self._status,
             debug=self._debug,
             explain=self._explain,
@@ -95,6 +91,7 @@
     async def _drain(self, stop_forced: asyncio.Event) -> None:
         """Wait for the balancer to notice and for requests to end."""
         self.is_stopping = True
+        self.control.heartbeats.announce_stop()
         _LOG.info('stopping', in_flight=len(self.path.in_flight_by_request))
         limit = self.clock.now() + self.settings.stop_limit_s
         notice = self.clock.now() + self.settings.notice_s
@@ -108,27 +105,18 @@
                 'request_cut', request_id=request_id, route=route.route_id
             )
 
-    async def _follow_vm_list(self) -> None:
-        while True:
-            try:
-                records = await self.vm_list.read()
-            except StoreError as exc:
-                _LOG.warning('vm_list_unavailable', error=str(exc))
-            else:
-                self.members.update(tuple(records))
-                self.link.set_addresses(
-                    {
-                        record.vm_id: record.peer_address
-                        for record in records
-                        if record.vm_id != self.members.own_id
-                    }
-                )
-            await self.clock.sleep(_LIST_INTERVAL_S)
+    def _use_addresses(self) -> None:
+        self.link.set_addresses(
+            {
+                record.vm_id: record.peer_address
+                for record in self.members.records_by_id.values()
+                if record.vm_id != self.members.own_id
+                and record.state is not VmState.DESTROYED
+            }
+        )
 
     async def _close(self) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.control.stop()
         await self.endpoint.close()
         await self.link.stop()
         for session in self.sessions:
@@ -138,7 +126,8 @@
         return {
             'vm': self.settings.vm_id,
             'zone': self.settings.zone,
-            'generation': self.feed.generation,
+            'generation': self.control.feed.generation,
+            'serves_keyed': self.control.may_serve_keyed(),
             'stopping': self.is_stopping,
             'in_flight': len(self.path.in_flight_by_request),
             'refusals': dict(self.metrics.refusals),
@@ -172,32 +161,39 @@
     link = WebSocketLink(listen=settings.peer_listen)
     rng = random.SystemRandom()
     metrics, journal = Metrics(), Journal()
-    feed = ConfigFeed(clock=clock, table=store, objects=store)
+    members = Members(
+        own_id=vm_id,
+        own_placement=Placement(region=settings.region, zone=settings.zone),
+    )
+    endpoint = PeerEndpoint(vm_id=vm_id, incarnation=time.time_ns(), link=link)
+    control = ControlPlane(
+        clock=clock,
+        random=rng,
+        members=members,
+        endpoint=endpoint,
+        table=store,
+        objects=store,
+        vm_list=PlatformVmList(client=store),
+    )
     daemon = Daemon(
         settings=settings,
         origins=origins,
         clock=clock,
-        members=Members(
-            own_id=vm_id,
-            own_placement=Placement(region=settings.region, zone=settings.zone),
-        ),
-        endpoint=PeerEndpoint(
-            vm_id=vm_id, incarnation=time.time_ns(), link=link
-        ),
+        members=members,
+        endpoint=endpoint,
         link=link,
-        vm_list=PlatformVmList(client=store),
-        feed=feed,
+        control=control,
         path=RequestPath(
             vm_id=vm_id,
             clock=clock,
             random=rng,
-            feed=feed,
+            feed=control.feed,
             quota=StaticSplitQuota(clock=clock, share=1.0),
             dispatcher=Dispatcher(random=rng),
             upstreams=AiohttpUpstreams(session=upstream_session),
             metrics=metrics,
             journal=journal,
-            may_serve_keyed=lambda: True,
+            may_serve_keyed=control.may_serve_keyed,
         ),
         metrics=metrics,
         journal=journal,
--- a/src/bronzewall/demo.py
+++ b/src/bronzewall/demo.py
@@ -179,8 +179,11 @@
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder)
         _write_files(path, fleet)
+        configuration = load_directory(path)
         await publish(
-            configuration=load_directory(path),
+            services=tuple(configuration.services_by_name.values()),
+            accounts=tuple(configuration.accounts_by_id.values()),
+            publisher='demo',
             publication_id=uuid.uuid4().hex,
             table=client,
             objects=client,
--- a/src/bronzewall/errors.py
+++ b/src/bronzewall/errors.py
@@ -133,7 +133,17 @@
 
 
 class PublishConflictError(ConfigurationError):
-    """Another operator published the same service first."""
+    """Another operator published the same service first.
+
+    :param part: service that was published, or ``accounts``.
+    :param publisher: the other operator.
+    """
+
+    def __init__(self, *, part: str, publisher: str) -> None:
+        """Name the service and the other operator."""
+        super().__init__(f'{part} was published by {publisher} meanwhile')
+        self.part = part
+        self.publisher = publisher
 
 
 class NoConfigurationError(ConfigurationError):
--- a/src/bronzewall/messages.py
+++ b/src/bronzewall/messages.py
@@ -13,7 +13,8 @@
 
 _ClassT = TypeVar('_ClassT', bound=type)
 
-_converter = make_converter(forbid_extra_keys=True)
+# Fields at their default value are not sent; heartbeats are frequent.
+_converter = make_converter(forbid_extra_keys=True, omit_if_default=True)
 _classes_by_kind: dict[str, type] = {}
 _kinds_by_class: dict[type, str] = {}
 
--- a/src/bronzewall/peer_calls.py
+++ b/src/bronzewall/peer_calls.py
@@ -16,6 +16,10 @@
 Handler = Callable[[messages.Envelope], Any]
 
 
+def _accept_all(_envelope: messages.Envelope) -> bool:
+    return True
+
+
 @attrs.define(kw_only=True, eq=False)
 class PeerEndpoint:
     """This VM's end of the links to all peers.
@@ -24,11 +28,14 @@
     handler may be a coroutine function; its task is then kept here.
 
     :param incarnation: start time of this process, nanoseconds.
+    :param accepts: sees every envelope first; ``False`` drops it, for
+        example because the sender's id has a newer incarnation.
     """
 
     vm_id: VmId
     incarnation: int
     link: PeerLink
+    accepts: Callable[[messages.Envelope], bool] = _accept_all
     counters: Counter[str] = attrs.field(factory=Counter)
     _handlers_by_class: dict[type, Handler] = attrs.field(factory=dict)
     _replies_by_call: dict[int, asyncio.Future[Any]] = attrs.field(factory=dict)
@@ -74,6 +81,9 @@
         except PeerMessageError as exc:
             self.counters[type(exc).__name__] += 1
             return
+        if not self.accepts(envelope):
+            self.counters['not_accepted'] += 1
+            return
         if envelope.reply_to is None:
             self._dispatch(envelope)
             return
--- a/src/bronzewall/proxy.py
+++ b/src/bronzewall/proxy.py
@@ -8,8 +8,9 @@
 import structlog
 
 from bronzewall import headers as header_rules
-from bronzewall.config_feed import ConfigFeed, InForce
+from bronzewall.config_feed import ConfigFeed
 from bronzewall.config_model import Account, Instance, Route, Service
+from bronzewall.config_state import InForce
 from bronzewall.dispatch import Dispatcher
 from bronzewall.errors import (
     BodyTimeoutError,
--- a/src/bronzewall/publication.py
+++ b/src/bronzewall/publication.py
@@ -1,73 +1,361 @@
-"""Publishes a configuration through the table service."""
+"""Publishes parts of the configuration through the table service."""
+
+import asyncio
+import enum
+import random
+from collections.abc import Mapping, Sequence
 
 import attrs
-import cbor2
 
-from bronzewall.config_codec import encode_snapshot
-from bronzewall.config_model import Configuration
+from bronzewall import publication_rows as rows
+from bronzewall.config_codec import (
+    ACCOUNTS_PREFIX,
+    PartEntry,
+    body_digest,
+    encode_accounts,
+    encode_service,
+    manifest_digest,
+    service_part,
+)
+from bronzewall.config_model import Account, Service
+from bronzewall.errors import (
+    PublishConflictError,
+    StoreAnswerLostError,
+    StoreConflictError,
+    StoreUnavailableError,
+)
 from bronzewall.ports import ObjectStore, TableService
-from bronzewall.types import RowCheck, RowWrite
+from bronzewall.types import RowCheck, RowWrite, ServiceName
+
+# Bodies up to this size travel inside the generation row.
+_INLINE_BYTES = 16_384
+# At 12,000 changes a day this keeps history and publication ids for four
+# days, longer than any reader is behind and any operator repeats.
+_HISTORY_GENERATIONS = 48_000
+_ABSENT = PartEntry(generation=0, digest=b'')
+_RETRY_DELAY_S = 0.1
+_DEFAULT_TIMEOUT_S = 15.0
+
+
+class PublishOutcome(enum.StrEnum):
+    """What is known about a publication."""
+
+    STORED = 'stored'
+    UNKNOWN = 'unknown'
+
+
+@attrs.frozen(kw_only=True)
+class Publication:
+    """Result of :func:`publish`.
 
-CONFIG_TABLE = 'config'
-GENERATION_KEY = 'generation'
+    :param generation: the generation, or ``None`` if the outcome is
+        unknown; publishing again with the same id then finds out.
+    """
+
+    publication_id: str
+    outcome: PublishOutcome
+    generation: int | None
 
 
 @attrs.frozen(kw_only=True)
-class GenerationRow:
-    """Contents of the generation row."""
+class _Wanted:
+    """What one call of :func:`publish` wants to store.
+
+    :param bodies_by_part: new bodies; ``None`` removes the part.
+    :param has_accounts: the accounts' parts that are not listed vanish.
+    """
 
-    generation: int = 0
-    object_name: str = ''
-    publication_id: str = ''
-    version: int = 0
+    publication_id: str
+    publisher: str
+    bodies_by_part: Mapping[str, bytes | None]
+    has_accounts: bool
 
+    def guard_keys(self) -> list[str]:
+        """Return the rows that another publish must not have changed."""
+        guards = [
+            part
+            for part in self.bodies_by_part
+            if not part.startswith(ACCOUNTS_PREFIX)
+        ]
+        return [*guards, rows.ACCOUNTS_KEY] if self.has_accounts else guards
+
+
+@attrs.define(kw_only=True)
+class _Progress:
+    """What is known about the attempts of one publish.
+
+    :param base: row versions that the publish is based on, by row key.
+    :param is_sent: a transaction was begun.
+    :param is_lost: an attempt's answer was lost.
+    """
 
-async def read_generation(table: TableService) -> GenerationRow:
-    """Return the generation row; generation 0 if there is none.
+    base: dict[str, int]
+    is_sent: bool = False
+    is_lost: bool = False
+
+
+async def read_base(
+    table: TableService, *, services: Sequence[ServiceName]
+) -> dict[str, int]:
+    """Return the row versions on which a later publish can be based.
+
+    An operator's tool reads them before the files are edited and passes
+    them to :func:`publish`, which then refuses to overwrite what somebody
+    else published in between.
 
     :raises StoreUnavailableError: the service did not answer.
     """
-    row = await table.read(table=CONFIG_TABLE, key=GENERATION_KEY)
-    if row is None:
-        return GenerationRow()
-    fields = cbor2.loads(row.value)
-    return GenerationRow(**fields, version=row.version)
+    keys = [*map(service_part, services), rows.ACCOUNTS_KEY]
+    return {key: await _version(table, key) for key in keys}
 
 
 async def publish(
     *,
-    configuration: Configuration,
+    services: Sequence[Service],
+    accounts: Sequence[Account] | None,
+    publisher: str,
     publication_id: str,
     table: TableService,
     objects: ObjectStore,
-) -> int:
-    """Store a configuration as the next generation and return that.
+    removed: Sequence[ServiceName] = (),
+    base: Mapping[str, int] | None = None,
+    timeout: float = _DEFAULT_TIMEOUT_S,
+) -> Publication:
+    """Store services and accounts as the next generation.
 
-    :raises StoreConflictError: another operator published first.
+    A call with a publication id that is stored already changes nothing
+    and returns the generation of that publication.
+
+    :param services: services to store; all others stay as they are.
+    :param accounts: all accounts, or ``None`` to leave them.
+    :param publisher: name shown to operators who come into conflict.
+    :param removed: services to remove.
+    :param base: result of :func:`read_base`; by default the rows as they
+        are when the call starts.
+    :param timeout: seconds after which a publish with a lost answer is
+        reported as unknown.
+    :raises PublishConflictError: another operator published one of the
+        services, or the accounts, since ``base``.
     :raises StoreUnavailableError: nothing was published.
-    :raises StoreAnswerLostError: the publication may have taken effect.
     """
-    row = await read_generation(table)
-    stored = attrs.evolve(configuration, generation=row.generation + 1)
-    object_name = f'config/{stored.generation}-{publication_id}'
-    await objects.put(name=object_name, body=encode_snapshot(stored))
-    fields = {
-        'generation': stored.generation,
-        'object_name': object_name,
-        'publication_id': publication_id,
+    wanted = _Wanted(
+        publication_id=publication_id,
+        publisher=publisher,
+        bodies_by_part=_bodies(services, accounts, removed),
+        has_accounts=accounts is not None,
+    )
+    progress = _Progress(base=dict(base or {}))
+    try:
+        async with asyncio.timeout(timeout):
+            generation = await _publish_until_known(
+                wanted, progress, table, objects
+            )
+    except TimeoutError:
+        if not progress.is_sent:
+            raise StoreUnavailableError('no answer in time') from None
+        return _unknown(publication_id)
+    except StoreUnavailableError:
+        if progress.is_lost:
+            return _unknown(publication_id)
+        raise
+    return Publication(
+        publication_id=publication_id,
+        outcome=PublishOutcome.STORED,
+        generation=generation,
+    )
+
+
+async def _publish_until_known(
+    wanted: _Wanted,
+    progress: _Progress,
+    table: TableService,
+    objects: ObjectStore,
+) -> int:
+    delays = random.Random(wanted.publication_id)
+    while True:
+        try:
+            return await _attempt(wanted, progress, table, objects)
+        except StoreAnswerLostError:
+            # The next attempt looks for the publication id. If the write
+            # is still on its way, one of the two fails its checks.
+            progress.is_lost = True
+        except StoreUnavailableError:
+            if not progress.is_lost:
+                raise
+        except StoreConflictError:
+            # Somebody published; the next attempt tells what.
+            await asyncio.sleep(_RETRY_DELAY_S * delays.random())
+            continue
+        await asyncio.sleep(_RETRY_DELAY_S)
+
+
+async def _attempt(
+    wanted: _Wanted,
+    progress: _Progress,
+    table: TableService,
+    objects: ObjectStore,
+) -> int:
+    # The generation row is read first: its version is checked by the
+    # transaction, so whatever is read after it is still true then.
+    current = await rows.read_generation_row(table)
+    known = await rows.read_publication(table, wanted.publication_id)
+    if known is not None:
+        return known
+    await _check_base(wanted, progress, table)
+    entries = await rows.read_manifest(table)
+    generation = current.row.generation + 1
+    changes = _changes(wanted, entries, generation)
+    bodies = {
+        part: body
+        for part, body in wanted.bodies_by_part.items()
+        if part in changes and body is not None
     }
+    for body in bodies.values():
+        await objects.put(name=rows.object_name(body_digest(body)), body=body)
+    row = rows.GenerationRow(
+        generation=generation,
+        digest=manifest_digest({**entries, **changes}),
+        publication_id=wanted.publication_id,
+        publisher=wanted.publisher,
+        bodies_by_part=_inline(bodies),
+    )
+    progress.is_sent = True
     await table.transact(
-        checks=[
-            RowCheck(
-                table=CONFIG_TABLE, key=GENERATION_KEY, version=row.version
-            )
-        ],
+        checks=_checks(wanted, progress, current.version),
         writes=[
-            RowWrite(
-                table=CONFIG_TABLE,
-                key=GENERATION_KEY,
-                value=cbor2.dumps(fields),
-            )
+            *_writes(wanted, row, changes),
+            *await _forgotten(table, generation),
         ],
     )
-    return stored.generation
+    return generation
+
+
+async def _check_base(
+    wanted: _Wanted, progress: _Progress, table: TableService
+) -> None:
+    for key in wanted.guard_keys():
+        found = await table.read(table=rows.CONFIG_TABLE, key=key)
+        version = found.version if found else 0
+        if progress.base.setdefault(key, version) == version:
+            continue
+        if found is None:
+            raise PublishConflictError(part=key, publisher='unknown')
+        other = rows.decode_part_row(found)
+        if other.publication_id == wanted.publication_id:
+            raise StoreConflictError('own write arrived late')
+        name = key.rpartition('/')[2]
+        raise PublishConflictError(part=name, publisher=other.publisher)
+
+
+def _changes(
+    wanted: _Wanted, entries: Mapping[str, PartEntry], generation: int
+) -> dict[str, PartEntry]:
+    """Return the new entries of the parts that differ."""
+    bodies = dict(wanted.bodies_by_part)
+    if wanted.has_accounts:
+        for part in entries:
+            if part.startswith(ACCOUNTS_PREFIX):
+                bodies.setdefault(part, None)
+    changes = {}
+    for part, body in bodies.items():
+        digest = b'' if body is None else body_digest(body)
+        before = entries.get(part, _ABSENT)
+        if digest != before.digest:
+            changes[part] = PartEntry(generation=generation, digest=digest)
+    return changes
+
+
+def _checks(
+    wanted: _Wanted, progress: _Progress, version: int
+) -> list[RowCheck]:
+    versions_by_key = {
+        rows.GENERATION_KEY: version,
+        rows.publication_key(wanted.publication_id): 0,
+        **{key: progress.base[key] for key in wanted.guard_keys()},
+    }
+    return [
+        RowCheck(table=rows.CONFIG_TABLE, key=key, version=expected)
+        for key, expected in versions_by_key.items()
+    ]
+
+
+def _writes(
+    wanted: _Wanted,
+    row: rows.GenerationRow,
+    changes: Mapping[str, PartEntry],
+) -> list[RowWrite]:
+    contents_by_key: dict[str, object] = {
+        rows.GENERATION_KEY: row,
+        rows.publication_key(wanted.publication_id): row.generation,
+        rows.history_key(row.generation): rows.HistoryRow(
+            publication_id=wanted.publication_id,
+            publisher=wanted.publisher,
+            digests_by_part={
+                part: entry.digest for part, entry in changes.items()
+            },
+        ),
+    }
+    digests_by_part = {part: entry.digest for part, entry in changes.items()}
+    if wanted.has_accounts:
+        digests_by_part[rows.ACCOUNTS_KEY] = b''
+    for part, digest in digests_by_part.items():
+        contents_by_key[part] = rows.PartRow(
+            generation=row.generation,
+            digest=digest,
+            publication_id=wanted.publication_id,
+            publisher=wanted.publisher,
+        )
+    return [
+        RowWrite(
+            table=rows.CONFIG_TABLE, key=key, value=rows.encode_row(contents)
+        )
+        for key, contents in contents_by_key.items()
+    ]
+
+
+async def _forgotten(table: TableService, generation: int) -> list[RowWrite]:
+    """Return the deletions of a generation's history that is too old."""
+    old = generation - _HISTORY_GENERATIONS
+    history = await rows.read_history(table, old) if old > 0 else None
+    if history is None:
+        return []
+    forgotten = (
+        rows.history_key(old),
+        rows.publication_key(history.publication_id),
+    )
+    return [
+        RowWrite(table=rows.CONFIG_TABLE, key=key, value=None)
+        for key in forgotten
+    ]
+
+
+async def _version(table: TableService, key: str) -> int:
+    found = await table.read(table=rows.CONFIG_TABLE, key=key)
+    return found.version if found else 0
+
+
+def _bodies(
+    services: Sequence[Service],
+    accounts: Sequence[Account] | None,
+    removed: Sequence[ServiceName],
+) -> dict[str, bytes | None]:
+    bodies: dict[str, bytes | None] = {
+        service_part(service.name): encode_service(service)
+        for service in services
+    }
+    bodies.update({service_part(name): None for name in removed})
+    bodies.update(encode_accounts(accounts or ()))
+    return bodies
+
+
+def _inline(bodies: Mapping[str, bytes]) -> Mapping[str, bytes]:
+    size = sum(len(body) for body in bodies.values())
+    return bodies if size <= _INLINE_BYTES else {}
+
+
+def _unknown(publication_id: str) -> Publication:
+    return Publication(
+        publication_id=publication_id,
+        outcome=PublishOutcome.UNKNOWN,
+        generation=None,
+    )
--- a/src/bronzewall/routing.py
+++ b/src/bronzewall/routing.py
@@ -1,10 +1,12 @@
 """Finds the route of a request."""
 
+import bisect
 from collections.abc import Iterable
 
 import attrs
 
 from bronzewall.config_model import Configuration, Route
+from bronzewall.types import RouteId
 
 _PREFIX_MARK = '/*'
 
@@ -20,9 +22,21 @@
         """Add one route."""
         if route.path.endswith(_PREFIX_MARK):
             path = route.path.removesuffix(_PREFIX_MARK)
-            self.prefix_by_path.setdefault(path, []).append(route)
+            routes = self.prefix_by_path.setdefault(path, [])
         else:
-            self.exact_by_path.setdefault(route.path, []).append(route)
+            routes = self.exact_by_path.setdefault(route.path, [])
+        # Two services may claim one path; every VM must prefer the same
+        # route, whatever the order in which it learned of them.
+        bisect.insort(routes, route, key=_route_id)
+
+    def remove(self, route: Route) -> None:
+        """Remove one route that was added before."""
+        path = route.path.removesuffix(_PREFIX_MARK)
+        is_prefix = route.path.endswith(_PREFIX_MARK)
+        by_path = self.prefix_by_path if is_prefix else self.exact_by_path
+        by_path[path].remove(route)
+        if not by_path[path]:
+            del by_path[path]
 
     def find(self, *, method: str, path: str) -> Route | None:
         """Return the most specific route, or ``None``.
@@ -46,6 +60,10 @@
     return table
 
 
+def _route_id(route: Route) -> RouteId:
+    return route.route_id
+
+
 def _by_method(routes: Iterable[Route], method: str) -> Route | None:
     for route in routes:
         if method in route.methods:
--- /dev/null
+++ b/src/bronzewall/topology.py
@@ -0,0 +1,158 @@
+"""Which members a VM exchanges heartbeats with and follows."""
+
+import random
+from collections.abc import Sequence
+
+import attrs
+
+from bronzewall.homes import ranked_homes
+from bronzewall.membership import Members
+from bronzewall.types import VmId
+
+READERS_PER_ZONE = 2
+_SUCCESSORS = 3
+_OTHER_ZONES = 2
+_FAN_OUT = 4
+
+
+@attrs.define(kw_only=True, eq=False)
+class Topology:
+    """Neighbours of one VM, derived from its view of the members.
+
+    Two trees over the zone, both with the readers at the root, spread
+    what the readers learn: every VM follows its parent in each tree. Its
+    number of neighbours does not depend on the number of members, for a
+    reader only on the number of zones.
+    """
+
+    members: Members
+    random: random.Random
+    _version: int = -1
+    _ring: Sequence[VmId] = ()
+    _readers: Sequence[VmId] = ()
+    _parents: set[VmId] = attrs.field(factory=set)
+    _usable_by_zone: dict[str, list[VmId]] = attrs.field(factory=dict)
+    _other_zones: list[str] = attrs.field(factory=list)
+    _contacts_by_zone: dict[str, VmId] = attrs.field(factory=dict)
+    _turn: int = 0
+
+    def is_reader(self) -> bool:
+        """Return whether this VM polls the store for its zone."""
+        self._refresh()
+        return self.members.own_id in self._readers
+
+    def successors(self) -> list[VmId]:
+        """Return the members that this VM watches."""
+        self._refresh()
+        return _after(self._ring, self.members.own_id, 1)
+
+    def monitors_of(self, vm_id: VmId) -> list[VmId]:
+        """Return the members that watch a member of this zone."""
+        self._refresh()
+        return _after(self._ring, vm_id, -1)
+
+    def parents(self) -> set[VmId]:
+        """Return the members whose news this VM wants at once."""
+        self._refresh()
+        return self._parents
+
+    def other_zone_contacts(self) -> list[VmId]:
+        """Return members of other zones, other zones with each call.
+
+        The member for a zone stays the same until the view changes, so
+        that the number of connections stays small.
+        """
+        self._refresh()
+        zones = self._other_zones
+        if not zones:
+            return []
+        chosen = [
+            zones[(self._turn + step) % len(zones)]
+            for step in range(min(_OTHER_ZONES, len(zones)))
+        ]
+        self._turn += len(chosen)
+        found = (self._contact(zone) for zone in chosen)
+        return [vm_id for vm_id in found if vm_id is not None]
+
+    def witnesses(self, count: int) -> list[VmId]:
+        """Return random members of other zones."""
+        self._refresh()
+        others = [
+            vm_id
+            for zone in self._other_zones
+            for vm_id in self._usable_by_zone.get(zone, ())
+        ]
+        return self.random.sample(others, min(count, len(others)))
+
+    def _contact(self, zone: str) -> VmId | None:
+        if zone not in self._contacts_by_zone:
+            usable = self._usable_by_zone.get(zone)
+            if not usable:
+                return None
+            self._contacts_by_zone[zone] = self.random.choice(usable)
+        return self._contacts_by_zone[zone]
+
+    def _refresh(self) -> None:
+        if self._version == self.members.version:
+            return
+        self._version = self.members.version
+        own_id, zone = self.members.own_id, self.members.own_placement.zone
+        # Suspected members stay in the ring: somebody has to notice that
+        # they are back.
+        self._ring = ranked_homes(
+            duty='ring', vm_ids=self.members.listed_ids(zone=zone)
+        )
+        self._usable_by_zone = self.members.usable_by_zone()
+        usable = self._usable_by_zone.get(zone, [])
+        ranked = ranked_homes(duty=f'reader/{zone}', vm_ids=usable)
+        self._readers = ranked[:READERS_PER_ZONE]
+        mixed = ranked_homes(
+            duty=f'spread/{zone}', vm_ids=ranked[READERS_PER_ZONE:]
+        )
+        self._parents = {
+            *_parent(ranked, own_id),
+            *_parent([*reversed(self._readers), *mixed], own_id),
+        }
+        self._other_zones = [
+            name for name in self.members.zones() if name != zone
+        ]
+        self._contacts_by_zone = {
+            name: vm_id
+            for name, vm_id in self._contacts_by_zone.items()
+            if vm_id in self._usable_by_zone.get(name, ())
+        }
+        if own_id in self._readers:
+            self._parents |= self._other_readers()
+
+    def _other_readers(self) -> set[VmId]:
+        """Return one reader of each other zone and the own zone's other."""
+        found = {
+            vm_id for vm_id in self._readers if vm_id != self.members.own_id
+        }
+        place = self._readers.index(self.members.own_id)
+        for zone in self._other_zones:
+            readers = ranked_homes(
+                duty=f'reader/{zone}',
+                vm_ids=self._usable_by_zone.get(zone, ()),
+            )[:READERS_PER_ZONE]
+            if readers:
+                found.add(readers[place % len(readers)])
+        return found
+
+
+def _parent(order: Sequence[VmId], own_id: VmId) -> list[VmId]:
+    if own_id not in order:
+        return list(order[:1])
+    place = order.index(own_id)
+    if place < READERS_PER_ZONE:
+        return []
+    return [order[(place - READERS_PER_ZONE) // _FAN_OUT]]
+
+
+def _after(ring: Sequence[VmId], vm_id: VmId, direction: int) -> list[VmId]:
+    """Return the neighbours of a member on one side of the ring."""
+    if vm_id not in ring:
+        return []
+    place, size = ring.index(vm_id), len(ring)
+    steps = range(1, min(_SUCCESSORS, size - 1) + 1)
+    return [ring[(place + direction * step) % size] for step in steps]
