Run a non-idempotent request at most once

Cause: a re-send of a submission or booking ran again, because the idempotency key was passed through without being checked.

Ruled out: deleting the row of an attempt that did not run. A delayed delete could then match a later row of the same key if versions restart; the row is marked not_run instead, and every write is conditional on the version that was read.

Change: once.py claims caller-chosen keys in the table service before the send and stores the outcome after it; issued_ids.py and run_permits.py give permission to run from the memory of the issuing VM; run_gate.py chooses between them, replays outcomes, and lets a run end although its caller has gone. POST /.bronzewall/request-ids issues an id. Expired keys are deleted in batches of 25 by the home of each key range. A request whose deadline has passed is not sent.

--- /dev/null
+++ b/src/bronzewall/background.py
@@ -0,0 +1,49 @@
+"""Tasks that outlive the request that started them."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+import attrs
+
+
+@attrs.define(kw_only=True, eq=False)
+class BackgroundTasks:
+    """A bounded set of running tasks.
+
+    :param limit: tasks at the same time; further ones are not started.
+    """
+
+    limit: int = 10_000
+    dropped: int = 0
+    _tasks: set[asyncio.Task[Any]] = attrs.field(factory=set)
+
+    def __len__(self) -> int:
+        """Return the number of running tasks."""
+        return len(self._tasks)
+
+    def start(self, work: Coroutine[Any, Any, None]) -> bool:
+        """Start a task unless the limit is reached; return whether."""
+        if len(self._tasks) >= self.limit:
+            self.dropped += 1
+            work.close()
+            return False
+        self.keep(asyncio.create_task(work))
+        return True
+
+    def keep(self, task: asyncio.Task[Any]) -> None:
+        """Hold a reference to a task until it ends."""
+        self._tasks.add(task)
+        task.add_done_callback(self._forget)
+
+    async def cancel(self) -> None:
+        """Cancel all tasks and wait for their end."""
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _forget(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled():
+            # Marks the exception as seen; whoever awaits the task gets it.
+            task.exception()
--- a/src/bronzewall/daemon.py
+++ b/src/bronzewall/daemon.py
@@ -27,6 +27,7 @@
 from bronzewall.ports import Clock, VmList
 from bronzewall.proxy import RequestPath
 from bronzewall.quota import StaticSplitQuota
+from bronzewall.run_setup import once_sweep, open_run_gate
 from bronzewall.settings import Origin, Settings
 from bronzewall.types import Placement, RequestId, VmId
 
@@ -71,6 +72,9 @@
         self._tasks = [
             asyncio.create_task(self.feed.run()),
             asyncio.create_task(self._follow_vm_list()),
+            asyncio.create_task(
+                once_sweep(gate=self.path.run_gate, members=self.members).run()
+            ),
         ]
         await admin.start()
         await entry.start()
@@ -100,7 +104,11 @@
         notice = self.clock.now() + self.settings.notice_s
         while not stop_forced.is_set() and self.clock.now() < limit:
             is_noticed = self.clock.now() >= notice
-            if is_noticed and not self.path.in_flight_by_request:
+            is_idle = (
+                not self.path.in_flight_by_request
+                and not self.path.run_gate.pending
+            )
+            if is_noticed and is_idle:
                 return
             await self.clock.sleep(_DRAIN_CHECK_S)
         for request_id, route in self.path.in_flight_by_request.items():
@@ -173,17 +181,17 @@
     rng = random.SystemRandom()
     metrics, journal = Metrics(), Journal()
     feed = ConfigFeed(clock=clock, table=store, objects=store)
+    members = Members(
+        own_id=vm_id,
+        own_placement=Placement(region=settings.region, zone=settings.zone),
+    )
+    endpoint = PeerEndpoint(vm_id=vm_id, incarnation=time.time_ns(), link=link)
     daemon = Daemon(
         settings=settings,
         origins=origins,
         clock=clock,
-        members=Members(
-            own_id=vm_id,
-            own_placement=Placement(region=settings.region, zone=settings.zone),
-        ),
-        endpoint=PeerEndpoint(
-            vm_id=vm_id, incarnation=time.time_ns(), link=link
-        ),
+        members=members,
+        endpoint=endpoint,
         link=link,
         vm_list=PlatformVmList(client=store),
         feed=feed,
@@ -195,6 +203,13 @@
             quota=StaticSplitQuota(clock=clock, share=1.0),
             dispatcher=Dispatcher(random=rng),
             upstreams=AiohttpUpstreams(session=upstream_session),
+            run_gate=open_run_gate(
+                endpoint=endpoint,
+                clock=clock,
+                table=store,
+                members=members,
+                rng=rng,
+            ),
             metrics=metrics,
             journal=journal,
             may_serve_keyed=lambda: True,
--- a/src/bronzewall/errors.py
+++ b/src/bronzewall/errors.py
@@ -166,3 +166,11 @@
         """Keep the delay for the refusal's Retry-After."""
         super().__init__(f'overloaded, retry after {retry_after:.3f} s')
         self.retry_after = retry_after
+
+
+class RunIdError(BronzewallError, ValueError):
+    """An issued id is malformed."""
+
+
+class RunTableFullError(BronzewallError):
+    """No further run id can be held in memory now."""
--- a/src/bronzewall/headers.py
+++ b/src/bronzewall/headers.py
@@ -4,6 +4,7 @@
 
 REQUEST_ID = 'Bronzewall-Request-Id'
 RUN_ID = 'Bronzewall-Run-Id'
+REPLAY = 'Bronzewall-Replay'
 ACCOUNT = 'Bronzewall-Account'
 DEADLINE_MS = 'Bronzewall-Deadline-Ms'
 SHED = 'X-Load-Shed'
--- /dev/null
+++ b/src/bronzewall/once_cleanup.py
@@ -0,0 +1,83 @@
+"""Deletes expired idempotency keys in small batches."""
+
+import itertools
+
+import attrs
+
+from bronzewall.errors import StoreError
+from bronzewall.homes import ranked_homes
+from bronzewall.membership import Members
+from bronzewall.once_rows import ONCE_TABLE, TableClock, decode_entry
+from bronzewall.ports import Clock, TableService
+from bronzewall.types import RowCheck, RowWrite
+
+# Rows are spread evenly over prefixes of their hexadecimal keys; with 4
+# digits a prefix holds 66 rows at 50 claims/s.
+_PREFIX_DIGITS = 4
+PREFIXES = len('0123456789abcdef') ** _PREFIX_DIGITS
+# The whole table is read once in this time by the fleet together.
+_SWEEP_S = 43_200.0
+_BATCH_ROWS = 25
+# Expired rows stay for this long, so that clocks need not agree closely.
+_GRACE_S = 600.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class OnceSweep:
+    """This VM's part of the cleanup.
+
+    Two VMs that clean the same prefix do no harm: each delete is
+    conditional on the version that was read.
+
+    :param deleted: rows deleted.
+    """
+
+    clock: Clock
+    table: TableService
+    table_clock: TableClock
+    members: Members
+    deleted: int = 0
+
+    async def run(self) -> None:
+        """Clean up until cancelled."""
+        for number in itertools.cycle(range(PREFIXES)):
+            prefix = f'{number:0{_PREFIX_DIGITS}x}'
+            if self._is_home(prefix):
+                try:
+                    await self.clean(prefix)
+                except StoreError:
+                    # The next sweep comes back to this prefix.
+                    pass
+            await self.clock.sleep(_SWEEP_S / PREFIXES)
+
+    async def clean(self, prefix: str) -> None:
+        """Delete at most one batch of expired rows of a prefix.
+
+        :raises StoreError: nothing or one batch was deleted.
+        """
+        oldest = await self.table_clock.reached() - _GRACE_S
+        rows = await self.table.scan(table=ONCE_TABLE, prefix=prefix)
+        expired = {
+            key: row
+            for key, row in rows.items()
+            if decode_entry(row).expires < oldest
+        }
+        batch = dict(itertools.islice(expired.items(), _BATCH_ROWS))
+        if not batch:
+            return
+        await self.table.transact(
+            checks=[
+                RowCheck(table=ONCE_TABLE, key=key, version=row.version)
+                for key, row in batch.items()
+            ],
+            writes=[
+                RowWrite(table=ONCE_TABLE, key=key, value=None) for key in batch
+            ],
+        )
+        self.deleted += len(batch)
+
+    def _is_home(self, prefix: str) -> bool:
+        homes = ranked_homes(
+            duty=f'once-sweep/{prefix}', vm_ids=self.members.usable_ids()
+        )
+        return homes[:1] == [self.members.own_id]
--- a/src/bronzewall/problems.py
+++ b/src/bronzewall/problems.py
@@ -37,6 +37,7 @@
     NOT_CONFIGURED = ('not_configured', 503)
     CUT_OFF = ('cut_off', 503)
     CRASH_SUSPECT = ('crash_suspect', 503)
+    RUN_ID_UNREACHABLE = ('run_id_unreachable', 503)
     STORE_UNAVAILABLE = ('store_unavailable', 503)
     OVERLOADED = ('overloaded', 503)
     NO_INSTANCE = ('no_instance', 503)
--- a/src/bronzewall/proxy.py
+++ b/src/bronzewall/proxy.py
@@ -41,6 +41,14 @@
     RefusalError,
     problem_document,
 )
+from bronzewall.run_gate import RunGate
+from bronzewall.run_issue import (
+    ISSUE_ROUTE,
+    ISSUE_SERVICE,
+    answer_issue,
+    is_issue_request,
+)
+from bronzewall.run_outcome import RunDemand, request_digest
 from bronzewall.types import InstanceId, RequestId, VmId
 
 _MS_PER_S = 1000
@@ -95,6 +103,7 @@
     quota: Quota
     dispatcher: Dispatcher
     upstreams: UpstreamHttp
+    run_gate: RunGate
     metrics: Metrics
     journal: Journal
     may_serve_keyed: Callable[[], bool]
@@ -134,8 +143,26 @@
         self.in_flight_by_request[request_id] = exchange.route
         self._check_freshness(exchange)
         await self._admit(exchange)
+        if exchange.route is ISSUE_ROUTE:
+            await answer_issue(
+                permits=self.run_gate.permits,
+                account=exchange.account,
+                request_id=request_id,
+                writer=writer,
+            )
+            return
         exchange.body = await self._read_body(request)
-        await self._run(exchange)
+        if exchange.route.idempotent:
+            await self._run(exchange)
+        else:
+            await self._run_once(exchange)
+
+    async def _run_once(self, exchange: Exchange) -> None:
+        async def execute(writer: AnswerWriter) -> None:
+            exchange.writer = writer
+            await self._run(exchange)
+
+        await self.run_gate.run(_run_demand(exchange), exchange.writer, execute)
 
     def _open(
         self,
@@ -145,15 +172,18 @@
     ) -> Exchange:
         in_force = self._in_force()
         route = in_force.routes.find(method=request.method, path=request.path)
+        if is_issue_request(request):
+            route = ISSUE_ROUTE
         if route is None:
             raise RefusalError(reason=Reason.UNKNOWN_ROUTE)
+        services = in_force.configuration.services_by_name
         key = header_rules.caller_key(request.headers)
         exchange = Exchange(
             request=request,
             request_id=request_id,
             writer=writer,
             route=route,
-            service=in_force.configuration.services_by_name[route.service],
+            service=services.get(route.service, ISSUE_SERVICE),
             account=None,
             key=key,
             deadline=self.clock.now() + route.deadline,
@@ -230,6 +260,7 @@
             # The key may have been withdrawn while the request waited.
             self._authenticate(exchange)
             self._check_freshness(exchange)
+            self._check_deadline(exchange)
             await self._send(exchange, instance)
         finally:
             self.dispatcher.release(instance)
@@ -255,6 +286,15 @@
         exchange.tried_ids.add(instance.instance_id)
         return instance
 
+    def _check_deadline(self, exchange: Exchange) -> None:
+        # A VM that was paused must not send a request whose outcome was
+        # already reported as unknown to a re-send.
+        if self.clock.now() >= exchange.deadline:
+            raise RefusalError(
+                reason=Reason.UPSTREAM_TIMEOUT,
+                detail='the deadline passed before the request was sent',
+            )
+
     async def _send(self, exchange: Exchange, instance: Instance) -> None:
         self.note(exchange, 'sent', instance=instance.instance_id)
         upstream = await self.upstreams.exchange(
@@ -358,6 +398,23 @@
         return RequestId(f'{self.vm_id}-{number:016x}')
 
 
+def _run_demand(exchange: Exchange) -> RunDemand:
+    request, route = exchange.request, exchange.route
+    account = exchange.account
+    return RunDemand(
+        account_id=account.account_id if account else None,
+        route_id=route.route_id,
+        key=header_rules.find(request.headers, header_rules.IDEMPOTENCY_KEY),
+        run_id=header_rules.find(request.headers, header_rules.RUN_ID),
+        digest=request_digest(
+            method=request.method, target=request.target, body=exchange.body
+        ),
+        attempt_id=exchange.request_id,
+        deadline=exchange.deadline,
+        is_key_optional=route.idempotency_key == 'optional',
+    )
+
+
 def _with_history(exchange: Exchange, refusal: RefusalError) -> RefusalError:
     """Return the refusal, corrected by what earlier attempts may have run."""
     if exchange.may_have_run:
--- /dev/null
+++ b/src/bronzewall/run_gate.py
@@ -0,0 +1,115 @@
+"""Decides whether a non-idempotent request may run."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+from bronzewall.background import BackgroundTasks
+from bronzewall.errors import CallerGoneError
+from bronzewall.once import KeyLedger
+from bronzewall.ports import AnswerWriter
+from bronzewall.problems import Ran, Reason, RefusalError
+from bronzewall.run_outcome import (
+    Claim,
+    Outcome,
+    RecordingWriter,
+    RunDemand,
+    replay_headers,
+)
+from bronzewall.run_permits import RunPermits
+
+Execute = Callable[[AnswerWriter], Awaitable[None]]
+MAX_KEY_LENGTH = 255
+
+
+@attrs.define(kw_only=True, eq=False)
+class RunGate:
+    """Runs each non-idempotent request at most once."""
+
+    keys: KeyLedger
+    permits: RunPermits
+    runs: BackgroundTasks = attrs.field(factory=BackgroundTasks)
+
+    @property
+    def pending(self) -> int:
+        """Requests and outcome reports that a planned stop waits for."""
+        return len(self.runs) + len(self.keys.tasks) + len(self.permits.tasks)
+
+    async def run(
+        self, demand: RunDemand, writer: AnswerWriter, execute: Execute
+    ) -> None:
+        """Run a request under its key or id, or answer with its outcome.
+
+        The run is not cancelled when the caller goes, so that its outcome
+        is known to a re-send.
+
+        :param execute: sends the request and relays the answer.
+        :raises RefusalError: the request was refused.
+        """
+        run = asyncio.create_task(self._run(demand, writer, execute))
+        self.runs.keep(run)
+        await asyncio.shield(run)
+
+    async def _run(
+        self, demand: RunDemand, writer: AnswerWriter, execute: Execute
+    ) -> None:
+        claim = await self._claim(demand)
+        if claim is None:
+            await execute(writer)
+        elif isinstance(claim, Outcome):
+            await _replay(claim, demand, writer)
+        else:
+            await _run_claimed(claim, writer, execute)
+
+    async def _claim(self, demand: RunDemand) -> Claim | Outcome | None:
+        if demand.key is not None and demand.run_id is not None:
+            raise RefusalError(
+                reason=Reason.BAD_REQUEST,
+                detail='send an idempotency key or a run id, not both',
+            )
+        if demand.run_id is not None:
+            return await self.permits.claim(demand)
+        if demand.key is not None:
+            if not 0 < len(demand.key) <= MAX_KEY_LENGTH:
+                raise RefusalError(
+                    reason=Reason.BAD_REQUEST,
+                    detail=f'an idempotency key has 1 to {MAX_KEY_LENGTH} '
+                    'characters',
+                )
+            return await self.keys.claim(demand)
+        if demand.is_key_optional:
+            return None
+        raise RefusalError(reason=Reason.IDEMPOTENCY_KEY_REQUIRED)
+
+
+async def _run_claimed(
+    claim: Claim, writer: AnswerWriter, execute: Execute
+) -> None:
+    recorder = RecordingWriter(writer=writer)
+    try:
+        await execute(recorder)
+    except RefusalError as refusal:
+        if refusal.ran is Ran.NO:
+            claim.not_run()
+        else:
+            claim.unknown()
+        raise
+    except BaseException:
+        claim.unknown()
+        raise
+    claim.done(recorder.outcome())
+
+
+async def _replay(
+    outcome: Outcome, demand: RunDemand, writer: AnswerWriter
+) -> None:
+    try:
+        await writer.start(
+            status=outcome.status,
+            headers=replay_headers(outcome, demand.attempt_id),
+        )
+        await writer.write(outcome.body or b'')
+        await writer.finish()
+    except CallerGoneError:
+        return
--- /dev/null
+++ b/src/bronzewall/run_outcome.py
@@ -0,0 +1,180 @@
+"""Outcomes of non-idempotent requests that are kept for re-sends."""
+
+import enum
+import hashlib
+from typing import Protocol
+
+import attrs
+
+from bronzewall import headers as header_rules
+from bronzewall.errors import CallerGoneError
+from bronzewall.ports import AnswerWriter, Headers
+from bronzewall.types import AccountId, RequestId, RouteId
+
+# A row of the table service and an entry in a home's memory stay small;
+# answers to submissions and bookings are receipts of a few KiB.
+MAX_STORED_BODY_BYTES = 16_384
+MAX_STORED_HEADER_BYTES = 4096
+DIGEST_BYTES = 16
+
+_KEPT_HEADERS = frozenset(
+    (
+        'cache-control',
+        'content-disposition',
+        'content-encoding',
+        'content-language',
+        'content-type',
+        'etag',
+        'last-modified',
+        'link',
+        'location',
+        'retry-after',
+    )
+)
+_REPLAY_FULL = 'full'
+_REPLAY_STATUS_ONLY = 'status-only'
+
+
+class RunState(enum.StrEnum):
+    """What is known about the attempt that holds a key or an issued id."""
+
+    IN_PROGRESS = 'in_progress'
+    DONE = 'done'
+    UNKNOWN = 'unknown'
+    NOT_RUN = 'not_run'
+
+
+@attrs.frozen(kw_only=True)
+class Outcome:
+    """An upstream's answer as far as it is kept.
+
+    :param body: the whole body, or ``None`` if it was too large or not
+        received completely.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes | None
+
+
+@attrs.frozen(kw_only=True)
+class RunDemand:
+    """A request that asks to run at most once.
+
+    :param key: the caller's ``Idempotency-Key``.
+    :param run_id: the issued id presented by the caller.
+    :param digest: digest of method, target and body.
+    :param attempt_id: differs for every arrival of the request.
+    :param deadline: clock time after which it is no longer sent.
+    """
+
+    account_id: AccountId | None
+    route_id: RouteId
+    key: str | None
+    run_id: str | None
+    digest: bytes
+    attempt_id: RequestId
+    deadline: float
+    is_key_optional: bool = False
+
+
+class Claim(Protocol):
+    """The right to run one request; exactly one method is called."""
+
+    def done(self, outcome: Outcome) -> None:
+        """Keep the outcome for re-sends."""
+
+    def unknown(self) -> None:
+        """Record that the request may have run."""
+
+    def not_run(self) -> None:
+        """Record that it has not run, so that a re-send may run."""
+
+
+def request_digest(*, method: str, target: str, body: bytes) -> bytes:
+    """Return the digest that tells requests with the same key apart."""
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    head = f'{method}\0{target}\0'.encode()
+    digest.update(head)
+    digest.update(body)
+    return digest.digest()
+
+
+def replay_headers(outcome: Outcome, request_id: RequestId) -> Headers:
+    """Return the headers of a replayed answer."""
+    kind = _REPLAY_STATUS_ONLY if outcome.body is None else _REPLAY_FULL
+    return [
+        *outcome.headers,
+        ('Content-Length', str(len(outcome.body or b''))),
+        (header_rules.REPLAY, kind),
+        (header_rules.REQUEST_ID, request_id),
+    ]
+
+
+@attrs.define(kw_only=True)
+class RecordingWriter:
+    """Passes an answer on and keeps what a re-send may ask for.
+
+    A caller that has gone does not end the exchange: the rest of the
+    answer is read so that the outcome is known to a re-send.
+    """
+
+    writer: AnswerWriter
+    is_caller_gone: bool = False
+    _status: int = 0
+    _headers: Headers = ()
+    _body: bytearray | None = attrs.field(factory=bytearray)
+    _is_complete: bool = False
+
+    async def start(self, *, status: int, headers: Headers) -> None:
+        """Send and keep the status line and headers."""
+        self._status, self._headers = status, headers
+        try:
+            await self.writer.start(status=status, headers=headers)
+        except CallerGoneError:
+            self.is_caller_gone = True
+
+    async def write(self, chunk: bytes) -> None:
+        """Send and keep a part of the body."""
+        if self._body is not None:
+            self._body.extend(chunk)
+            if len(self._body) > MAX_STORED_BODY_BYTES:
+                self._body = None
+        if self.is_caller_gone:
+            return
+        try:
+            await self.writer.write(chunk)
+        except CallerGoneError:
+            self.is_caller_gone = True
+
+    async def finish(self) -> None:
+        """End the body."""
+        self._is_complete = True
+        if self.is_caller_gone:
+            return
+        try:
+            await self.writer.finish()
+        except CallerGoneError:
+            self.is_caller_gone = True
+
+    def abort(self) -> None:
+        """Break the connection; the status stays known."""
+        self.writer.abort()
+
+    def outcome(self) -> Outcome:
+        """Return what is kept of the answer."""
+        body = None
+        if self._is_complete and self._body is not None:
+            body = bytes(self._body)
+        return Outcome(
+            status=self._status, headers=_kept(self._headers), body=body
+        )
+
+
+def _kept(headers: Headers) -> tuple[tuple[str, str], ...]:
+    kept, size = [], 0
+    for name, text in headers:
+        size += len(name) + len(text)
+        if name.lower() in _KEPT_HEADERS and size <= MAX_STORED_HEADER_BYTES:
+            kept.append((name, text))
+    return tuple(kept)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -1,5 +1,6 @@
 """Builders of test data."""
 
+import random
 from typing import Any
 
 from bronzewall.config_model import (
@@ -10,6 +11,12 @@
     Service,
 )
 from bronzewall.key_table import key_digest
+from bronzewall.membership import Members
+from bronzewall.peer_calls import PeerEndpoint
+from bronzewall.ports import Clock, TableService
+from bronzewall.run_gate import RunGate
+from bronzewall.run_setup import open_run_gate
+from bronzewall.standins.memory_link import MemoryLink, MemoryNetwork
 from bronzewall.types import (
     AccountId,
     InstanceId,
@@ -95,3 +102,27 @@
         placement=a_placement(zone),
         peer_address='127.0.0.1:9',
     )
+
+
+def a_run_gate(
+    *,
+    clock: Clock,
+    table: TableService,
+    name: str = 'vm-1',
+    network: MemoryNetwork | None = None,
+    incarnation: int = 1,
+) -> RunGate:
+    """Return the run gate of one VM on an in-memory network."""
+    network = network or MemoryNetwork(random=random.Random(1))
+    vm_id = VmId(name)
+    return open_run_gate(
+        endpoint=PeerEndpoint(
+            vm_id=vm_id,
+            incarnation=incarnation,
+            link=MemoryLink(vm_id=vm_id, network=network),
+        ),
+        clock=clock,
+        table=table,
+        members=Members(own_id=vm_id, own_placement=a_placement()),
+        rng=random.Random(incarnation),
+    )
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -5,7 +5,13 @@
 
 import attrs
 import pytest
-from builders import ACCOUNT_KEY, a_configuration, a_route, a_service
+from builders import (
+    ACCOUNT_KEY,
+    a_configuration,
+    a_route,
+    a_run_gate,
+    a_service,
+)
 
 from bronzewall.config_feed import ConfigFeed
 from bronzewall.dispatch import Dispatcher
@@ -126,6 +132,7 @@
         )
         path = RequestPath(
             vm_id=VmId('vm-1'),
+            run_gate=a_run_gate(clock=clock, table=platform),
             clock=clock,
             random=random.Random(1),
             feed=feed,
