--- a/src/bronzewall/daemon.py
+++ b/src/bronzewall/daemon.py
@@ -26,6 +26,7 @@
 from bronzewall.ports import Clock
 from bronzewall.proxy import RequestPath
 from bronzewall.quota import StaticSplitQuota
+from bronzewall.run_setup import once_sweep, open_run_gate
 from bronzewall.settings import Origin, Settings
 from bronzewall.types import Placement, RequestId, VmId, VmState
 
@@ -49,6 +50,7 @@
     journal: Journal
     sessions: tuple[aiohttp.ClientSession, ...]
     is_stopping: bool = False
+    _tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
 
     async def run(self) -> None:
         """Serve until a planned stop is complete."""
@@ -67,6 +69,8 @@
         await self.link.start()
         self.members.on_change(self._use_addresses)
         self.control.start()
+        sweep = once_sweep(gate=self.path.run_gate, members=self.members)
+        self._tasks = [asyncio.create_task(sweep.run())]
         await admin.start()
         await entry.start()
         _LOG.info('started', vm=self.settings.vm_id, zone=self.settings.zone)
@@ -99,7 +103,11 @@
         notice = self.clock.now() + self.settings.notice_s
         while not stop_forced.is_set() and self.clock.now() < limit:
             is_noticed = self.clock.now() >= notice
-            if is_noticed and not self.path.in_flight_by_request:
+            is_idle = (
+                not self.path.in_flight_by_request
+                and not self.path.run_gate.pending
+            )
+            if is_noticed and is_idle:
                 return
             await self.clock.sleep(_DRAIN_CHECK_S)
         for request_id, route in self.path.in_flight_by_request.items():
@@ -119,6 +127,9 @@
 
     async def _close(self) -> None:
         await self.control.stop()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.endpoint.close()
         await self.link.stop()
         for session in self.sessions:
@@ -193,6 +204,13 @@
             quota=StaticSplitQuota(clock=clock, share=1.0),
             dispatcher=Dispatcher(random=rng),
             upstreams=AiohttpUpstreams(session=upstream_session),
+            run_gate=open_run_gate(
+                endpoint=endpoint,
+                clock=clock,
+                table=store,
+                members=members,
+                rng=rng,
+            ),
             metrics=metrics,
             journal=journal,
             may_serve_keyed=control.may_serve_keyed,
