Queue requests fairly and choose instances within their slots

Cause: the dispatcher chose among all instances at random and knew neither slots nor a queue, and retries had no budget.

Change: choice.py ranks instances by nearness and own share of slots and picks the less loaded of two; queueing.py keeps a bounded queue that serves the account with the least recent use first; retry.py holds the retry rule and the allowances; service_load.py the state of one service; dispatch.py joins them. The proxy passes errors and drain headers to the dispatcher and counts bytes from other regions.

--- a/src/bronzewall/dispatch.py
+++ b/src/bronzewall/dispatch.py
@@ -1,20 +1,93 @@
 """Assigns requests to upstream instances within their capacity."""
 
+import asyncio
 import random
+from collections.abc import Callable
 
 import attrs
 
+from bronzewall import headers as header_rules
+from bronzewall.choice import (
+    FULL_WEIGHT,
+    OTHER_REGION,
+    Candidate,
+    Choice,
+    InstanceLoad,
+    WeightOf,
+    candidates_of,
+    choose,
+    nearness_of,
+)
 from bronzewall.config_model import Instance, Route, Service
-from bronzewall.errors import NoInstanceError
-from bronzewall.types import AccountId, InstanceId
+from bronzewall.errors import (
+    NoInstanceError,
+    QueueFullError,
+    UpstreamError,
+    UpstreamShedError,
+)
+from bronzewall.ports import Clock, Headers
+from bronzewall.queueing import Waiter
+from bronzewall.retry import is_not_run
+from bronzewall.service_load import (
+    ServiceLoad,
+    new_service_load,
+    update_instances,
+)
+from bronzewall.types import AccountId, InstanceId, Placement, ServiceName
 
+# Longest wait that is useful: beyond it a refusal at once lets the caller
+# turn to something else.
+MAX_WAIT_S = 0.5
+# A service whose requests take longer may wait for this many of them.
+_WAIT_HOLDS = 2.0
+# Share of the remaining deadline that may be spent waiting.
+_WAIT_SHARE = 0.5
+# A wait that was estimated too short ends here, late but bounded.
+_WAIT_OVERRUN = 2.0
+# Blocked instances become usable with time alone, so a queue is looked at
+# again even if no slot of this VM is released.
+_PUMP_INTERVAL_S = 0.025
+_FIRST_BLOCK_S = 0.05
+_MAX_BLOCK_S = 2.0
+_MAX_BLOCK_DOUBLINGS = 6
+# A drain header is repeated with each answer and each report, so the mark
+# may end soon after the last one.
+LEAVING_S = 30.0
 
-@attrs.define(kw_only=True)
+
+class LoopClock:
+    """Time of the running event loop."""
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+        return asyncio.get_running_loop().time()
+
+
+def _full_weight(_instance: Instance, _route: Route) -> float:
+    return FULL_WEIGHT
+
+
+@attrs.define(kw_only=True, eq=False)
 class Dispatcher:
-    """Load of each instance as seen by this VM."""
+    """Load of each instance as seen by this VM.
+
+    :param clock: the clock in whose time deadlines are given.
+    :param placement: this VM's placement; ``None`` treats every instance
+        as near.
+    :param weight_of: share of normal traffic of an instance, 0 if it is
+        ejected.
+    :param fleet_size: number of VMs that use the same instances.
+    """
 
     random: random.Random
-    in_flight_by_id: dict[InstanceId, int] = attrs.field(factory=dict)
+    clock: Clock | LoopClock = attrs.field(factory=LoopClock)
+    placement: Placement | None = None
+    weight_of: WeightOf = _full_weight
+    fleet_size: Callable[[], int] = lambda: 1
+    states_by_service: dict[ServiceName, ServiceLoad] = attrs.field(
+        factory=dict
+    )
+    _held_by_id: dict[InstanceId, list['_Hold']] = attrs.field(factory=dict)
 
     async def acquire(
         self,
@@ -32,21 +105,259 @@
         :raises NoInstanceError: no instance may take the request.
         :raises QueueFullError: none is free before the deadline.
         """
-        found = [
-            instance
-            for instance in service.instances_by_id.values()
-            if instance.instance_id not in excluded
-        ]
+        state = self.state_of(service)
+        if not excluded:
+            state.count_arrival(account_id)
+        if state.queue.length:
+            self._candidates(state, route, excluded)
+        else:
+            instance = self._take(state, route, account_id, excluded)
+            if instance is not None:
+                return instance
+        return await self._wait(state, route, account_id, deadline, excluded)
+
+    def try_acquire(
+        self,
+        *,
+        service: Service,
+        route: Route,
+        account_id: AccountId | None,
+        excluded: frozenset[InstanceId],
+    ) -> Instance | None:
+        """Return a free instance without waiting, or ``None``."""
+        state = self.state_of(service)
+        if state.queue.length:
+            return None
+        try:
+            return self._take(state, route, account_id, excluded)
+        except NoInstanceError:
+            return None
+
+    def release(
+        self,
+        instance: Instance,
+        *,
+        is_served: bool = False,
+        error: UpstreamError | None = None,
+    ) -> None:
+        """Give back the capacity taken by ``acquire``.
+
+        :param is_served: an answer was relayed.
+        :param error: how the attempt failed, if it was sent.
+        """
+        hold = self._pop_hold(instance)
+        hold.load.in_flight -= 1
+        now = self.clock.now()
+        if error is not None and is_not_run(error):
+            _block(hold, now)
+            if isinstance(error, UpstreamShedError):
+                hold.state.borrow.saved -= 1
+        elif is_served or error is not None:
+            hold.load.failures = 0
+            hold.state.record_hold(now - hold.started)
+        self.pump(hold.state)
+
+    def state_of(self, service: Service) -> ServiceLoad:
+        """Return the state of a service, with its current instances."""
+        state = self.states_by_service.get(service.name)
+        if state is None:
+            state = new_service_load(service)
+            self.states_by_service[service.name] = state
+        if state.service is not service or not state.loads_by_id:
+            update_instances(
+                state,
+                service=service,
+                placement=self.placement,
+                fleet_size=max(1, self.fleet_size()),
+                now=self.clock.now(),
+            )
+        return state
+
+    def may_retry(self, service: Service) -> bool:
+        """Use one retry of the service's allowance if one is left."""
+        return self.state_of(service).retry.take()
+
+    def observe_headers(self, instance: Instance, headers: Headers) -> None:
+        """Take over a drain notice from an upstream's answer."""
+        if header_rules.find(headers, header_rules.DRAINING) is not None:
+            self.mark_leaving(instance.instance_id)
+
+    def mark_leaving(self, instance_id: InstanceId) -> None:
+        """Send no new work to an instance that is leaving."""
+        until = self.clock.now() + LEAVING_S
+        for state in self.states_by_service.values():
+            load = state.loads_by_id.get(instance_id)
+            if load is not None:
+                load.leaving_until = until
+
+    def is_remote(self, instance: Instance) -> bool:
+        """Return whether traffic with an instance crosses regions."""
+        if self.placement is None:
+            return False
+        return nearness_of(self.placement, instance.placement) == OTHER_REGION
+
+    def pump(self, state: ServiceLoad) -> None:
+        """Hand free capacity to the requests that wait."""
+        queue = state.queue
+        is_moving = queue.length > 0
+        while is_moving:
+            is_moving = any(self._serve(state, head) for head in queue.heads())
+        if queue.length:
+            self._set_pump(state)
+
+    def _serve(self, state: ServiceLoad, waiter: Waiter) -> bool:
+        try:
+            instance = self._take(
+                state, waiter.route, waiter.account_id, waiter.excluded
+            )
+        except NoInstanceError as exc:
+            waiter.future.set_exception(exc)
+        else:
+            if instance is None:
+                return False
+            waiter.future.set_result(instance)
+        state.queue.remove(waiter)
+        return True
+
+    def _set_pump(self, state: ServiceLoad) -> None:
+        if state.is_pump_set:
+            return
+
+        def on_timer() -> None:
+            state.is_pump_set = False
+            self.pump(state)
+
+        state.is_pump_set = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(_PUMP_INTERVAL_S, on_timer)
+
+    def _take(
+        self,
+        state: ServiceLoad,
+        route: Route,
+        account_id: AccountId | None,
+        excluded: frozenset[InstanceId],
+    ) -> Instance | None:
+        now = self.clock.now()
+        choice = choose(
+            candidates=self._candidates(state, route, excluded),
+            may_borrow=state.borrow.has_one(),
+            rng=self.random,
+            now=now,
+        )
+        if choice is None:
+            return None
+        load = choice.load
+        load.in_flight += 1
+        _pace(state, choice, now)
+        if not excluded:
+            state.retry.earn()
+            state.hedge.earn()
+            state.borrow.earn()
+            state.queue.charge(account_id, now)
+        self._held_by_id.setdefault(load.instance.instance_id, []).append(
+            _Hold(state=state, load=load, started=now)
+        )
+        return load.instance
+
+    def _candidates(
+        self,
+        state: ServiceLoad,
+        route: Route,
+        excluded: frozenset[InstanceId],
+    ) -> list[Candidate]:
+        found = candidates_of(
+            loads=state.loads_by_id.values(),
+            route=route,
+            excluded=excluded,
+            weight_of=self.weight_of,
+            now=self.clock.now(),
+        )
         if not found:
-            raise NoInstanceError(f'no instance of {service.name}')
-        sample = self.random.sample(found, min(2, len(found)))
-        chosen = min(sample, key=self._load)
-        self.in_flight_by_id[chosen.instance_id] = self._load(chosen) + 1
-        return chosen
-
-    def release(self, instance: Instance) -> None:
-        """Give back the capacity taken by ``acquire``."""
-        self.in_flight_by_id[instance.instance_id] -= 1
-
-    def _load(self, instance: Instance) -> int:
-        return self.in_flight_by_id.get(instance.instance_id, 0)
+            raise NoInstanceError(f'no instance of {state.service.name}')
+        return found
+
+    async def _wait(
+        self,
+        state: ServiceLoad,
+        route: Route,
+        account_id: AccountId | None,
+        deadline: float,
+        excluded: frozenset[InstanceId],
+    ) -> Instance:
+        useful = min(MAX_WAIT_S, (deadline - self.clock.now()) * _WAIT_SHARE)
+        ahead = state.queue.ahead_of(account_id)
+        expected = ahead / state.served_per_second()
+        is_full = state.queue.length >= state.service.queue_limit
+        if is_full or expected > useful:
+            raise QueueFullError(retry_after=self._retry_after(expected))
+        waiter = Waiter(
+            account_id=account_id,
+            route=route,
+            excluded=excluded,
+            future=asyncio.get_running_loop().create_future(),
+        )
+        state.queue.push(waiter)
+        self._set_pump(state)
+        return await self._await_turn(state, waiter, useful * _WAIT_OVERRUN)
+
+    async def _await_turn(
+        self, state: ServiceLoad, waiter: Waiter, limit: float
+    ) -> Instance:
+        def on_limit() -> None:
+            if state.queue.remove(waiter):
+                waiter.future.set_exception(
+                    QueueFullError(retry_after=self._retry_after(limit))
+                )
+
+        timer = asyncio.get_running_loop().call_later(limit, on_limit)
+        try:
+            return await waiter.future
+        except asyncio.CancelledError:
+            self._give_up(state, waiter)
+            raise
+        finally:
+            timer.cancel()
+
+    def _give_up(self, state: ServiceLoad, waiter: Waiter) -> None:
+        if state.queue.remove(waiter) or waiter.future.cancelled():
+            return
+        # The slot was handed over in the step in which the caller left.
+        if waiter.future.exception() is None:
+            self.release(waiter.future.result())
+
+    def _retry_after(self, wait: float) -> float:
+        # Spread, so that refused callers do not come back together.
+        return max(1, wait) * (1 + self.random.random())
+
+    def _pop_hold(self, instance: Instance) -> '_Hold':
+        holds = self._held_by_id[instance.instance_id]
+        # Which of several holds is released does not matter: the sum of
+        # the hold times, and so their mean, is the same.
+        hold = holds.pop(0)
+        if not holds:
+            del self._held_by_id[instance.instance_id]
+        return hold
+
+
+@attrs.frozen(kw_only=True, eq=False)
+class _Hold:
+    """One slot taken by this VM."""
+
+    state: ServiceLoad
+    load: InstanceLoad
+    started: float
+
+
+def _pace(state: ServiceLoad, choice: Choice, now: float) -> None:
+    if choice.relative_weight < FULL_WEIGHT:
+        pause = state.mean_hold / choice.relative_weight
+        choice.load.paced_until = now + pause
+
+
+def _block(hold: _Hold, now: float) -> None:
+    load = hold.load
+    doublings = min(load.failures, _MAX_BLOCK_DOUBLINGS)
+    pause = min(_FIRST_BLOCK_S * 2**doublings, _MAX_BLOCK_S)
+    load.failures += 1
+    load.blocked_until = now + pause
--- a/src/bronzewall/headers.py
+++ b/src/bronzewall/headers.py
@@ -7,6 +7,7 @@
 ACCOUNT = 'Bronzewall-Account'
 DEADLINE_MS = 'Bronzewall-Deadline-Ms'
 SHED = 'X-Load-Shed'
+DRAINING = 'X-Draining'
 IDEMPOTENCY_KEY = 'Idempotency-Key'
 
 _OWN_PREFIX = 'bronzewall-'
--- a/src/bronzewall/proxy.py
+++ b/src/bronzewall/proxy.py
@@ -41,11 +41,11 @@
     RefusalError,
     problem_document,
 )
+from bronzewall.retry import is_not_run, may_retry
 from bronzewall.types import InstanceId, RequestId, VmId
 
 _MS_PER_S = 1000
 _REQUEST_ID_BITS = 64
-_NOT_RUN_ERRORS = (ConnectFailedError, UpstreamShedError)
 _LOG = structlog.get_logger()
 
 
@@ -226,13 +226,18 @@
 
     async def _attempt(self, exchange: Exchange) -> None:
         instance = await self._acquire(exchange)
+        error, is_served = None, False
         try:
             # The key may have been withdrawn while the request waited.
             self._authenticate(exchange)
             self._check_freshness(exchange)
             await self._send(exchange, instance)
+            is_served = True
+        except UpstreamError as exc:
+            error = exc
+            raise
         finally:
-            self.dispatcher.release(instance)
+            self.dispatcher.release(instance, is_served=is_served, error=error)
 
     async def _acquire(self, exchange: Exchange) -> Instance:
         account = exchange.account
@@ -257,14 +262,26 @@
 
     async def _send(self, exchange: Exchange, instance: Instance) -> None:
         self.note(exchange, 'sent', instance=instance.instance_id)
-        upstream = await self.upstreams.exchange(
-            self._upstream_request(exchange, instance)
-        )
+        upstream, instance = await self._open_upstream(exchange, instance)
+        self.dispatcher.observe_headers(instance, upstream.answer.headers)
         try:
-            await self._relay(exchange, upstream)
+            await self._relay(
+                exchange,
+                upstream,
+                is_remote=self.dispatcher.is_remote(instance),
+            )
         finally:
             upstream.close()
 
+    async def _open_upstream(
+        self, exchange: Exchange, instance: Instance
+    ) -> tuple[UpstreamExchange, Instance]:
+        """Return the start of an answer and the instance that gave it."""
+        upstream = await self.upstreams.exchange(
+            self._upstream_request(exchange, instance)
+        )
+        return upstream, instance
+
     def _upstream_request(
         self, exchange: Exchange, instance: Instance
     ) -> UpstreamRequest:
@@ -286,7 +303,11 @@
         )
 
     async def _relay(
-        self, exchange: Exchange, upstream: UpstreamExchange
+        self,
+        exchange: Exchange,
+        upstream: UpstreamExchange,
+        *,
+        is_remote: bool,
     ) -> None:
         answer, writer = upstream.answer, exchange.writer
         own = (header_rules.REQUEST_ID, exchange.request_id)
@@ -296,6 +317,8 @@
                 headers=[*header_rules.answer_headers(answer.headers), own],
             )
             async for chunk in answer.body:
+                if is_remote:
+                    self.metrics.cross_region_bytes += len(chunk)
                 await writer.write(chunk)
             await writer.finish()
         except (UpstreamBrokenError, UpstreamTimeoutError) as exc:
@@ -315,14 +338,14 @@
         """Return if another attempt is allowed, else raise a refusal."""
         cause = type(exc).__name__
         self.note(exchange, 'attempt_failed', error=cause)
-        did_not_run = isinstance(exc, _NOT_RUN_ERRORS)
-        exchange.may_have_run |= not did_not_run
-        is_safe = did_not_run or exchange.route.idempotent
-        if (
-            is_safe
-            and exchange.attempts <= exchange.route.retries
-            and self.clock.now() < exchange.deadline
-        ):
+        exchange.may_have_run |= not is_not_run(exc)
+        is_allowed = may_retry(
+            route=exchange.route,
+            error=exc,
+            attempts=exchange.attempts,
+            remaining=exchange.deadline - self.clock.now(),
+        )
+        if is_allowed and self.dispatcher.may_retry(exchange.service):
             self.metrics.retries[cause] += 1
             return
         raise _with_history(exchange, _refusal_of(exc)) from exc
--- /dev/null
+++ b/src/bronzewall/retry.py
@@ -0,0 +1,63 @@
+"""Retry rule and the allowances for retries, hedges and borrowing."""
+
+import attrs
+
+from bronzewall.config_model import Route
+from bronzewall.errors import (
+    ConnectFailedError,
+    UpstreamError,
+    UpstreamShedError,
+)
+
+NOT_RUN_ERRORS = (ConnectFailedError, UpstreamShedError)
+# Lets a VM with little traffic repeat a request at all. It is the constant
+# by which a window may exceed the ratio.
+ALLOWANCE_LIMIT = 3.0
+
+
+@attrs.define(kw_only=True)
+class Allowance:
+    """Extra sends in proportion to requests.
+
+    In any window with ``n`` requests at most ``ratio * n + limit`` extra
+    sends are taken.
+
+    :param ratio: extra sends earned by one request.
+    :param limit: most that can be saved up.
+    """
+
+    ratio: float
+    limit: float = ALLOWANCE_LIMIT
+    saved: float = 1
+
+    def earn(self) -> None:
+        """Count one request that was sent."""
+        self.saved = min(self.limit, self.saved + self.ratio)
+
+    def take(self) -> bool:
+        """Use one extra send if one is saved up."""
+        if not self.has_one():
+            return False
+        self.saved -= 1
+        return True
+
+    def has_one(self) -> bool:
+        """Return whether ``take`` would succeed."""
+        return self.saved >= 1
+
+
+def is_not_run(error: UpstreamError) -> bool:
+    """Return whether an error proves that the upstream did not run."""
+    return isinstance(error, NOT_RUN_ERRORS)
+
+
+def may_retry(
+    *, route: Route, error: UpstreamError, attempts: int, remaining: float
+) -> bool:
+    """Return whether the rule allows another attempt.
+
+    :param attempts: attempts made so far, the failed one included.
+    :param remaining: seconds until the caller's deadline.
+    """
+    is_safe = is_not_run(error) or route.idempotent
+    return is_safe and attempts <= route.retries and remaining > 0
--- /dev/null
+++ b/src/bronzewall/service_load.py
@@ -0,0 +1,144 @@
+"""State of one service on this VM: loads, demand, queue and allowances."""
+
+import attrs
+
+from bronzewall.choice import InstanceLoad, nearness_of
+from bronzewall.config_model import Service
+from bronzewall.queueing import AccountKey, FairQueue
+from bronzewall.retry import Allowance
+from bronzewall.types import InstanceId, Placement
+
+# Sheds that borrowing may cause per request; the retries that follow use
+# the retry allowance, which is twice as large by default.
+BORROW_RATIO = 0.05
+_FIRST_HOLD_S = 0.05
+_HOLD_GAIN = 0.05
+# One request that hangs must not raise the expected wait of all others.
+_MAX_HOLD_STEP = 4.0
+_SHARE_GAIN = 0.2
+_SLOW_QUANTILE = 0.95
+_SLOW_GAIN = 0.1
+_DEMAND_GAIN = 0.3
+_NEGLIGIBLE_RATE = 0.01
+
+
+@attrs.define(kw_only=True, eq=False)
+class ServiceLoad:
+    """What this VM knows about one service.
+
+    :param mean_hold: mean seconds for which a request holds its slot.
+    :param slow_hold: 95th percentile of the same, a hedge starts then.
+    :param mean_slots: mean number of slots in this VM's share.
+    :param arrivals_by_account: requests since the last report.
+    :param rate_by_account: smoothed requests a second.
+    :param has_shares: shares were assigned; before that each VM may use
+        every slot.
+    """
+
+    service: Service
+    loads_by_id: dict[InstanceId, InstanceLoad]
+    queue: FairQueue
+    retry: Allowance
+    hedge: Allowance
+    borrow: Allowance
+    mean_hold: float = _FIRST_HOLD_S
+    slow_hold: float = _FIRST_HOLD_S
+    mean_slots: float = 0
+    arrivals_by_account: dict[AccountKey, int] = attrs.field(factory=dict)
+    rate_by_account: dict[AccountKey, float] = attrs.field(factory=dict)
+    has_shares: bool = False
+    is_pump_set: bool = False
+
+    def record_hold(self, seconds: float) -> None:
+        """Take over how long a served request held its slot."""
+        is_slow = seconds > self.slow_hold
+        step = _SLOW_QUANTILE if is_slow else _SLOW_QUANTILE - 1
+        self.slow_hold += _SLOW_GAIN * self.mean_hold * step
+        seconds = min(seconds, self.mean_hold * _MAX_HOLD_STEP)
+        self.mean_hold += _HOLD_GAIN * (seconds - self.mean_hold)
+
+    def count_arrival(self, account_id: AccountKey) -> None:
+        """Count one request as demand."""
+        count = self.arrivals_by_account.get(account_id, 0)
+        self.arrivals_by_account[account_id] = count + 1
+
+    def close_period(self, seconds: float) -> None:
+        """Smooth the demand at the end of a report period."""
+        accounts = self.arrivals_by_account.keys() | self.rate_by_account.keys()
+        for account in accounts:
+            seen = self.arrivals_by_account.get(account, 0) / seconds
+            before = self.rate_by_account.get(account, 0)
+            rate = before + _DEMAND_GAIN * (seen - before)
+            self.rate_by_account[account] = rate
+            if rate < _NEGLIGIBLE_RATE:
+                del self.rate_by_account[account]
+        self.arrivals_by_account.clear()
+
+    def set_shares(self, slots_by_instance: dict[InstanceId, int]) -> None:
+        """Take over this VM's share of each instance's slots."""
+        for instance_id, load in self.loads_by_id.items():
+            load.share = slots_by_instance.get(instance_id, 0)
+        total = float(sum(slots_by_instance.values()))
+        if not self.has_shares:
+            self.mean_slots = total
+        self.has_shares = True
+        self.mean_slots += _SHARE_GAIN * (total - self.mean_slots)
+
+    def served_per_second(self) -> float:
+        """Return the rate at which this VM's share serves requests."""
+        slots = max(self.mean_slots, 1 / 2)
+        if not self.has_shares:
+            slots = sum(load.share for load in self.loads_by_id.values())
+        return max(slots, 1 / 2) / self.mean_hold
+
+
+def new_service_load(service: Service) -> ServiceLoad:
+    """Return the state of a service that was not used yet."""
+    return ServiceLoad(
+        service=service,
+        loads_by_id={},
+        queue=FairQueue(),
+        retry=Allowance(ratio=service.retry_ratio),
+        hedge=Allowance(ratio=service.hedge_ratio),
+        borrow=Allowance(ratio=min(BORROW_RATIO, service.retry_ratio / 2)),
+    )
+
+
+def update_instances(
+    state: ServiceLoad,
+    *,
+    service: Service,
+    placement: Placement | None,
+    fleet_size: int,
+    now: float,
+) -> None:
+    """Take over the instances of a new configuration.
+
+    An instance that was not there before is cold, except on a VM that
+    has just started.
+
+    :param fleet_size: VMs that share the connections of an instance.
+    """
+    is_first = not state.loads_by_id
+    found = {}
+    for instance_id, instance in service.instances_by_id.items():
+        load = state.loads_by_id.get(instance_id)
+        if load is None or load.instance.address != instance.address:
+            load = InstanceLoad(
+                instance=instance,
+                nearness=nearness_of(
+                    placement or instance.placement, instance.placement
+                ),
+                share=0 if state.has_shares else instance.slots,
+                cold_since=None if is_first else now,
+            )
+        load.instance = instance
+        load.connection_cap = min(
+            instance.slots, max(1, instance.connections // fleet_size)
+        )
+        found[instance_id] = load
+    state.loads_by_id = found
+    state.service = service
+    state.retry.ratio = service.retry_ratio
+    state.hedge.ratio = service.hedge_ratio
+    state.borrow.ratio = min(BORROW_RATIO, service.retry_ratio / 2)
