--- a/src/bronzewall/headers.py
+++ b/src/bronzewall/headers.py
@@ -8,6 +8,7 @@
 ACCOUNT = 'Bronzewall-Account'
 DEADLINE_MS = 'Bronzewall-Deadline-Ms'
 SHED = 'X-Load-Shed'
+DRAINING = 'X-Draining'
 IDEMPOTENCY_KEY = 'Idempotency-Key'
 
 _OWN_PREFIX = 'bronzewall-'
