--- /dev/null
+++ b/bench/limits.py
@@ -0,0 +1,379 @@
+"""Admission against accounts' rates over 40 VMs under faults."""
+
+import asyncio
+import logging
+import math
+import random
+from collections import Counter
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+import structlog
+from harness import Target, run_bench
+from limits_fleet import REGIONS, Fleet, FleetVm, build_fleet
+
+from bronzewall.config_model import Account
+from bronzewall.errors import RateExceededError
+from bronzewall.quota import StaticSplitQuota
+from bronzewall.standins.virtual_time import run_virtual
+from bronzewall.tokens import TokenBucket
+from bronzewall.types import AccountId, VmId
+
+VMS = 40
+WARM_UP_S = 8.0
+CALM_S = 12.0
+FAULTS_S = 24.0
+END_S = WARM_UP_S + CALM_S + FAULTS_S
+LOAD = 0.9
+HOT_ACCOUNT = AccountId('hot')
+LOADS = {HOT_ACCOUNT: 5.0}
+# Rate in requests a second and burst of each account.
+ACCOUNTS = {
+    'wholesale': (1000, 200),
+    'regional': (200, 60),
+    'daily': (100, 40),
+    'weekly': (100, 30),
+    'north': (50, 20),
+    'south': (50, 20),
+    'archive': (50, 20),
+    HOT_ACCOUNT: (50, 20),
+}
+# The balancer's weights of regions and VMs change this often.
+BALANCING_INTERVAL_S = 4.0
+# Standard deviation of the logarithm of a region's or a VM's weight.
+REGION_UNEVENNESS = 0.5
+VM_UNEVENNESS = 0.8
+# Times of the faults, seconds after the start of their phase.
+STORE_BACK_S = 10.0
+CUT_S, HEAL_S = 2.0, 8.0
+KILL_S, LISTED_S = 6.0, 10.0
+FREEZE_S, THAW_S = 13.0, 19.0
+KILLED = 5
+# Rounding errors of the sums of times and rates.
+ROUNDING = 1e-6
+
+TARGETS = (
+    Target(figure='over_admitted', at_most=0),
+    Target(figure='wrongly_refused_share.calm', at_most=0.001),
+    Target(figure='wrongly_refused_share.faults', at_most=0.01),
+    Target(figure='worst_account_share', at_least=0.99),
+)
+
+
+@attrs.define(kw_only=True)
+class WindowCheck:
+    """Largest excess over ``burst + rate * t`` in any window.
+
+    :param lowest: least value of admissions less accrued rate before a
+        window's first admission.
+    """
+
+    account: Account
+    count: int = 0
+    lowest: float = math.inf
+    excess: float = 0
+
+    def admit(self, now: float) -> None:
+        """Count one admission."""
+        accrued = self.account.rate * now
+        self.lowest = min(self.lowest, self.count - accrued)
+        self.count += 1
+        used = self.count - accrued - self.lowest
+        self.excess = max(self.excess, used - self.account.burst)
+
+    def over_admitted(self) -> int:
+        """Return the requests admitted over the bound."""
+        return max(math.ceil(self.excess - ROUNDING), 0)
+
+
+@attrs.frozen(kw_only=True)
+class Arrival:
+    """One request.
+
+    :param region_draw: decides the region by the balancer's weights.
+    :param vm_draw: decides the VM.
+    """
+
+    at: float
+    account: Account
+    region_draw: float
+    vm_draw: float
+
+
+@attrs.define(kw_only=True)
+class Tally:
+    """Outcomes counted outside the VMs, by phase and account."""
+
+    checks_by_account: dict[AccountId, WindowCheck]
+    central_by_account: dict[AccountId, TokenBucket]
+    arrived: Counter[tuple[str, AccountId]] = attrs.field(factory=Counter)
+    due: Counter[tuple[str, AccountId]] = attrs.field(factory=Counter)
+    served: Counter[tuple[str, AccountId]] = attrs.field(factory=Counter)
+    wrongly_refused: Counter[tuple[str, AccountId]] = attrs.field(
+        factory=Counter
+    )
+    unserved: int = 0
+    messages: int = 0
+    bytes_sent: int = 0
+    counters: Counter[str] = attrs.field(factory=Counter)
+
+    def wrongly_refused_share(self, phase: str) -> float:
+        """Return the share of the requests of accounts within their rate."""
+        names = [name for name in self.checks_by_account if name != HOT_ACCOUNT]
+        refused = sum(self.wrongly_refused[phase, name] for name in names)
+        return refused / sum(self.arrived[phase, name] for name in names)
+
+    def account_share(self, name: AccountId) -> float:
+        """Return what an account got, as a share of what it was due."""
+        phases = ('calm', 'faults')
+        due = sum(self.due[phase, name] for phase in phases)
+        return sum(self.served[phase, name] for phase in phases) / due
+
+
+def build_accounts() -> dict[AccountId, Account]:
+    """Return the accounts by id."""
+    return {
+        AccountId(name): Account(
+            account_id=AccountId(name), rate=rate, burst=burst, key_digests=()
+        )
+        for name, (rate, burst) in ACCOUNTS.items()
+    }
+
+
+def draw_arrivals(
+    accounts: Mapping[AccountId, Account], rng: random.Random
+) -> list[Arrival]:
+    """Return Poisson arrivals of all accounts in order of time."""
+    arrivals = []
+    for account in accounts.values():
+        rate = account.rate * LOADS.get(account.account_id, LOAD)
+        at = WARM_UP_S + rng.expovariate(rate)
+        while at < END_S:
+            arrivals.append(
+                Arrival(
+                    at=at,
+                    account=account,
+                    region_draw=rng.random(),
+                    vm_draw=rng.random(),
+                )
+            )
+            at += rng.expovariate(rate)
+    return sorted(arrivals, key=lambda arrival: arrival.at)
+
+
+@attrs.define(kw_only=True)
+class Balancer:
+    """Uneven balancing that changes over time."""
+
+    random: random.Random
+    fleet: Fleet
+    region_weights: list[float] = attrs.field(factory=list)
+    weights_by_vm: dict[VmId, float] = attrs.field(factory=dict)
+    _next_change: float = 0
+
+    def choose(self, arrival: Arrival) -> FleetVm:
+        """Return the VM that gets a request."""
+        if arrival.at >= self._next_change:
+            self._next_change = arrival.at + BALANCING_INTERVAL_S
+            self._change()
+        region = _pick(REGIONS, self.region_weights, arrival.region_draw)
+        vms = [
+            vm
+            for vm in self.fleet.vms_by_id.values()
+            if vm.placement.region == region and vm.is_serving
+        ]
+        weights = [self.weights_by_vm[vm.vm_id] for vm in vms]
+        return _pick(vms, weights, arrival.vm_draw)
+
+    def _change(self) -> None:
+        self.region_weights = [
+            self.random.lognormvariate(0, REGION_UNEVENNESS) for _ in REGIONS
+        ]
+        self.weights_by_vm = {
+            vm_id: self.random.lognormvariate(0, VM_UNEVENNESS)
+            for vm_id in self.fleet.vms_by_id
+        }
+
+
+def _pick(items: Any, weights: list[float], draw: float) -> Any:
+    remaining = draw * sum(weights)
+    for item, weight in zip(items, weights, strict=True):
+        remaining -= weight
+        if remaining < 0:
+            return item
+    return items[-1]
+
+
+@attrs.define(kw_only=True, eq=False)
+class Run:
+    """One way of admission on one list of arrivals."""
+
+    fleet: Fleet
+    balancer: Balancer
+    arrivals: list[Arrival]
+    tally: Tally
+    random: random.Random
+
+    async def drive(self) -> Tally:
+        """Send all arrivals while the faults happen."""
+        loop = asyncio.get_running_loop()
+        faults = asyncio.create_task(self._inject())
+        requests: set[asyncio.Task[None]] = set()
+        await asyncio.sleep(WARM_UP_S)
+        before = (self.fleet.network.messages, self.fleet.network.bytes_sent)
+        for arrival in self.arrivals:
+            if arrival.at > loop.time():
+                await asyncio.sleep(arrival.at - loop.time())
+            vm = self.balancer.choose(arrival)
+            task = asyncio.create_task(self._serve(arrival, vm))
+            requests.add(task)
+            task.add_done_callback(requests.discard)
+        await asyncio.gather(*requests, faults)
+        network = self.fleet.network
+        self.tally.messages = network.messages - before[0]
+        self.tally.bytes_sent = network.bytes_sent - before[1]
+        for vm in self.fleet.vms_by_id.values():
+            if not isinstance(vm.quota, StaticSplitQuota):
+                self.tally.counters += vm.quota.counters
+                self.tally.counters += vm.quota.asker.counters
+        await self.fleet.stop()
+        return self.tally
+
+    async def _serve(self, arrival: Arrival, vm: FleetVm) -> None:
+        account = arrival.account
+        name = account.account_id
+        phase = 'calm' if arrival.at < WARM_UP_S + CALM_S else 'faults'
+        is_due = self.tally.central_by_account[name].take(arrival.at)
+        self.tally.arrived[phase, name] += 1
+        self.tally.due[phase, name] += is_due
+        try:
+            await vm.quota.admit(account)
+        except RateExceededError:
+            self.tally.wrongly_refused[phase, name] += is_due
+            return
+        if not vm.is_serving:
+            self.tally.unserved += 1
+            return
+        self.tally.served[phase, name] += 1
+        check = self.tally.checks_by_account[name]
+        check.admit(asyncio.get_running_loop().time())
+
+    async def _inject(self) -> None:
+        start = WARM_UP_S + CALM_S
+        fleet = self.fleet
+        await _sleep_until(start)
+        fleet.faults.is_down = True
+        await _sleep_until(start + CUT_S)
+        fleet.cut_regions(REGIONS[0], REGIONS[1])
+        await _sleep_until(start + KILL_S)
+        killed = self._choose_killed()
+        for vm_id in killed:
+            fleet.kill(vm_id)
+        await _sleep_until(start + HEAL_S)
+        fleet.network.heal()
+        await _sleep_until(start + LISTED_S)
+        fleet.list_destroyed(killed)
+        await _sleep_until(start + STORE_BACK_S)
+        fleet.faults.is_down = False
+        await _sleep_until(start + FREEZE_S)
+        frozen = self._choose_live()
+        fleet.freeze(frozen)
+        await _sleep_until(start + THAW_S)
+        fleet.thaw(frozen)
+
+    def _choose_killed(self) -> set[VmId]:
+        """Return VMs to kill; one of them is the home of a pool."""
+        killed = set(self.fleet.pool_homes()[:1])
+        while len(killed) < KILLED:
+            killed.add(self._choose_live())
+        return killed
+
+    def _choose_live(self) -> VmId:
+        return self.random.choice(
+            [vm.vm_id for vm in self.fleet.vms_by_id.values() if not vm.is_dead]
+        )
+
+
+async def _sleep_until(at: float) -> None:
+    await asyncio.sleep(max(at - asyncio.get_running_loop().time(), 0))
+
+
+async def _run_way(way: str, seed: int) -> Tally:
+    accounts = build_accounts()
+    arrivals = draw_arrivals(accounts, random.Random(seed))
+    fleet = build_fleet(
+        size=VMS, accounts=accounts, rng=random.Random(seed + 1)
+    )
+    if way == 'static_split':
+        for vm in fleet.vms_by_id.values():
+            vm.quota = StaticSplitQuota(clock=vm.clock, share=1 / VMS)
+    else:
+        fleet.start(has_regional_pools=way == 'regional_pools')
+    tally = Tally(
+        checks_by_account={
+            name: WindowCheck(account=account)
+            for name, account in accounts.items()
+        },
+        central_by_account={
+            name: TokenBucket(
+                rate=account.rate,
+                burst=account.burst,
+                tokens=account.burst,
+                updated=0,
+            )
+            for name, account in accounts.items()
+        },
+    )
+    run = Run(
+        fleet=fleet,
+        balancer=Balancer(random=random.Random(seed + 2), fleet=fleet),
+        arrivals=arrivals,
+        tally=tally,
+        random=random.Random(seed + 3),
+    )
+    return await run.drive()
+
+
+def _report(tally: Tally) -> dict[str, Any]:
+    shares = {
+        name: round(tally.account_share(name), 4)
+        for name in tally.checks_by_account
+    }
+    vm_seconds = VMS * (CALM_S + FAULTS_S)
+    return {
+        'over_admitted': sum(
+            check.over_admitted() for check in tally.checks_by_account.values()
+        ),
+        'wrongly_refused_share': {
+            phase: round(tally.wrongly_refused_share(phase), 5)
+            for phase in ('calm', 'faults')
+        },
+        'worst_account_share': min(shares.values()),
+        'account_shares': shares,
+        'wrongly_refused': {
+            phase: {name: tally.wrongly_refused[phase, name] for name in shares}
+            for phase in ('calm', 'faults')
+        },
+        'requests': sum(tally.arrived.values()),
+        'messages_per_vm_s': round(tally.messages / vm_seconds, 1),
+        'bytes_per_vm_s': round(tally.bytes_sent / vm_seconds),
+        'counters': dict(tally.counters),
+    }
+
+
+def measure(seed: int) -> dict[str, Any]:
+    """Run the pools and both baselines on the same arrivals."""
+    report = _report(run_virtual(_run_way('regional_pools', seed)))
+    report['baselines'] = {
+        way: _report(run_virtual(_run_way(way, seed)))
+        for way in ('static_split', 'single_home')
+    }
+    return report
+
+
+if __name__ == '__main__':
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL)
+    )
+    run_bench(name='limits', measure=measure, targets=TARGETS)
--- /dev/null
+++ b/bench/limits_fleet.py
@@ -0,0 +1,222 @@
+"""Fleet of admission parts over in-memory ports for the limits bench."""
+
+import asyncio
+import random
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from bronzewall.config_model import Account
+from bronzewall.errors import StoreError
+from bronzewall.membership import Members
+from bronzewall.peer_calls import PeerEndpoint
+from bronzewall.quota import PooledQuota, QuotaParts, build_quota
+from bronzewall.standins.memory import (
+    MemoryPlatform,
+    MemoryVmList,
+    StoreData,
+    StoreFaults,
+)
+from bronzewall.standins.memory_link import MemoryLink, MemoryNetwork
+from bronzewall.standins.virtual_time import VirtualClock
+from bronzewall.types import AccountId, Placement, VmId, VmRecord, VmState
+
+REGIONS = ('muscat', 'dhofar', 'sharqiyah')
+ZONES_A_REGION = 2
+LIST_INTERVAL_S = 2.0
+_SAME_ZONE_S = 0.0002
+_BETWEEN_ZONES_S = 0.001
+_BETWEEN_REGIONS_S = 0.008
+_JITTER = 0.2
+_STORE_DELAY_S = 0.004
+_MOST_CLOCK_OFFSET_S = 1e6
+
+
+class FreezableClock(VirtualClock):
+    """Clock of a VM that can be paused; time goes on meanwhile."""
+
+    def __init__(self, *, offset: float) -> None:
+        """Start running."""
+        super().__init__(offset=offset)
+        self.running = asyncio.Event()
+        self.running.set()
+
+    async def sleep(self, seconds: float) -> None:
+        """Wait, and longer while the VM is frozen."""
+        await super().sleep(seconds)
+        await self.running.wait()
+
+
+@attrs.define(kw_only=True, eq=False)
+class FleetVm:
+    """One VM.
+
+    :param quota: admission of this VM; replaced in the static baseline.
+    """
+
+    vm_id: VmId
+    placement: Placement
+    clock: FreezableClock
+    members: Members
+    quota: Any
+    tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
+    is_dead: bool = False
+    is_frozen: bool = False
+
+    @property
+    def is_serving(self) -> bool:
+        """Whether the balancer sends requests."""
+        return not self.is_dead and not self.is_frozen
+
+
+@attrs.define(kw_only=True, eq=False)
+class Fleet:
+    """All VMs, their network and the platform."""
+
+    random: random.Random
+    accounts: Mapping[AccountId, Account]
+    network: MemoryNetwork
+    store: StoreData = attrs.field(factory=StoreData)
+    faults: StoreFaults = attrs.field(
+        factory=lambda: StoreFaults(delay=_STORE_DELAY_S)
+    )
+    vms_by_id: dict[VmId, FleetVm] = attrs.field(factory=dict)
+
+    def start(self, *, has_regional_pools: bool) -> None:
+        """Start the tasks of all VMs."""
+        for vm in self.vms_by_id.values():
+            vm.quota = self._quota(vm, has_regional_pools=has_regional_pools)
+            vm.tasks = [
+                asyncio.create_task(self._follow_list(vm)),
+                asyncio.create_task(self._run(vm)),
+            ]
+
+    def kill(self, vm_id: VmId) -> None:
+        """Stop a VM for good, without notice."""
+        vm = self.vms_by_id[vm_id]
+        vm.is_dead = True
+        for task in vm.tasks:
+            task.cancel()
+        self.network.kill(vm_id)
+
+    def freeze(self, vm_id: VmId) -> None:
+        """Pause a VM."""
+        vm = self.vms_by_id[vm_id]
+        vm.is_frozen = True
+        vm.clock.running.clear()
+        self.network.freeze(vm_id)
+
+    def thaw(self, vm_id: VmId) -> None:
+        """End the pause of a VM."""
+        vm = self.vms_by_id[vm_id]
+        vm.is_frozen = False
+        vm.clock.running.set()
+        self.network.thaw(vm_id)
+
+    def list_destroyed(self, vm_ids: set[VmId]) -> None:
+        """Show VMs as destroyed in the platform's list."""
+        self.store.vm_records = tuple(
+            attrs.evolve(record, state=VmState.DESTROYED)
+            if record.vm_id in vm_ids
+            else record
+            for record in self.store.vm_records
+        )
+
+    def cut_regions(self, sender: str, receiver: str) -> None:
+        """Lose all messages from one region to another."""
+        for source in self.vms_by_id.values():
+            for target in self.vms_by_id.values():
+                pair = (source.placement.region, target.placement.region)
+                if pair == (sender, receiver):
+                    self.network.cut(sender=source.vm_id, receiver=target.vm_id)
+
+    def pool_homes(self) -> list[VmId]:
+        """Return the VMs that are homes of pools now."""
+        return [
+            vm.vm_id
+            for vm in self.vms_by_id.values()
+            if isinstance(vm.quota, PooledQuota)
+            and vm.quota.pool_home.is_open
+            and not vm.is_dead
+        ]
+
+    async def stop(self) -> None:
+        """Cancel all tasks."""
+        tasks = [task for vm in self.vms_by_id.values() for task in vm.tasks]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _quota(self, vm: FleetVm, *, has_regional_pools: bool) -> PooledQuota:
+        endpoint = PeerEndpoint(
+            vm_id=vm.vm_id,
+            incarnation=int(vm.clock.wall() * 1e9),
+            link=MemoryLink(vm_id=vm.vm_id, network=self.network),
+        )
+        return build_quota(
+            QuotaParts(
+                clock=vm.clock,
+                endpoint=endpoint,
+                members=vm.members,
+                table=self._platform(vm),
+                accounts=lambda: self.accounts,
+                has_regional_pools=has_regional_pools,
+            )
+        )
+
+    def _platform(self, vm: FleetVm) -> MemoryPlatform:
+        return MemoryPlatform(
+            clock=vm.clock, store=self.store, faults=self.faults
+        )
+
+    async def _run(self, vm: FleetVm) -> None:
+        # VMs start at different times, so their tasks do not run in step.
+        await vm.clock.sleep(self.random.random())
+        await vm.quota.run()
+
+    async def _follow_list(self, vm: FleetVm) -> None:
+        vm_list = MemoryVmList(platform=self._platform(vm))
+        while True:
+            try:
+                vm.members.update(tuple(await vm_list.read()))
+            except StoreError:
+                await vm.clock.sleep(LIST_INTERVAL_S)
+            await vm.clock.sleep(LIST_INTERVAL_S)
+
+
+def build_fleet(
+    *, size: int, accounts: Mapping[AccountId, Account], rng: random.Random
+) -> Fleet:
+    """Return a fleet over three regions with two zones each."""
+    placements_by_id = {
+        VmId(f'vm-{number:02d}'): _placement(number) for number in range(size)
+    }
+
+    def delay(sender: VmId, receiver: VmId) -> float:
+        source, target = placements_by_id[sender], placements_by_id[receiver]
+        if source.region != target.region:
+            return _BETWEEN_REGIONS_S
+        return _SAME_ZONE_S if source == target else _BETWEEN_ZONES_S
+
+    network = MemoryNetwork(random=rng, delay=delay, jitter=_JITTER)
+    fleet = Fleet(random=rng, accounts=accounts, network=network)
+    fleet.store.vm_records = tuple(
+        VmRecord(vm_id=vm_id, placement=placement, peer_address='')
+        for vm_id, placement in placements_by_id.items()
+    )
+    for vm_id, placement in placements_by_id.items():
+        fleet.vms_by_id[vm_id] = FleetVm(
+            vm_id=vm_id,
+            placement=placement,
+            clock=FreezableClock(offset=rng.random() * _MOST_CLOCK_OFFSET_S),
+            members=Members(own_id=vm_id, own_placement=placement),
+            quota=None,
+        )
+    return fleet
+
+
+def _placement(number: int) -> Placement:
+    region = REGIONS[number % len(REGIONS)]
+    zone = number // len(REGIONS) % ZONES_A_REGION
+    return Placement(region=region, zone=f'{region}-{zone}')
--- a/src/bronzewall/config_feed.py
+++ b/src/bronzewall/config_feed.py
@@ -1,14 +1,17 @@
 """The configuration in force on this VM."""
 
+from collections.abc import Mapping
+
 import attrs
 
 from bronzewall.config_codec import decode_snapshot
-from bronzewall.config_model import Configuration
+from bronzewall.config_model import Account, Configuration
 from bronzewall.errors import NoConfigurationError, StoreError
 from bronzewall.key_table import KeyTable, build_key_table
 from bronzewall.ports import Clock, ObjectStore, TableService
 from bronzewall.publication import read_generation
 from bronzewall.routing import RouteTable, compile_routes
+from bronzewall.types import AccountId
 
 POLL_INTERVAL_S = 0.3
 
@@ -56,6 +59,12 @@
             raise NoConfigurationError('no configuration loaded yet')
         return self._in_force
 
+    def accounts(self) -> Mapping[AccountId, Account]:
+        """Return the accounts in force, none before the first load."""
+        if self._in_force is None:
+            return {}
+        return self._in_force.configuration.accounts_by_id
+
     def offer(self, configuration: Configuration) -> bool:
         """Take a configuration if its generation is higher."""
         if configuration.generation <= self.generation:
--- a/src/bronzewall/daemon.py
+++ b/src/bronzewall/daemon.py
@@ -26,7 +26,12 @@
 from bronzewall.peer_calls import PeerEndpoint
 from bronzewall.ports import Clock, VmList
 from bronzewall.proxy import RequestPath
-from bronzewall.quota import StaticSplitQuota
+from bronzewall.quota import (
+    PooledQuota,
+    QuotaParts,
+    build_quota,
+    quota_status,
+)
 from bronzewall.settings import Origin, Settings
 from bronzewall.types import Placement, RequestId, VmId
 
@@ -48,6 +53,7 @@
     vm_list: VmList
     feed: ConfigFeed
     path: RequestPath
+    quota: PooledQuota
     metrics: Metrics
     journal: Journal
     sessions: tuple[aiohttp.ClientSession, ...]
@@ -71,6 +77,7 @@
         self._tasks = [
             asyncio.create_task(self.feed.run()),
             asyncio.create_task(self._follow_vm_list()),
+            asyncio.create_task(self.quota.run()),
         ]
         await admin.start()
         await entry.start()
@@ -79,6 +86,8 @@
         await self._drain(stop_forced)
         await entry.stop()
         await admin.stop()
+        await self._cancel_tasks()
+        await self.quota.stop()
         await self._close()
         _LOG.info('stopped', vm=self.settings.vm_id)
 
@@ -125,10 +134,12 @@
                 )
             await self.clock.sleep(_LIST_INTERVAL_S)
 
-    async def _close(self) -> None:
+    async def _cancel_tasks(self) -> None:
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _close(self) -> None:
         await self.endpoint.close()
         await self.link.stop()
         for session in self.sessions:
@@ -143,6 +154,7 @@
             'in_flight': len(self.path.in_flight_by_request),
             'refusals': dict(self.metrics.refusals),
             'retries': dict(self.metrics.retries),
+            'rights': quota_status(self.quota),
         }
 
     def _debug(self) -> dict[str, Any]:
@@ -173,17 +185,26 @@
     rng = random.SystemRandom()
     metrics, journal = Metrics(), Journal()
     feed = ConfigFeed(clock=clock, table=store, objects=store)
+    members = Members(
+        own_id=vm_id,
+        own_placement=Placement(region=settings.region, zone=settings.zone),
+    )
+    endpoint = PeerEndpoint(vm_id=vm_id, incarnation=time.time_ns(), link=link)
+    quota = build_quota(
+        QuotaParts(
+            clock=clock,
+            endpoint=endpoint,
+            members=members,
+            table=store,
+            accounts=feed.accounts,
+        )
+    )
     daemon = Daemon(
         settings=settings,
         origins=origins,
         clock=clock,
-        members=Members(
-            own_id=vm_id,
-            own_placement=Placement(region=settings.region, zone=settings.zone),
-        ),
-        endpoint=PeerEndpoint(
-            vm_id=vm_id, incarnation=time.time_ns(), link=link
-        ),
+        members=members,
+        endpoint=endpoint,
         link=link,
         vm_list=PlatformVmList(client=store),
         feed=feed,
@@ -192,13 +213,14 @@
             clock=clock,
             random=rng,
             feed=feed,
-            quota=StaticSplitQuota(clock=clock, share=1.0),
+            quota=quota,
             dispatcher=Dispatcher(random=rng),
             upstreams=AiohttpUpstreams(session=upstream_session),
             metrics=metrics,
             journal=journal,
             may_serve_keyed=lambda: True,
         ),
+        quota=quota,
         metrics=metrics,
         journal=journal,
         sessions=(store_session, upstream_session),
--- /dev/null
+++ b/src/bronzewall/lending.py
@@ -0,0 +1,339 @@
+"""Rights of this VM's slots: lent to pool homes, the rest kept."""
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+
+import attrs
+
+from bronzewall.config_model import Account
+from bronzewall.ports import Clock
+from bronzewall.quota_messages import Lend, Renew
+from bronzewall.rights import (
+    CLOCK_DRIFT,
+    NOTHING,
+    Right,
+    share_of,
+    unit_positions,
+)
+from bronzewall.slots import SlotKeeper
+from bronzewall.tokens import TokenBucket
+from bronzewall.types import AccountId, VmId
+
+AccountsSource = Callable[[], Mapping[AccountId, Account]]
+# What a killed pool home held is lost for at most this time.
+LOAN_LENGTH_S = 2.0
+# A home that was not heard from, or did not confirm loans, for this long
+# gets nothing more: two renewals were lost.
+SILENCE_S = 1.2
+# Rights follow the demand of a region in steps of this share, because a
+# right that changes its pool is unusable for about one renewal.
+_WEIGHT_STEP = 0.08
+# Each pool gets at least this share, to see the demand grow.
+_LEAST_WEIGHT = 0.04
+
+
+@attrs.frozen(kw_only=True)
+class Statement:
+    """Rights that a home may hold until ``end`` on the own clock."""
+
+    epoch: int
+    number: int
+    end: float
+    rights_by_account: Mapping[AccountId, Right]
+
+
+@attrs.define(kw_only=True)
+class HomeLedger:
+    """What this VM has lent to one pool home.
+
+    :param region: of the home; orders homes in the division.
+    :param confirmed_at: when the home last confirmed a statement.
+    """
+
+    region: str
+    epoch: int
+    heard_at: float
+    confirmed_at: float
+    is_closed: bool = False
+    demands: Mapping[AccountId, float] = attrs.field(factory=dict)
+    statements: list[Statement] = attrs.field(factory=list)
+
+    def hear(self, renew: Renew, now: float) -> None:
+        """Note a renewal and forget the statements that it replaced."""
+        if renew.epoch > self.epoch:
+            self.epoch = renew.epoch
+            self.confirmed_at = now
+            self.is_closed = False
+        self.heard_at = now
+        self.demands = renew.demands
+        if any(
+            self._is_number(statement, renew.adopted)
+            for statement in self.statements
+        ):
+            self.confirmed_at = now
+            self.statements = [
+                statement
+                for statement in self.statements
+                if statement.epoch != renew.epoch
+                or statement.number >= renew.adopted
+            ]
+
+    def close(self, epoch: int) -> None:
+        """Forget the statements of an epoch that has ended."""
+        if epoch >= self.epoch:
+            self.epoch = epoch
+            self.is_closed = True
+        self.statements = [
+            statement
+            for statement in self.statements
+            if statement.epoch > epoch
+        ]
+
+    def committed(self, account_id: AccountId, now: float) -> Right:
+        """Return the most that the home may hold."""
+        most = NOTHING
+        for statement in self.statements:
+            if statement.end > now:
+                right = statement.rights_by_account.get(account_id, NOTHING)
+                most = most.upper(right)
+        return most
+
+    def is_fresh(self, now: float) -> bool:
+        """Return whether messages pass both ways."""
+        oldest = min(self.heard_at, self.confirmed_at)
+        return not self.is_closed and now - oldest <= SILENCE_S
+
+    def forget_ended(self, now: float) -> None:
+        """Forget the statements that have ended."""
+        self.statements = [
+            statement for statement in self.statements if statement.end > now
+        ]
+
+    def _is_number(self, statement: Statement, number: int) -> bool:
+        return statement.epoch == self.epoch and statement.number == number
+
+
+@attrs.define(kw_only=True, eq=False)
+class Lender:
+    """Divides the rights of this VM's slots.
+
+    At any time the rights lent in statements that have not ended and the
+    rights kept are together never more than the slots carry.
+
+    :param region_of: region of a VM, empty if not known.
+    """
+
+    clock: Clock
+    slots: SlotKeeper
+    accounts: AccountsSource
+    region_of: Callable[[VmId], str]
+    is_retiring: bool = False
+    ledgers_by_home: dict[VmId, HomeLedger] = attrs.field(factory=dict)
+    _number: int = attrs.field(
+        # Numbers of a restarted process are higher than earlier ones.
+        default=attrs.Factory(
+            lambda lender: lender.slots.incarnation, takes_self=True
+        )
+    )
+    _kept_by_account: dict[AccountId, TokenBucket] = attrs.field(factory=dict)
+    _weights_by_account: dict[AccountId, dict[VmId, float]] = attrs.field(
+        factory=dict
+    )
+
+    def on_renew(self, home: VmId, renew: Renew) -> Lend | None:
+        """Return the loans for a home, or ``None`` for an old epoch."""
+        now = self.clock.now()
+        ledger = self._ledger(home, renew, now)
+        if renew.epoch < ledger.epoch or ledger.is_closed:
+            return None
+        ledger.hear(renew, now)
+        ledger.forget_ended(now)
+        rights = self._lendable(home, ledger, now)
+        self._number += 1
+        ledger.statements.append(
+            Statement(
+                epoch=renew.epoch,
+                number=self._number,
+                end=now + LOAN_LENGTH_S,
+                rights_by_account=rights,
+            )
+        )
+        self._clip_kept(rights, now)
+        return Lend(
+            epoch=renew.epoch,
+            stamp=renew.stamp,
+            number=self._number,
+            length=LOAN_LENGTH_S * (1 - CLOCK_DRIFT),
+            rates={name: right.rate for name, right in rights.items()},
+            bursts={name: right.burst for name, right in rights.items()},
+        )
+
+    def on_return(self, home: VmId, epoch: int) -> None:
+        """Take back everything lent to a home under an epoch."""
+        ledger = self.ledgers_by_home.get(home)
+        if ledger is not None:
+            ledger.close(epoch)
+
+    def take_kept(self, account: Account) -> bool:
+        """Take a token of the rights that are not lent."""
+        now = self.clock.now()
+        bucket = self._kept(account, now)
+        return bucket.take(now)
+
+    def is_all_returned(self) -> bool:
+        """Return whether no loan may be in force."""
+        now = self.clock.now()
+        return not any(
+            statement.end > now and statement.rights_by_account
+            for ledger in self.ledgers_by_home.values()
+            for statement in ledger.statements
+        )
+
+    def total(self, account: Account, *, until: float) -> Right:
+        """Return the right of the slots usable until a clock time."""
+        positions = self._positions(account)
+        units = sum(
+            len(positions.get(slot, ()))
+            for slot in self.slots.usable_slots(until=until)
+        )
+        return share_of(account, units=units)
+
+    def committed(self, account_id: AccountId, now: float) -> Right:
+        """Return the most that all homes together may hold."""
+        total = NOTHING
+        for ledger in self.ledgers_by_home.values():
+            total = total.plus(ledger.committed(account_id, now))
+        return total
+
+    def _ledger(self, home: VmId, renew: Renew, now: float) -> HomeLedger:
+        if home not in self.ledgers_by_home:
+            self.ledgers_by_home[home] = HomeLedger(
+                region=self.region_of(home),
+                epoch=renew.epoch,
+                heard_at=now,
+                confirmed_at=now,
+            )
+        return self.ledgers_by_home[home]
+
+    def _positions(self, account: Account) -> dict[int, tuple[float, ...]]:
+        return unit_positions(
+            account.account_id, account.burst, self.slots.slot_count
+        )
+
+    def _lendable(
+        self, home: VmId, ledger: HomeLedger, now: float
+    ) -> dict[AccountId, Right]:
+        if self.is_retiring or not ledger.is_fresh(now):
+            return {}
+        slots = self.slots.usable_slots(until=now + LOAN_LENGTH_S)
+        fresh = {
+            vm_id: other
+            for vm_id, other in self.ledgers_by_home.items()
+            if other.is_fresh(now)
+        }
+        rights = {}
+        for account in self.accounts().values():
+            units = self._units(account, home, fresh, slots)
+            if units:
+                right = self._free_for(account, home, now).lower(
+                    share_of(account, units=units)
+                )
+                if right.burst > 0:
+                    rights[account.account_id] = right
+        return rights
+
+    def _free_for(self, account: Account, home: VmId, now: float) -> Right:
+        total = self.total(account, until=now + LOAN_LENGTH_S)
+        for vm_id, ledger in self.ledgers_by_home.items():
+            if vm_id != home:
+                total = total.minus(ledger.committed(account.account_id, now))
+        return total
+
+    def _units(
+        self,
+        account: Account,
+        home: VmId,
+        fresh: Mapping[VmId, HomeLedger],
+        slots: list[int],
+    ) -> int:
+        positions = self._positions(account)
+        counted: Counter[VmId | None] = Counter()
+        bounds = self._bounds(account.account_id, fresh)
+        for slot in slots:
+            for position in positions.get(slot, ()):
+                counted[_owner(bounds, position)] += 1
+        return counted[home]
+
+    def _bounds(
+        self, account_id: AccountId, fresh: Mapping[VmId, HomeLedger]
+    ) -> list[tuple[float, VmId]]:
+        weights = self._weights(account_id, fresh)
+        ordered = sorted(
+            weights, key=lambda vm_id: (fresh[vm_id].region, vm_id)
+        )
+        bounds, upper = [], float(0)
+        for vm_id in ordered:
+            upper += weights[vm_id]
+            bounds.append((upper, vm_id))
+        return bounds
+
+    def _weights(
+        self, account_id: AccountId, fresh: Mapping[VmId, HomeLedger]
+    ) -> dict[VmId, float]:
+        wanted = _shares(account_id, fresh)
+        used = self._weights_by_account.get(account_id, {})
+        is_near = used.keys() == wanted.keys() and all(
+            abs(used[vm_id] - share) < _WEIGHT_STEP
+            for vm_id, share in wanted.items()
+        )
+        if not is_near:
+            self._weights_by_account[account_id] = wanted
+        return self._weights_by_account[account_id]
+
+    def _kept(self, account: Account, now: float) -> TokenBucket:
+        right = self.total(account, until=now).minus(
+            self.committed(account.account_id, now)
+        )
+        bucket = self._kept_by_account.get(account.account_id)
+        if bucket is None:
+            bucket = TokenBucket(rate=0, burst=0, tokens=0, updated=now)
+            self._kept_by_account[account.account_id] = bucket
+        bucket.accrue(now)
+        if right.burst < bucket.burst:
+            # The share may have shrunk some time ago, when a lease ended,
+            # and its tokens must not be spent.
+            bucket.tokens = 0
+        bucket.rate, bucket.burst = right.rate, right.burst
+        bucket.accrue(now)
+        return bucket
+
+    def _clip_kept(self, lent: Mapping[AccountId, Right], now: float) -> None:
+        for account in self.accounts().values():
+            if account.account_id in lent:
+                self._kept(account, now)
+
+
+def _owner(bounds: list[tuple[float, VmId]], position: float) -> VmId | None:
+    for upper, vm_id in bounds:
+        if position < upper:
+            return vm_id
+    return bounds[-1][1] if bounds else None
+
+
+def _shares(
+    account_id: AccountId, fresh: Mapping[VmId, HomeLedger]
+) -> dict[VmId, float]:
+    demands = {
+        vm_id: ledger.demands.get(account_id, float(0))
+        for vm_id, ledger in fresh.items()
+    }
+    total = sum(demands.values())
+    if total <= 0:
+        return {vm_id: 1 / len(demands) for vm_id in demands}
+    raised = {
+        vm_id: max(demand / total, _LEAST_WEIGHT)
+        for vm_id, demand in demands.items()
+    }
+    return {
+        vm_id: share / sum(raised.values()) for vm_id, share in raised.items()
+    }
--- a/src/bronzewall/membership.py
+++ b/src/bronzewall/membership.py
@@ -39,6 +39,11 @@
         ]
         return sorted(found)
 
+    def region_of(self, vm_id: VmId) -> str:
+        """Return the region of a member, empty if it is not known."""
+        record = self.records_by_id.get(vm_id)
+        return record.placement.region if record else ''
+
     def regions(self) -> list[str]:
         """Return the regions that have members."""
         return sorted(
--- a/src/bronzewall/quota.py
+++ b/src/bronzewall/quota.py
@@ -1,12 +1,47 @@
 """Admission of requests against the rate and burst of client accounts."""
 
+import asyncio
+import itertools
+from collections import Counter
+from typing import Any
+
 import attrs
+import structlog
 
+from bronzewall.asking import (
+    GRANTED,
+    LONGEST_DELAY_S,
+    RELAYED_LIFETIME_S,
+    SILENT,
+    Asker,
+    Outcome,
+)
 from bronzewall.config_model import Account
-from bronzewall.errors import RateExceededError
-from bronzewall.ports import Clock
+from bronzewall.errors import RateExceededError, StoreError
+from bronzewall.lending import LOAN_LENGTH_S, AccountsSource, Lender
+from bronzewall.membership import Members
+from bronzewall.messages import Envelope
+from bronzewall.peer_calls import PeerEndpoint
+from bronzewall.pool_homes import PoolHomes
+from bronzewall.pools import PoolHome
+from bronzewall.ports import Clock, TableService
+from bronzewall.quota_messages import (
+    Ask,
+    Grant,
+    Lend,
+    Renew,
+    ReturnLoans,
+    SlotsGiven,
+)
+from bronzewall.rights import CLOCK_DRIFT
+from bronzewall.slots import SlotKeeper
 from bronzewall.tokens import TokenBucket
-from bronzewall.types import AccountId
+from bronzewall.types import AccountId, VmId
+
+_RETURN_CHECK_S = 0.05
+# After this time no loan of a VM that has stopped is in force.
+SETTLE_S = LOAN_LENGTH_S * (1 + CLOCK_DRIFT)
+_LOG = structlog.get_logger()
 
 
 @attrs.define(kw_only=True)
@@ -37,3 +72,200 @@
             self.buckets_by_id[account.account_id] = bucket
         if not bucket.take(now):
             raise RateExceededError(retry_after=bucket.delay())
+
+
+@attrs.define(kw_only=True, eq=False)
+class PooledQuota:
+    """Admits from regional pools, which borrow the rights of all VMs.
+
+    :param runners: tasks to run while the quota is in use.
+    """
+
+    own_id: VmId
+    clock: Clock
+    homes: PoolHomes
+    pool_home: PoolHome
+    lender: Lender
+    slots: SlotKeeper
+    asker: Asker
+    counters: Counter[str] = attrs.field(factory=Counter)
+
+    async def admit(self, account: Account) -> None:
+        """Admit one request.
+
+        :raises RateExceededError: no pool that answers has a token left.
+        """
+        if self.lender.take_kept(account):
+            self.counters['admitted_from_kept'] += 1
+            return
+        delay = LONGEST_DELAY_S
+        for home in self.homes.to_ask():
+            outcome = await self._ask(home, account)
+            if outcome.is_granted:
+                return
+            if outcome.is_answered:
+                delay = outcome.delay
+                break
+            self.homes.note_unanswered(home)
+        if self.lender.take_kept(account):
+            self.counters['admitted_from_kept'] += 1
+            return
+        self.counters['refused'] += 1
+        raise RateExceededError(retry_after=delay)
+
+    async def run(self) -> None:
+        """Keep slots and loans until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.slots.run())
+            group.create_task(self.pool_home.run())
+
+    async def stop(self) -> None:
+        """Return all loans and hand all slots over."""
+        self.lender.is_retiring = True
+        self.pool_home.is_stopping = True
+        await self.pool_home.close()
+        limit = self.clock.now() + LOAN_LENGTH_S
+        while self.clock.now() < limit and not self.lender.is_all_returned():
+            await self.clock.sleep(_RETURN_CHECK_S)
+        try:
+            await self.slots.give_all()
+        except StoreError as exc:
+            _LOG.warning('slots_not_handed_over', error=str(exc))
+
+    async def _ask(self, home: VmId, account: Account) -> Outcome:
+        if home != self.own_id:
+            return await self.asker.ask(home, account.account_id)
+        return await self._ask_own(account.account_id)
+
+    async def _ask_own(self, account_id: AccountId) -> Outcome:
+        if not self.pool_home.is_open:
+            return SILENT
+        if self.pool_home.take(account_id):
+            return GRANTED
+        sent_at = self.clock.now()
+        if await self.pool_home.relay_one(account_id):
+            if self.clock.now() - sent_at <= RELAYED_LIFETIME_S:
+                return GRANTED
+        delay = self.pool_home.delay(account_id)
+        return Outcome(is_granted=False, delay=delay)
+
+
+@attrs.frozen(kw_only=True)
+class QuotaParts:
+    """What a quota is built from.
+
+    :param accounts: returns the accounts in force, by id.
+    :param has_regional_pools: one pool in each region, or one pool for
+        the whole fleet.
+    """
+
+    clock: Clock
+    endpoint: PeerEndpoint
+    members: Members
+    table: TableService
+    accounts: AccountsSource
+    has_regional_pools: bool = True
+
+
+def build_quota(parts: QuotaParts) -> PooledQuota:
+    """Return a quota that receives its messages from the endpoint."""
+    members, endpoint = parts.members, parts.endpoint
+    slots = SlotKeeper(
+        own_id=members.own_id,
+        incarnation=endpoint.incarnation,
+        clock=parts.clock,
+        table=parts.table,
+        members=members,
+        settle_s=SETTLE_S,
+        on_given=lambda vm_id: endpoint.send(to=vm_id, message=SlotsGiven()),
+    )
+    lender = Lender(
+        clock=parts.clock,
+        slots=slots,
+        accounts=parts.accounts,
+        region_of=members.region_of,
+    )
+    homes = PoolHomes(
+        own_id=members.own_id,
+        own_region=(
+            members.own_placement.region if parts.has_regional_pools else None
+        ),
+        members=members,
+        clock=parts.clock,
+        regions=(
+            members.regions if parts.has_regional_pools else lambda: [None]
+        ),
+    )
+    ask_ids = itertools.count(endpoint.incarnation)
+    quota = PooledQuota(
+        own_id=members.own_id,
+        clock=parts.clock,
+        homes=homes,
+        pool_home=PoolHome(
+            own_id=members.own_id,
+            clock=parts.clock,
+            endpoint=endpoint,
+            members=members,
+            homes=homes,
+            lender=lender,
+            relay=Asker(
+                clock=parts.clock, endpoint=endpoint, relayed=True, ids=ask_ids
+            ),
+            epoch=endpoint.incarnation,
+        ),
+        lender=lender,
+        slots=slots,
+        asker=Asker(clock=parts.clock, endpoint=endpoint, ids=ask_ids),
+    )
+    _serve_messages(quota, endpoint)
+    return quota
+
+
+def _serve_messages(quota: PooledQuota, endpoint: PeerEndpoint) -> None:
+    def on_grant(envelope: Envelope) -> None:
+        quota.asker.on_grant(envelope)
+        quota.pool_home.relay.on_grant(envelope)
+
+    def on_renew(envelope: Envelope) -> None:
+        quota.homes.hear(envelope.sender)
+        lend = quota.lender.on_renew(envelope.sender, envelope.body)
+        if lend is not None:
+            endpoint.send(to=envelope.sender, message=lend)
+
+    def on_lend(envelope: Envelope) -> None:
+        quota.pool_home.on_lend(envelope.sender, envelope.body)
+
+    def on_return(envelope: Envelope) -> None:
+        quota.lender.on_return(envelope.sender, envelope.body.epoch)
+
+    endpoint.serve(Ask, quota.pool_home.on_ask)
+    endpoint.serve(Grant, on_grant)
+    endpoint.serve(Renew, on_renew)
+    endpoint.serve(Lend, on_lend)
+    endpoint.serve(ReturnLoans, on_return)
+    endpoint.serve(SlotsGiven, lambda _envelope: quota.slots.wake())
+
+
+def quota_status(quota: PooledQuota) -> dict[str, Any]:
+    """Return the rights of this VM for the status report."""
+    now = quota.clock.now()
+    return {
+        'slots': len(quota.slots.usable_slots(until=now)),
+        'slots_leaving': len(quota.slots.givings_by_slot),
+        'pauses': quota.slots.pauses,
+        'is_pool_home': quota.pool_home.is_open,
+        'pools': {
+            account_id: {
+                'rate': round(pool.right.rate, 1),
+                'burst': round(pool.right.burst, 1),
+                'tokens': round(pool.tokens, 1),
+                'lenders': len(pool.loans_by_lender),
+            }
+            for account_id, pool in quota.pool_home.pools_by_account.items()
+        },
+        'lent': {
+            account_id: attrs.asdict(quota.lender.committed(account_id, now))
+            for account_id in quota.lender.accounts()
+        },
+        'counters': dict(quota.counters + quota.asker.counters),
+    }
--- /dev/null
+++ b/src/bronzewall/slot_plan.py
@@ -0,0 +1,63 @@
+"""Division of slots among VMs, the same on every VM with the same view."""
+
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+from bronzewall.homes import ranked_homes
+from bronzewall.types import VmId
+
+
+@attrs.frozen(kw_only=True)
+class Move:
+    """A slot that should change hands."""
+
+    slot: int
+    receiver: VmId
+
+
+def assign_vacant(
+    *, slots: Iterable[int], counts_by_id: Mapping[VmId, int]
+) -> dict[int, VmId]:
+    """Return a receiver for each slot, those with fewest slots first.
+
+    :param counts_by_id: slots held by each live VM.
+    """
+    counts = dict(counts_by_id)
+    receivers = {}
+    for slot in sorted(slots):
+        if not counts:
+            break
+        receiver = _poorest(slot, counts)
+        receivers[slot] = receiver
+        counts[receiver] += 1
+    return receivers
+
+
+def balancing_moves(
+    *, holders_by_slot: Mapping[int, VmId], counts_by_id: Mapping[VmId, int]
+) -> list[Move]:
+    """Return the moves after which shares differ by at most one slot."""
+    counts = dict(counts_by_id)
+    slots_by_id: dict[VmId, list[int]] = {vm_id: [] for vm_id in counts}
+    for slot, holder in sorted(holders_by_slot.items()):
+        if holder in slots_by_id:
+            slots_by_id[holder].append(slot)
+    moves = []
+    while counts:
+        richest = max(sorted(counts), key=counts.__getitem__)
+        slots = slots_by_id[richest]
+        if not slots or counts[richest] - min(counts.values()) < 2:
+            break
+        moved = slots.pop()
+        receiver = _poorest(moved, counts)
+        counts[richest] -= 1
+        counts[receiver] += 1
+        moves.append(Move(slot=moved, receiver=receiver))
+    return moves
+
+
+def _poorest(slot: int, counts: Mapping[VmId, int]) -> VmId:
+    fewest = min(counts.values())
+    candidates = [vm_id for vm_id, count in counts.items() if count == fewest]
+    return ranked_homes(duty=f'slot/{slot}', vm_ids=candidates)[0]
--- /dev/null
+++ b/src/bronzewall/slots.py
@@ -0,0 +1,410 @@
+"""Fenced leases on numbered slots in the table service."""
+
+import asyncio
+from collections.abc import Callable, Iterable, Mapping, Sequence
+
+import attrs
+import cbor2
+import structlog
+
+from bronzewall.errors import (
+    StoreConflictError,
+    StoreError,
+)
+from bronzewall.membership import Members
+from bronzewall.ports import Clock, TableService
+from bronzewall.rights import CLOCK_DRIFT
+from bronzewall.slot_plan import Move, assign_vacant, balancing_moves
+from bronzewall.types import Row, RowCheck, RowWrite, VmId, VmState
+
+# Three times the fleet of 40 VMs, so that equal shares differ by one slot.
+SLOT_COUNT = 128
+# Longer than the longest outage of the store that must be survived.
+LEASE_TERM_S = 21_600.0
+TABLE = 'slots'
+# A longer gap between two ticks counts as a pause of the process.
+PAUSE_S = 1.0
+TICK_S = 0.25
+_RENEW_SHARE = 2 / 3
+_SCAN_INTERVAL_S = 10.0
+_RETRY_INTERVAL_S = 1.0
+# Incarnation in a row whose new holder has not accepted it yet.
+_NOT_ACCEPTED = 0
+_LOG = structlog.get_logger()
+
+
+@attrs.frozen(kw_only=True)
+class SlotRow:
+    """Content of a slot's row.
+
+    :param incarnation: of the holder; 0 until it has accepted the slot.
+    :param lease_end: in the table service's clock.
+    """
+
+    holder: VmId
+    incarnation: int
+    lease_end: float
+
+
+@attrs.frozen(kw_only=True)
+class Reading:
+    """The slot rows as read at one time.
+
+    :param started: own clock before the request was sent.
+    :param table_time: the table service's clock after ``started``.
+    """
+
+    started: float
+    table_time: float
+    rows_by_slot: Mapping[int, SlotRow]
+    versions_by_slot: Mapping[int, int]
+
+    def local_end(self, lease_end: float) -> float:
+        """Return a lease's end on the own clock, with a drift margin."""
+        remaining = lease_end - self.table_time
+        return self.started + remaining * (1 - CLOCK_DRIFT)
+
+
+@attrs.define(kw_only=True)
+class Giving:
+    """A slot that is leaving this VM.
+
+    :param ready_at: clock time at which no loan includes it any more.
+    """
+
+    receiver: VmId
+    ready_at: float
+
+
+@attrs.define(kw_only=True, eq=False)
+class SlotKeeper:
+    """This VM's leases.
+
+    :param incarnation: start time of this process, nanoseconds.
+    :param settle_s: seconds until loans of a destroyed VM, or of an
+        earlier process of this VM, have ended everywhere.
+    :param on_given: called with each VM that got slots.
+    """
+
+    own_id: VmId
+    incarnation: int
+    clock: Clock
+    table: TableService
+    members: Members
+    settle_s: float
+    on_given: Callable[[VmId], None]
+    slot_count: int = SLOT_COUNT
+    term_s: float = LEASE_TERM_S
+    ends_by_slot: dict[int, float] = attrs.field(factory=dict)
+    givings_by_slot: dict[int, Giving] = attrs.field(factory=dict)
+    is_stopping: bool = False
+    pauses: int = 0
+    _validated_pauses: int = 0
+    _doubtful_slots: set[int] = attrs.field(factory=set)
+    _destroyed_seen_by_id: dict[VmId, float] = attrs.field(factory=dict)
+    _holders: frozenset[VmId] = frozenset()
+    _started_at: float = 0
+    _last_tick: float = 0
+    _next_scan: float = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Start counting ticks."""
+        self._started_at = self.clock.now()
+        self._last_tick = self._started_at
+
+    def usable_slots(self, *, until: float) -> list[int]:
+        """Return the slots whose right may be used until a clock time.
+
+        None are usable after a pause until the table has confirmed them,
+        because another process may hold them by now.
+        """
+        paused = self.clock.now() - self._last_tick > PAUSE_S + TICK_S
+        if paused or self.pauses != self._validated_pauses:
+            return []
+        return [
+            slot
+            for slot, end in self.ends_by_slot.items()
+            if end > until and slot not in self.givings_by_slot
+        ]
+
+    def wake(self) -> None:
+        """Read the table at the next tick."""
+        self._next_scan = 0
+
+    async def run(self) -> None:
+        """Keep the leases until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._watch())
+            group.create_task(self._maintain())
+
+    def tick(self) -> None:
+        """Detect a pause of this process and follow the VM list."""
+        now = self.clock.now()
+        if now - self._last_tick > PAUSE_S + TICK_S:
+            self.pauses += 1
+            self.wake()
+            _LOG.warning('pause_detected', seconds=now - self._last_tick)
+        self._last_tick = now
+        self._note_destroyed(now)
+
+    async def refresh(self) -> None:
+        """Read the table once and renew, take and hand over slots.
+
+        :raises StoreError: the table service failed.
+        """
+        pauses = self.pauses
+        reading = await self._read()
+        self._adopt(reading)
+        self._validated_pauses = pauses
+        await self._renew(reading)
+        if not self.is_stopping:
+            await self._take(reading)
+            self._plan_givings(reading)
+        await self._hand_over(reading, self._ready_givings())
+
+    async def give_all(self) -> None:
+        """Hand all slots over to other VMs at a planned stop.
+
+        :raises StoreError: the table service failed; the slots stay
+            unusable until another VM may take them.
+        """
+        self.is_stopping = True
+        reading = await self._read()
+        self._adopt(reading)
+        counts = self._counts(reading)
+        counts.pop(self.own_id, None)
+        receivers = assign_vacant(slots=self.ends_by_slot, counts_by_id=counts)
+        await self._hand_over(reading, receivers)
+
+    async def _watch(self) -> None:
+        while True:
+            self.tick()
+            await self.clock.sleep(TICK_S)
+
+    async def _maintain(self) -> None:
+        while True:
+            if self.clock.now() >= self._next_scan and not self.is_stopping:
+                self._next_scan = self.clock.now() + _SCAN_INTERVAL_S
+                await self._try_refresh()
+            await self.clock.sleep(TICK_S)
+
+    async def _try_refresh(self) -> None:
+        try:
+            await self.refresh()
+        except StoreError as exc:
+            self._next_scan = self.clock.now() + _RETRY_INTERVAL_S
+            _LOG.info('slots_not_refreshed', error=str(exc))
+
+    def _note_destroyed(self, now: float) -> None:
+        destroyed = {
+            record.vm_id
+            for record in self.members.records_by_id.values()
+            if record.state is VmState.DESTROYED
+        }
+        for vm_id in destroyed - set(self._destroyed_seen_by_id):
+            self._destroyed_seen_by_id[vm_id] = now
+        ready = any(
+            holder in self._holders and now >= seen + self.settle_s
+            for holder, seen in self._destroyed_seen_by_id.items()
+        )
+        if ready:
+            self._next_scan = min(self._next_scan, now + _RETRY_INTERVAL_S)
+
+    async def _read(self) -> Reading:
+        started = self.clock.now()
+        table_time = await self.table.time()
+        rows = await self.table.scan(table=TABLE, prefix='')
+        return Reading(
+            started=started,
+            table_time=table_time,
+            rows_by_slot={int(key): _decode(row) for key, row in rows.items()},
+            versions_by_slot={
+                int(key): row.version for key, row in rows.items()
+            },
+        )
+
+    def _adopt(self, reading: Reading) -> None:
+        self._holders = frozenset(
+            row.holder for row in reading.rows_by_slot.values()
+        )
+        self.ends_by_slot = {
+            slot: reading.local_end(row.lease_end)
+            for slot, row in reading.rows_by_slot.items()
+            if self._is_mine(row) and slot not in self._doubtful_slots
+        }
+        for slot in set(self.givings_by_slot) - set(self.ends_by_slot):
+            self.givings_by_slot.pop(slot)
+
+    def _is_mine(self, row: SlotRow) -> bool:
+        return row.holder == self.own_id and row.incarnation == self.incarnation
+
+    async def _renew(self, reading: Reading) -> None:
+        """Renew old leases, accept slots given and settle doubtful ones.
+
+        A hand-over whose answer was lost may still take effect. Writing
+        the row again either fails or makes that hand-over fail.
+        """
+        fresh_end = reading.table_time + self.term_s * _RENEW_SHARE
+        due = [
+            slot
+            for slot, row in reading.rows_by_slot.items()
+            if row.holder == self.own_id
+            and row.lease_end > reading.table_time
+            and (
+                row.incarnation == _NOT_ACCEPTED
+                or self._is_mine(row)
+                and (row.lease_end < fresh_end or slot in self._doubtful_slots)
+            )
+        ]
+        await self._claim(reading, due)
+        for slot in tuple(self._doubtful_slots):
+            row = reading.rows_by_slot.get(slot)
+            if slot in due or row is None or not self._is_mine(row):
+                self._doubtful_slots.discard(slot)
+
+    async def _take(self, reading: Reading) -> None:
+        vacant = [
+            slot
+            for slot in range(self.slot_count)
+            if self._is_vacant(reading, slot)
+        ]
+        if not vacant:
+            return
+        own = [slot for slot in vacant if self._was_mine(reading, slot)]
+        others = [slot for slot in vacant if slot not in own]
+        receivers = assign_vacant(
+            slots=others, counts_by_id=self._counts(reading)
+        )
+        mine = [slot for slot, vm in receivers.items() if vm == self.own_id]
+        try:
+            await self._claim(reading, own + mine)
+        except StoreConflictError:
+            self._next_scan = self.clock.now() + _RETRY_INTERVAL_S
+
+    def _is_vacant(self, reading: Reading, slot: int) -> bool:
+        row = reading.rows_by_slot.get(slot)
+        if row is None or row.lease_end < reading.table_time:
+            return True
+        now = self.clock.now()
+        if self._was_mine(reading, slot):
+            return now >= self._started_at + self.settle_s
+        destroyed_seen = self._destroyed_seen_by_id.get(row.holder, now)
+        return now >= destroyed_seen + self.settle_s
+
+    def _was_mine(self, reading: Reading, slot: int) -> bool:
+        row = reading.rows_by_slot.get(slot)
+        return (
+            row is not None
+            and row.holder == self.own_id
+            and _NOT_ACCEPTED < row.incarnation < self.incarnation
+        )
+
+    async def _claim(self, reading: Reading, slots: Sequence[int]) -> None:
+        if not slots:
+            return
+        lease_end = reading.table_time + self.term_s
+        row = SlotRow(
+            holder=self.own_id,
+            incarnation=self.incarnation,
+            lease_end=lease_end,
+        )
+        await self._write(reading, {slot: row for slot in slots})
+        for slot in slots:
+            self.ends_by_slot[slot] = reading.local_end(lease_end)
+
+    def _counts(self, reading: Reading) -> dict[VmId, int]:
+        counts = {
+            record.vm_id: 0
+            for record in self.members.records_by_id.values()
+            if record.state is VmState.LIVE
+        }
+        counts.setdefault(self.own_id, 0)
+        for row in reading.rows_by_slot.values():
+            if row.holder in counts and row.lease_end > reading.table_time:
+                counts[row.holder] += 1
+        return counts
+
+    def _plan_givings(self, reading: Reading) -> None:
+        held = {
+            slot: row.holder
+            for slot, row in reading.rows_by_slot.items()
+            if row.lease_end > reading.table_time
+        }
+        moves: Iterable[Move] = balancing_moves(
+            holders_by_slot=held, counts_by_id=self._counts(reading)
+        )
+        wanted = {
+            move.slot: move.receiver
+            for move in moves
+            if move.slot in self.ends_by_slot
+        }
+        now = self.clock.now()
+        for slot in set(self.givings_by_slot) - set(wanted):
+            self.givings_by_slot.pop(slot)
+        for slot, receiver in wanted.items():
+            giving = self.givings_by_slot.setdefault(
+                slot, Giving(receiver=receiver, ready_at=now + self.settle_s)
+            )
+            giving.receiver = receiver
+            self._next_scan = min(self._next_scan, giving.ready_at)
+
+    def _ready_givings(self) -> dict[int, VmId]:
+        now = self.clock.now()
+        return {
+            slot: giving.receiver
+            for slot, giving in self.givings_by_slot.items()
+            if now >= giving.ready_at
+        }
+
+    async def _hand_over(
+        self, reading: Reading, receivers_by_slot: Mapping[int, VmId]
+    ) -> None:
+        if not receivers_by_slot:
+            return
+        rows = {
+            slot: SlotRow(
+                holder=receiver,
+                incarnation=_NOT_ACCEPTED,
+                lease_end=reading.table_time + self.term_s,
+            )
+            for slot, receiver in receivers_by_slot.items()
+        }
+        # Not used again before the outcome of the write is known.
+        self._doubtful_slots.update(rows)
+        for slot in rows:
+            self.ends_by_slot.pop(slot, None)
+            self.givings_by_slot.pop(slot, None)
+        await self._write(reading, rows)
+        self._doubtful_slots.difference_update(rows)
+        for receiver in set(receivers_by_slot.values()):
+            self.on_given(receiver)
+
+    async def _write(
+        self, reading: Reading, rows_by_slot: Mapping[int, SlotRow]
+    ) -> None:
+        checks = [
+            RowCheck(
+                table=TABLE,
+                key=_key(slot),
+                version=reading.versions_by_slot.get(slot, 0),
+            )
+            for slot in rows_by_slot
+        ]
+        writes = [
+            RowWrite(table=TABLE, key=_key(slot), value=_encode(row))
+            for slot, row in rows_by_slot.items()
+        ]
+        await self.table.transact(checks=checks, writes=writes)
+
+
+def _key(slot: int) -> str:
+    return f'{slot:04d}'
+
+
+def _encode(row: SlotRow) -> bytes:
+    return cbor2.dumps(attrs.astuple(row))
+
+
+def _decode(row: Row) -> SlotRow:
+    holder, incarnation, lease_end = cbor2.loads(row.value)
+    return SlotRow(holder=holder, incarnation=incarnation, lease_end=lease_end)
