--- a/src/bronzewall/command.py
+++ b/src/bronzewall/command.py
@@ -17,8 +17,8 @@
 from bronzewall import fleet_report
 from bronzewall.adapters.admin_client import AdminClient
 from bronzewall.adapters.platform_http import PlatformClient, PlatformVmList
+from bronzewall.composition import serve
 from bronzewall.config_files import load_directory
-from bronzewall.daemon import serve
 from bronzewall.errors import (
     BronzewallError,
     ConfigurationFilesError,
--- /dev/null
+++ b/src/bronzewall/composition.py
@@ -0,0 +1,92 @@
+"""Builds the daemon of one VM from its parts."""
+
+import random
+import time
+
+import aiohttp
+
+from bronzewall.adapters.platform_http import PlatformClient, PlatformVmList
+from bronzewall.adapters.system_clock import SystemClock
+from bronzewall.adapters.upstream_http import AiohttpUpstreams, open_session
+from bronzewall.adapters.websocket_link import WebSocketLink
+from bronzewall.control_plane import ControlPlane
+from bronzewall.daemon import Daemon
+from bronzewall.dispatch import Dispatcher
+from bronzewall.journal import Journal
+from bronzewall.membership import Members
+from bronzewall.metrics import Metrics
+from bronzewall.peer_calls import PeerEndpoint
+from bronzewall.proxy import RequestPath
+from bronzewall.quota import QuotaParts, build_quota
+from bronzewall.run_setup import once_sweep, open_run_gate
+from bronzewall.settings import Origin, Settings
+from bronzewall.types import Placement, VmId
+
+
+def build_daemon(settings: Settings, origins: tuple[Origin, ...]) -> Daemon:
+    """Return the daemon; a loop must be running."""
+    store_session = aiohttp.ClientSession()
+    upstream_session = open_session()
+    clock = SystemClock()
+    store = PlatformClient(base_url=settings.platform, session=store_session)
+    vm_id = VmId(settings.vm_id)
+    link = WebSocketLink(listen=settings.peer_listen)
+    rng = random.SystemRandom()
+    metrics, journal = Metrics(), Journal()
+    placement = Placement(region=settings.region, zone=settings.zone)
+    members = Members(own_id=vm_id, own_placement=placement)
+    endpoint = PeerEndpoint(vm_id=vm_id, incarnation=time.time_ns(), link=link)
+    control = ControlPlane(
+        clock=clock,
+        random=rng,
+        members=members,
+        endpoint=endpoint,
+        table=store,
+        objects=store,
+        vm_list=PlatformVmList(client=store),
+    )
+    quota = build_quota(
+        QuotaParts(
+            clock=clock,
+            endpoint=endpoint,
+            members=members,
+            table=store,
+            accounts=control.feed.accounts,
+        )
+    )
+    run_gate = open_run_gate(
+        endpoint=endpoint, clock=clock, table=store, members=members, rng=rng
+    )
+    path = RequestPath(
+        vm_id=vm_id,
+        clock=clock,
+        random=rng,
+        feed=control.feed,
+        quota=quota,
+        dispatcher=Dispatcher(random=rng),
+        upstreams=AiohttpUpstreams(session=upstream_session),
+        run_gate=run_gate,
+        metrics=metrics,
+        journal=journal,
+        may_serve_keyed=control.may_serve_keyed,
+    )
+    return Daemon(
+        settings=settings,
+        origins=origins,
+        clock=clock,
+        members=members,
+        endpoint=endpoint,
+        link=link,
+        control=control,
+        path=path,
+        quota=quota,
+        once_sweep=once_sweep(gate=run_gate, members=members),
+        metrics=metrics,
+        journal=journal,
+        sessions=(store_session, upstream_session),
+    )
+
+
+async def serve(settings: Settings, origins: tuple[Origin, ...]) -> None:
+    """Run the daemon of one VM until its planned stop is complete."""
+    await build_daemon(settings, origins).run()
--- a/src/bronzewall/config_feed.py
+++ b/src/bronzewall/config_feed.py
@@ -7,7 +7,7 @@
 
 from bronzewall import publication_rows as rows
 from bronzewall.config_codec import PartEntry
-from bronzewall.config_model import Configuration
+from bronzewall.config_model import Account, Configuration
 from bronzewall.config_state import (
     ConfigState,
     InForce,
@@ -20,6 +20,7 @@
     SnapshotError,
 )
 from bronzewall.ports import Clock, ObjectStore, TableService
+from bronzewall.types import AccountId
 
 # A VM that is further behind reads the manifest, which costs two scans.
 _MAX_HISTORY_READS = 20
@@ -55,6 +56,12 @@
             raise NoConfigurationError('no configuration loaded yet')
         return self._in_force
 
+    def accounts(self) -> Mapping[AccountId, Account]:
+        """Return the accounts in force, none before the first load."""
+        if self._in_force is None:
+            return {}
+        return self._in_force.configuration.accounts_by_id
+
     def offer(self, configuration: Configuration) -> bool:
         """Take a whole configuration if its generation is higher."""
         if configuration.generation <= self.generation:
--- a/src/bronzewall/daemon.py
+++ b/src/bronzewall/daemon.py
@@ -1,9 +1,7 @@
-"""Composition and lifecycle of one VM's daemon."""
+"""Lifecycle of one VM's daemon: start, planned stop, reports."""
 
 import asyncio
-import random
 import signal
-import time
 from typing import Any
 
 import aiohttp
@@ -12,23 +10,19 @@
 
 from bronzewall.adapters.admin_http import AdminServer
 from bronzewall.adapters.entry_http import EntryServer
-from bronzewall.adapters.platform_http import PlatformClient, PlatformVmList
-from bronzewall.adapters.system_clock import SystemClock
-from bronzewall.adapters.upstream_http import AiohttpUpstreams, open_session
 from bronzewall.adapters.websocket_link import WebSocketLink
 from bronzewall.admin import AdminView
 from bronzewall.control_plane import ControlPlane
-from bronzewall.dispatch import Dispatcher
 from bronzewall.journal import Journal
 from bronzewall.membership import Members
 from bronzewall.metrics import Metrics
+from bronzewall.once_cleanup import OnceSweep
 from bronzewall.peer_calls import PeerEndpoint
 from bronzewall.ports import Clock
 from bronzewall.proxy import RequestPath
-from bronzewall.quota import StaticSplitQuota
-from bronzewall.run_setup import once_sweep, open_run_gate
+from bronzewall.quota import PooledQuota, quota_status
 from bronzewall.settings import Origin, Settings
-from bronzewall.types import Placement, RequestId, VmId, VmState
+from bronzewall.types import RequestId, VmState
 
 _DRAIN_CHECK_S = 0.05
 _LOG = structlog.get_logger()
@@ -46,6 +40,8 @@
     link: WebSocketLink
     control: ControlPlane
     path: RequestPath
+    quota: PooledQuota
+    once_sweep: OnceSweep
     metrics: Metrics
     journal: Journal
     sessions: tuple[aiohttp.ClientSession, ...]
@@ -66,11 +62,7 @@
         admin = AdminServer(
             listen=self.settings.admin_listen, view=self.admin_view()
         )
-        await self.link.start()
-        self.members.on_change(self._use_addresses)
-        self.control.start()
-        sweep = once_sweep(gate=self.path.run_gate, members=self.members)
-        self._tasks = [asyncio.create_task(sweep.run())]
+        await self._start_background()
         await admin.start()
         await entry.start()
         _LOG.info('started', vm=self.settings.vm_id, zone=self.settings.zone)
@@ -79,21 +71,40 @@
         await self._drain(stop_forced)
         await entry.stop()
         await admin.stop()
-        await self._close()
+        await self._stop_background()
         _LOG.info('stopped', vm=self.settings.vm_id)
 
     def admin_view(self) -> AdminView:
         """Return the reports of this VM."""
         return AdminView(
-            is_ready=lambda: (
-                not self.is_stopping and self.control.feed.generation > 0
-            ),
+            is_ready=self._is_ready,
             status=self._status,
             debug=self._debug,
             explain=self._explain,
             metrics=self.metrics.exposition,
         )
 
+    async def _start_background(self) -> None:
+        await self.link.start()
+        self.members.on_change(self._use_addresses)
+        self.control.start()
+        self._tasks = [
+            asyncio.create_task(self.once_sweep.run()),
+            asyncio.create_task(self.quota.run()),
+        ]
+
+    async def _stop_background(self) -> None:
+        """Hand over what others can use, then close all connections."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.quota.stop()
+        await self.control.stop()
+        await self.endpoint.close()
+        await self.link.stop()
+        for session in self.sessions:
+            await session.close()
+
     async def _drain(self, stop_forced: asyncio.Event) -> None:
         """Wait for the balancer to notice and for requests to end."""
         self.is_stopping = True
@@ -103,11 +114,7 @@
         notice = self.clock.now() + self.settings.notice_s
         while not stop_forced.is_set() and self.clock.now() < limit:
             is_noticed = self.clock.now() >= notice
-            is_idle = (
-                not self.path.in_flight_by_request
-                and not self.path.run_gate.pending
-            )
-            if is_noticed and is_idle:
+            if is_noticed and not self.path.in_flight_by_request:
                 return
             await self.clock.sleep(_DRAIN_CHECK_S)
         for request_id, route in self.path.in_flight_by_request.items():
@@ -125,15 +132,8 @@
             }
         )
 
-    async def _close(self) -> None:
-        await self.control.stop()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self.endpoint.close()
-        await self.link.stop()
-        for session in self.sessions:
-            await session.close()
+    def _is_ready(self) -> bool:
+        return not self.is_stopping and self.control.feed.generation > 0
 
     def _status(self) -> dict[str, Any]:
         return {
@@ -145,6 +145,7 @@
             'in_flight': len(self.path.in_flight_by_request),
             'refusals': dict(self.metrics.refusals),
             'retries': dict(self.metrics.retries),
+            'rights': quota_status(self.quota),
         }
 
     def _debug(self) -> dict[str, Any]:
@@ -164,64 +165,6 @@
         return [attrs.asdict(step) for step in self.journal.find(request_id)]
 
 
-async def serve(settings: Settings, origins: tuple[Origin, ...]) -> None:
-    """Run the daemon of one VM until its planned stop is complete."""
-    store_session = aiohttp.ClientSession()
-    upstream_session = open_session()
-    clock = SystemClock()
-    store = PlatformClient(base_url=settings.platform, session=store_session)
-    vm_id = VmId(settings.vm_id)
-    link = WebSocketLink(listen=settings.peer_listen)
-    rng = random.SystemRandom()
-    metrics, journal = Metrics(), Journal()
-    members = Members(
-        own_id=vm_id,
-        own_placement=Placement(region=settings.region, zone=settings.zone),
-    )
-    endpoint = PeerEndpoint(vm_id=vm_id, incarnation=time.time_ns(), link=link)
-    control = ControlPlane(
-        clock=clock,
-        random=rng,
-        members=members,
-        endpoint=endpoint,
-        table=store,
-        objects=store,
-        vm_list=PlatformVmList(client=store),
-    )
-    daemon = Daemon(
-        settings=settings,
-        origins=origins,
-        clock=clock,
-        members=members,
-        endpoint=endpoint,
-        link=link,
-        control=control,
-        path=RequestPath(
-            vm_id=vm_id,
-            clock=clock,
-            random=rng,
-            feed=control.feed,
-            quota=StaticSplitQuota(clock=clock, share=1.0),
-            dispatcher=Dispatcher(random=rng),
-            upstreams=AiohttpUpstreams(session=upstream_session),
-            run_gate=open_run_gate(
-                endpoint=endpoint,
-                clock=clock,
-                table=store,
-                members=members,
-                rng=rng,
-            ),
-            metrics=metrics,
-            journal=journal,
-            may_serve_keyed=control.may_serve_keyed,
-        ),
-        metrics=metrics,
-        journal=journal,
-        sessions=(store_session, upstream_session),
-    )
-    await daemon.run()
-
-
 def _handle_signals(
     stop_asked: asyncio.Event, stop_forced: asyncio.Event
 ) -> None:
