Read only account parts when listing packed accounts

Cause: PackedAccounts iterated over the bodies of all parts, so a service was decoded as accounts and raised SnapshotError. Pools of rights list the accounts for each loan; the error left the fleet without rights. Ruled out: a lost slot lease; the status endpoint failed with the same trace. A quota fault; the split quota does not list accounts and worked. Change: iterate over the accounts' parts only.

--- a/src/bronzewall/config_state.py
+++ b/src/bronzewall/config_state.py
@@ -94,7 +94,7 @@
     """
 
     def __init__(self, *, bodies_by_part: Mapping[str, bytes]) -> None:
-        """Keep the bodies of the accounts' parts."""
+        """Keep the bodies of all parts, of which it reads the accounts."""
         self._bodies_by_part = bodies_by_part
 
     def __getitem__(self, account_id: AccountId) -> Account:
@@ -106,9 +106,10 @@
 
     def __iter__(self) -> Iterator[AccountId]:
         """Return all account ids."""
-        for body in self._bodies_by_part.values():
-            for account in decode_accounts(body):
-                yield account.account_id
+        for part, body in self._bodies_by_part.items():
+            if part.startswith(ACCOUNTS_PREFIX):
+                for account in decode_accounts(body):
+                    yield account.account_id
 
     def __len__(self) -> int:
         """Return the number of accounts."""
