--- a/src/bronzewall/standins/load.py
+++ b/src/bronzewall/standins/load.py
@@ -13,6 +13,7 @@
 from bronzewall import headers as header_rules
 
 _CHECK_INTERVAL_S = 0.2
+_CHECK_TIMEOUT = aiohttp.ClientTimeout(total=0.5)
 _STATUS_OK = 200
 
 
@@ -56,6 +57,11 @@
     silent: int = 0
     answered_markers: set[str] = attrs.field(factory=set)
     not_run_markers: set[str] = attrs.field(factory=set)
+    outcomes_by_second: dict[int, Counter[str]] = attrs.field(factory=dict)
+
+    def note(self, second: int, outcome: str) -> None:
+        """Count an outcome in the second in which the request was sent."""
+        self.outcomes_by_second.setdefault(second, Counter())[outcome] += 1
 
 
 @attrs.define(kw_only=True)
@@ -72,12 +78,14 @@
     random: random.Random
     patience: float = 12.0
     outcome: LoadResult = attrs.field(factory=LoadResult)
+    _started: float = 0
     _ready: list[EntryPoint] = attrs.field(factory=list)
     _numbers: 'itertools.count[int]' = attrs.field(factory=itertools.count)
 
     async def run(self, *, rate: float, duration: float) -> LoadResult:
         """Send ``rate`` requests a second for ``duration`` seconds."""
         self._ready = list(self.entry_points)
+        self._started = asyncio.get_running_loop().time()
         connector = aiohttp.TCPConnector(limit=0)
         async with aiohttp.ClientSession(connector=connector) as session:
             checks = asyncio.create_task(self._check_loop(session))
@@ -91,20 +99,20 @@
 
     async def _check_loop(self, session: aiohttp.ClientSession) -> None:
         while True:
-            flags = [
-                await self._passes(session, entry)
-                for entry in self.entry_points
-            ]
+            flags = await asyncio.gather(
+                *(self._passes(session, entry) for entry in self.entry_points)
+            )
             self._ready = list(itertools.compress(self.entry_points, flags))
             await asyncio.sleep(_CHECK_INTERVAL_S)
 
     async def _passes(
         self, session: aiohttp.ClientSession, entry: EntryPoint
     ) -> bool:
+        url = f'http://{entry.admin}/check'
         try:
-            async with session.get(f'http://{entry.admin}/check') as answer:
+            async with session.get(url, timeout=_CHECK_TIMEOUT) as answer:
                 return answer.status == _STATUS_OK
-        except aiohttp.ClientError:
+        except (aiohttp.ClientError, TimeoutError):
             return False
 
     async def _send(self, session: aiohttp.ClientSession) -> None:
@@ -113,13 +121,17 @@
         account = self.random.choice(self.accounts)
         route = self.random.choice(self.routes)
         marker = f'{account.account_id}-{next(self._numbers)}'
+        second = int(asyncio.get_running_loop().time() - self._started)
         try:
             async with asyncio.timeout(self.patience):
-                await self._exchange(session, account, route, marker)
+                kind = await self._exchange(session, account, route, marker)
         except TimeoutError:
             outcome.silent += 1
+            kind = 'silent'
         except aiohttp.ClientError:
             outcome.cut += 1
+            kind = 'cut'
+        outcome.note(second, kind)
 
     async def _exchange(
         self,
@@ -127,7 +139,8 @@
         account: LoadAccount,
         route: LoadRoute,
         marker: str,
-    ) -> None:
+    ) -> str:
+        """Send one request and return the kind of its outcome."""
         sent = {'Authorization': f'Bearer {account.key}', 'X-Marker': marker}
         if not route.idempotent:
             sent[header_rules.IDEMPOTENCY_KEY] = marker
@@ -136,7 +149,7 @@
             route.method, f'http://{entry.listen}{route.path}', headers=sent
         ) as response:
             body = await response.read()
-            self._count(account, marker, response, json.loads(body))
+            return self._count(account, marker, response, json.loads(body))
 
     def _count(
         self,
@@ -144,15 +157,16 @@
         marker: str,
         response: aiohttp.ClientResponse,
         document: dict[str, str],
-    ) -> None:
+    ) -> str:
         outcome = self.outcome
         if response.content_type == 'application/problem+json':
             outcome.refused[document['reason']] += 1
             if document['ran'] == 'no':
                 outcome.not_run_markers.add(marker)
-            return
+            return document['reason']
         outcome.answered += 1
         outcome.answered_markers.add(marker)
         is_own = document['marker'] == marker
         if not is_own or document['account'] != account.account_id:
             outcome.wrong_account += 1
+        return 'answered'
