Add the publish command

Cause: files could only be published by the demo. Change: publish checks the files, stores them, and reports accepted only when every listed VM has the generation or has had time to stop serving keyed routes. Ruled out: 'accepted' when the row is stored; a VM that is cut off might still accept a withdrawn key.

--- a/src/bronzewall/command.py
+++ b/src/bronzewall/command.py
@@ -5,44 +5,34 @@
 import os
 import pathlib
 import sys
-from collections.abc import Awaitable, Callable, Sequence
-from typing import Any, TypeVar
+from typing import Any
 
-import aiohttp
 from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.exceptions import CleoError
 from cleo.helpers import argument, option
 
 from bronzewall import fleet_report
-from bronzewall.adapters.admin_client import AdminClient
-from bronzewall.adapters.platform_http import PlatformClient, PlatformVmList
+from bronzewall.command_support import (
+    EXIT_FAILED,
+    EXIT_OK,
+    EXIT_USAGE,
+    JSON_OPTION,
+    PLATFORM_OPTION,
+    collect_reports,
+    parse_flags,
+    platform_url,
+)
 from bronzewall.composition import serve
 from bronzewall.config_files import load_directory
-from bronzewall.errors import (
-    BronzewallError,
-    ConfigurationFilesError,
-    SettingsError,
-)
+from bronzewall.errors import BronzewallError, ConfigurationFilesError
 from bronzewall.key_table import key_digest
 from bronzewall.logs import configure_logs
+from bronzewall.publish_command import PublishCommand
 from bronzewall.settings import load_settings
-from bronzewall.types import VmRecord
 
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_USAGE = 2
 _EXIT_HELP = """
 Exit codes: 0 success, 1 failure or mistakes found, 2 wrong usage."""
-_PLATFORM_VARIABLE = 'BRONZEWALL_PLATFORM'
-_JSON_OPTION = option('json', None, 'Print JSON for programs.')
-_PLATFORM_OPTION = option(
-    'platform',
-    None,
-    f'Base URL of the platform; default {_PLATFORM_VARIABLE}.',
-    flag=False,
-)
-_ResultT = TypeVar('_ResultT')
 
 
 class ServeCommand(Command):
@@ -61,7 +51,7 @@
     def handle(self) -> int:
         """Load the settings and serve."""
         settings, origins = load_settings(
-            flags=_flags(self.option('set')), environment=os.environ
+            flags=parse_flags(self.option('set')), environment=os.environ
         )
         configure_logs(log_format=settings.log_format, level=settings.log_level)
         asyncio.run(serve(settings, origins))
@@ -75,7 +65,7 @@
     description = 'Check the files of a directory and list all mistakes.'
     help = _EXIT_HELP
     arguments = [argument('path', 'Directory with the files.')]
-    options = [_JSON_OPTION]
+    options = [JSON_OPTION]
 
     def handle(self) -> int:
         """Print all mistakes, or a summary."""
@@ -134,11 +124,11 @@
     name = 'status'
     description = 'Show generation, store, ejections and rights by VM.'
     help = f'Reads only; exit 1 if a VM did not answer.\n{_EXIT_HELP}'
-    options = [_PLATFORM_OPTION, _JSON_OPTION]
+    options = [PLATFORM_OPTION, JSON_OPTION]
 
     def handle(self) -> int:
         """Print the reports of all VMs."""
-        reports = _collect(_platform(self), '/status')
+        reports = collect_reports(platform_url(self), '/status')
         if self.option('json'):
             self.line(json.dumps(fleet_report.to_json(reports)))
         else:
@@ -159,12 +149,12 @@
         f'remembers this one.\n{_EXIT_HELP}'
     )
     arguments = [argument('request-id', 'Id of the request.')]
-    options = [_PLATFORM_OPTION, _JSON_OPTION]
+    options = [PLATFORM_OPTION, JSON_OPTION]
 
     def handle(self) -> int:
         """Print the steps of the request."""
         path = f'/explain/{self.argument("request-id")}'
-        reports = _collect(_platform(self), path)
+        reports = collect_reports(platform_url(self), path)
         steps = [
             step for vm_report in reports for step in vm_report.report or ()
         ]
@@ -184,14 +174,14 @@
     description = 'Show settings with their origin and what VMs believe.'
     help = f'Reads only; always prints JSON.\n{_EXIT_HELP}'
     arguments = [argument('vm', 'Id of one VM; default all.', optional=True)]
-    options = [_PLATFORM_OPTION]
+    options = [PLATFORM_OPTION]
 
     def handle(self) -> int:
         """Print the debug reports."""
         wanted = self.argument('vm')
         reports = [
             vm_report
-            for vm_report in _collect(_platform(self), '/debug')
+            for vm_report in collect_reports(platform_url(self), '/debug')
             if wanted in {None, vm_report.record.vm_id}
         ]
         self.line(json.dumps(fleet_report.to_json(reports), indent=2))
@@ -205,6 +195,7 @@
     for command_class in (
         ServeCommand,
         CheckCommand,
+        PublishCommand,
         DigestCommand,
         StatusCommand,
         ExplainCommand,
@@ -227,53 +218,5 @@
     sys.exit(code)
 
 
-def _platform(command: Command) -> str:
-    url = command.option('platform') or os.environ.get(_PLATFORM_VARIABLE)
-    if not url:
-        raise SettingsError(
-            f'give --platform or set {_PLATFORM_VARIABLE} to a base URL'
-        )
-    return str(url)
-
-
-def _flags(parts: Sequence[str]) -> dict[str, str]:
-    flags = {}
-    for part in parts:
-        name, separator, setting = part.partition('=')
-        if not separator:
-            raise SettingsError(f'--set {part!r}; expected name=value')
-        flags[name] = setting
-    return flags
-
-
 def _step_time(step: dict[str, Any]) -> float:
     return float(step['at'])
-
-
-def _collect(platform: str, path: str) -> list[fleet_report.VmReport]:
-    async def ask(session: aiohttp.ClientSession) -> Any:
-        records = await _list_vms(platform, session)
-        client = AdminClient(session=session)
-        return await fleet_report.collect(
-            records=records, fetch=client.fetch, path=path
-        )
-
-    reports: list[fleet_report.VmReport] = _with_session(ask)
-    return reports
-
-
-async def _list_vms(
-    platform: str, session: aiohttp.ClientSession
-) -> Sequence[VmRecord]:
-    client = PlatformClient(base_url=platform, session=session)
-    return await PlatformVmList(client=client).read()
-
-
-def _with_session(
-    work: Callable[[aiohttp.ClientSession], Awaitable[_ResultT]],
-) -> _ResultT:
-    async def run() -> _ResultT:
-        async with aiohttp.ClientSession() as session:
-            return await work(session)
-
-    return asyncio.run(run())
--- a/src/bronzewall/fleet_report.py
+++ b/src/bronzewall/fleet_report.py
@@ -89,4 +89,16 @@
     report = vm_report.report or {}
     for name, found in report.items():
         if name not in _COLUMNS and found:
-            yield f'{vm_report.record.vm_id}: {name} {found}'
+            yield f'{vm_report.record.vm_id}: {name} {_summary(found)}'
+
+
+def _summary(found: Any) -> str:
+    """Return a value in one line, nested objects as their size."""
+    if not isinstance(found, Mapping):
+        return str(found)
+    parts = []
+    for name, nested in found.items():
+        is_nested = isinstance(nested, Mapping)
+        text = f'({len(nested)})' if is_nested else str(nested)
+        parts.append(f'{name}={text}')
+    return ' '.join(parts)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -95,12 +95,15 @@
     )
 
 
-def a_vm_record(name: str = 'vm-1', zone: str = 'muscat-a') -> VmRecord:
+def a_vm_record(
+    name: str = 'vm-1', zone: str = 'muscat-a', admin_address: str = ''
+) -> VmRecord:
     """Return a live VM."""
     return VmRecord(
         vm_id=VmId(name),
         placement=a_placement(zone),
         peer_address='127.0.0.1:9',
+        admin_address=admin_address,
     )
 
 
