--- a/src/bronzewall/adapters/websocket_link.py
+++ b/src/bronzewall/adapters/websocket_link.py
@@ -113,7 +113,10 @@
             proxy=None,
         ) as connection:
             while True:
-                await connection.send(await queue.get())
+                payload = await queue.get()
+                await connection.send(payload)
+                self.counters['sent_messages'] += 1
+                self.counters['sent_bytes'] += len(payload)
 
     async def _receive(self, connection: ServerConnection) -> None:
         try:
