--- a/src/bronzewall/config_state.py
+++ b/src/bronzewall/config_state.py
@@ -37,6 +37,17 @@
     entries_by_part: Mapping[str, PartEntry] = attrs.field(factory=dict)
     bodies_by_part: Mapping[str, bytes] = attrs.field(factory=dict)
 
+    def keys_generation(self) -> int:
+        """Return the newest generation that changed accounts."""
+        return max(
+            (
+                entry.generation
+                for part, entry in self.entries_by_part.items()
+                if part.startswith(ACCOUNTS_PREFIX)
+            ),
+            default=0,
+        )
+
     def changes_since(self, generation: int) -> dict[str, PartEntry]:
         """Return the parts that changed after a generation."""
         return {
@@ -162,11 +173,10 @@
     ]
     services = _changed_services(changed, new)
     removed, added = _changed_accounts(changed, old, new)
-    services_by_name: dict[ServiceName, Service] = {}
-    routes, keys = RouteTable(), KeyTable()
-    if previous is not None:
-        services_by_name.update(previous.configuration.services_by_name)
-        routes, keys = previous.routes, previous.keys
+    if previous is None:
+        previous = _nothing()
+    services_by_name = dict(previous.configuration.services_by_name)
+    routes, keys = previous.routes, previous.keys
     _replace_services(services_by_name, routes, services)
     keys.update(removed=removed, added=added)
     return InForce(
@@ -180,6 +190,16 @@
     )
 
 
+def _nothing() -> InForce:
+    return InForce(
+        configuration=Configuration(
+            generation=0, services_by_name={}, accounts_by_id={}
+        ),
+        routes=RouteTable(),
+        keys=KeyTable(),
+    )
+
+
 def _changed_services(
     changed: list[str], new: ConfigState
 ) -> dict[ServiceName, Service | None]:
--- a/src/bronzewall/control_plane.py
+++ b/src/bronzewall/control_plane.py
@@ -13,6 +13,7 @@
 from bronzewall.membership import Members
 from bronzewall.peer_calls import PeerEndpoint
 from bronzewall.ports import Clock, ObjectStore, TableService, VmList
+from bronzewall.publication_check import VmAnswer
 from bronzewall.suspicion import SuspicionVotes
 from bronzewall.topology import Topology
 from bronzewall.vm_list_feed import VmListFeed
@@ -69,7 +70,7 @@
             is_reader=self._topology.is_reader,
             on_polled=self.heartbeats.push,
         )
-        self.feed.on_change(lambda: self.heartbeats.push(is_urgent=True))
+        self.feed.on_change(self._on_generation)
 
     def start(self) -> None:
         """Start the tasks."""
@@ -87,14 +88,33 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self.heartbeats.close()
+        await self.heartbeats.suspicions.close()
+        await self.list_feed.close()
         await self.exchange.close()
         await self.reader.close()
 
+    def answer(self, *, keys_generation: int) -> VmAnswer:
+        """Answer an operator who published a generation.
+
+        Hearing of a generation that changed keys is enough to refuse
+        keyed routes when the store goes away before it was read.
+
+        :param keys_generation: the generation if it changed keys, else 0.
+        """
+        self.freshness.hear_of_keys(keys_generation)
+        return VmAnswer(
+            generation=self.feed.generation,
+            serves_keyed=self.may_serve_keyed(),
+        )
+
     def may_serve_keyed(self) -> bool:
         """Return whether routes that need a key may be served now."""
         return self.freshness.may_serve_keyed()
 
+    def _on_generation(self) -> None:
+        self.freshness.hear_of_keys(self.feed.state.keys_generation())
+        self.heartbeats.push(is_urgent=True)
+
     async def _read_config(self) -> None:
         await self._load_from_neighbour()
         await self.reader.run()
--- a/src/bronzewall/freshness.py
+++ b/src/bronzewall/freshness.py
@@ -24,13 +24,13 @@
 
     :param confirmed: when the store answered, or ``None``.
     :param confirmed_generation: the generation that it had then.
-    :param known_generation: newest generation that was heard of.
+    :param keys_generation: newest generation heard of that changed keys.
     :param silent_by_zone: when the store was asked in vain, by zone.
     """
 
     confirmed: float | None = None
     confirmed_generation: int = 0
-    known_generation: int = 0
+    keys_generation: int = 0
     silent_by_zone: dict[str, float] = attrs.field(factory=dict)
 
 
@@ -45,7 +45,7 @@
     clock: Clock
     own_generation: Callable[[], int]
     zones: Callable[[], Iterable[str]]
-    known_generation: int = 0
+    keys_generation: int = 0
     _confirmed_at: float | None = None
     _confirmed_generation: int = 0
     _silent_by_zone: dict[str, float] = attrs.field(factory=dict)
@@ -77,7 +77,7 @@
         Nothing can then have been accepted that this VM does not know.
         """
         zones = set(self.zones())
-        if not zones or self.known_generation > self.own_generation():
+        if not zones or self.keys_generation > self.own_generation():
             return False
         return all(self.silent_age(zone) <= FRESHNESS_LIMIT_S for zone in zones)
 
@@ -95,7 +95,6 @@
             here is none: a key may be withdrawn in it.
         """
         self._check_clocks()
-        self.hear_of(generation)
         if at < self._trusted_since or generation > self.own_generation():
             return False
         if self._confirmed_at is not None and at <= self._confirmed_at:
@@ -118,9 +117,9 @@
         self._silent_by_zone[zone] = at
         return True
 
-    def hear_of(self, generation: int) -> None:
-        """Note that a generation exists."""
-        self.known_generation = max(self.known_generation, generation)
+    def hear_of_keys(self, generation: int) -> None:
+        """Note that a generation exists in which keys were changed."""
+        self.keys_generation = max(self.keys_generation, generation)
 
     def report(self, *, since: float) -> StoreReport:
         """Return what to tell a VM.
@@ -135,7 +134,7 @@
         return StoreReport(
             confirmed=None if confirmed is None else confirmed - since,
             confirmed_generation=self._confirmed_generation,
-            known_generation=self.known_generation,
+            keys_generation=self.keys_generation,
             silent_by_zone={
                 zone: at - since
                 for zone, at in self._silent_by_zone.items()
@@ -154,7 +153,7 @@
             return False
         now = self.clock.now()
         is_news = False
-        self.hear_of(report.known_generation)
+        self.hear_of_keys(report.keys_generation)
         if report.confirmed is not None:
             is_news = self.confirm(
                 at=min(sent + report.confirmed, now),
--- a/src/bronzewall/heartbeats.py
+++ b/src/bronzewall/heartbeats.py
@@ -1,6 +1,5 @@
 """Heartbeats between members and the news in their acks."""
 
-import asyncio
 from collections.abc import Callable
 
 import attrs
@@ -68,7 +67,6 @@
     _sent_by_beat: dict[int, float] = attrs.field(factory=dict)
     _followers_by_id: dict[VmId, Follower] = attrs.field(factory=dict)
     _pushed_at: float = float('-inf')
-    _tasks: set['asyncio.Task[None]'] = attrs.field(factory=set)
 
     def __attrs_post_init__(self) -> None:
         """Receive heartbeats and acks."""
@@ -86,13 +84,6 @@
             self.beat()
             await self.clock.sleep(INTERVAL_S)
 
-    async def close(self) -> None:
-        """End what is under way."""
-        for task in tuple(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self.suspicions.close()
-
     def beat(self) -> None:
         """Send one round of heartbeats."""
         self._beat += 1
@@ -190,7 +181,11 @@
         has_notice = self._take_notices(ack, sent)
         if ack.generation > self.feed.generation:
             self.on_generation(envelope.sender, ack.generation)
-        self._offer_list(envelope.sender, ack, sent)
+        self.list_feed.offered(
+            sender=envelope.sender,
+            digest=ack.list_digest,
+            read_at=sent + ack.list_read,
+        )
         if is_news or has_notice:
             self.push(is_urgent=has_notice)
 
@@ -209,17 +204,6 @@
         ]
         return any(news)
 
-    def _offer_list(self, sender: VmId, ack: HeartbeatAck, sent: float) -> None:
-        task = asyncio.create_task(
-            self.list_feed.offered(
-                sender=sender,
-                digest=ack.list_digest,
-                read_at=sent + ack.list_read,
-            )
-        )
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     def _on_stopping(self, envelope: Envelope) -> None:
         notice = Notice(
             vm_id=envelope.sender,
--- a/src/bronzewall/key_table.py
+++ b/src/bronzewall/key_table.py
@@ -24,7 +24,7 @@
     return hashlib.sha256(key.encode()).digest()
 
 
-@attrs.define(kw_only=True)
+@attrs.frozen(kw_only=True)
 class _Segment:
     """Digests with a common prefix in sorted order, and their accounts.
 
@@ -63,6 +63,9 @@
         }
 
 
+_EMPTY = _Segment()
+
+
 @attrs.define(kw_only=True)
 class KeyTable:
     """Digests of all keys in force.
@@ -71,7 +74,7 @@
     """
 
     _segments: list[_Segment] = attrs.field(
-        factory=lambda: [_Segment() for _ in range(_SEGMENTS)]
+        factory=lambda: [_EMPTY for _ in range(_SEGMENTS)]
     )
 
     def __len__(self) -> int:
--- a/src/bronzewall/publication.py
+++ b/src/bronzewall/publication.py
@@ -50,11 +50,17 @@
 
     :param generation: the generation, or ``None`` if the outcome is
         unknown; publishing again with the same id then finds out.
+    :param has_accounts: whether keys may have been changed.
     """
 
     publication_id: str
     outcome: PublishOutcome
     generation: int | None
+    has_accounts: bool
+
+    def keys_generation(self) -> int:
+        """Return the generation if it may have changed keys, else 0."""
+        return (self.generation or 0) if self.has_accounts else 0
 
 
 @attrs.frozen(kw_only=True)
@@ -153,15 +159,16 @@
     except TimeoutError:
         if not progress.is_sent:
             raise StoreUnavailableError('no answer in time') from None
-        return _unknown(publication_id)
+        return _unknown(wanted)
     except StoreUnavailableError:
         if progress.is_lost:
-            return _unknown(publication_id)
+            return _unknown(wanted)
         raise
     return Publication(
         publication_id=publication_id,
         outcome=PublishOutcome.STORED,
         generation=generation,
+        has_accounts=wanted.has_accounts,
     )
 
 
@@ -353,9 +360,10 @@
     return bodies if size <= _INLINE_BYTES else {}
 
 
-def _unknown(publication_id: str) -> Publication:
+def _unknown(wanted: _Wanted) -> Publication:
     return Publication(
-        publication_id=publication_id,
+        publication_id=wanted.publication_id,
         outcome=PublishOutcome.UNKNOWN,
         generation=None,
+        has_accounts=wanted.has_accounts,
     )
--- a/src/bronzewall/suspicion.py
+++ b/src/bronzewall/suspicion.py
@@ -82,7 +82,7 @@
             *self.topology.witnesses(_OUTSIDE_WITNESSES),
         } - {own_id, vm_id}
         votes = await asyncio.gather(
-            *(self._ask_one(witness, vm_id) for witness in witnesses)
+            *(self._ask_one(witness, vm_id) for witness in sorted(witnesses))
         )
         if True in votes or False not in votes:
             # Somebody hears it, or nobody hears this VM.
--- a/src/bronzewall/vm_list_feed.py
+++ b/src/bronzewall/vm_list_feed.py
@@ -1,5 +1,6 @@
 """The platform's VM list: read by few, passed on to all."""
 
+import asyncio
 import hashlib
 from collections.abc import Callable, Mapping
 
@@ -43,7 +44,7 @@
     digest: bytes = b''
     read_at: float = float('-inf')
     _copies_by_digest: dict[bytes, Records] = attrs.field(factory=dict)
-    _is_pulling: bool = False
+    _pulling: 'asyncio.Task[None] | None' = None
 
     def __attrs_post_init__(self) -> None:
         """Answer other VMs."""
@@ -82,16 +83,22 @@
             self._copies_by_digest.pop(next(iter(self._copies_by_digest)))
         self.members.update(tuple(records.values()))
 
-    async def offered(
-        self, *, sender: VmId, digest: bytes, read_at: float
-    ) -> None:
+    async def close(self) -> None:
+        """End a pull that is under way."""
+        if self._pulling is not None:
+            self._pulling.cancel()
+            await asyncio.gather(self._pulling, return_exceptions=True)
+
+    def offered(self, *, sender: VmId, digest: bytes, read_at: float) -> None:
         """Pull a copy that a member has, if it is newer."""
-        if not digest or read_at <= self.read_at or self._is_pulling:
+        if not digest or read_at <= self.read_at:
             return
         if digest == self.digest:
             self.read_at = read_at
-            return
-        self._is_pulling = True
+        elif self._pulling is None or self._pulling.done():
+            self._pulling = asyncio.create_task(self._pull(sender, read_at))
+
+    async def _pull(self, sender: VmId, read_at: float) -> None:
         try:
             body: ListBody = await self.endpoint.call(
                 to=sender,
@@ -100,8 +107,6 @@
             )
         except PeerTimeoutError:
             return
-        finally:
-            self._is_pulling = False
         self._take_body(body, read_at)
 
     def _take_body(self, body: ListBody, read_at: float) -> None:
