--- a/src/bronzewall/config_state.py
+++ b/src/bronzewall/config_state.py
@@ -117,7 +117,9 @@
 
     def __iter__(self) -> Iterator[AccountId]:
         """Return all account ids."""
-        for body in self._bodies_by_part.values():
+        for part, body in self._bodies_by_part.items():
+            if not part.startswith(ACCOUNTS_PREFIX):
+                continue
             for account in decode_accounts(body):
                 yield account.account_id
 
