Let operators' tools hand a stored change to the VMs

Cause: a key withdrawn just before a store outage made every VM that was told of it refuse keyed routes until the store was back, because the change itself was nowhere but in the store.

Change: publish() returns the change; wait_in_force() hands it to each VM, which applies it if its digest leads from the generation in force to the manifest digest, and passes it on.

--- a/bench/config_world.py
+++ b/bench/config_world.py
@@ -17,6 +17,11 @@
     VmAnswer,
     wait_in_force,
 )
+from bronzewall.published_change import (
+    PublishedChange,
+    decode_change,
+    encode_change,
+)
 from bronzewall.standins.memory import (
     MemoryPlatform,
     MemoryVmList,
@@ -237,14 +242,16 @@
             if not vm.plane.may_serve_keyed():
                 self.counts[f'{name}_refused'] += 1
 
-    async def ask(self, record: VmRecord, generation: int) -> VmAnswer | None:
+    async def ask(
+        self, record: VmRecord, change: PublishedChange
+    ) -> VmAnswer | None:
         """Ask one VM for an operator in the store's region."""
         await asyncio.sleep(2 * OTHER_REGION_S)
         vm = self.vms_by_id[record.vm_id]
         is_cut = vm.was_disturbed(now(), now())
         if is_cut or not vm.is_running:
             return None
-        return vm.plane.answer(keys_generation=generation)
+        return vm.plane.answer(decode_change(encode_change(change)))
 
     async def confirm(
         self, publication: Publication, known: tuple[VmRecord, ...]
--- a/src/bronzewall/config_state.py
+++ b/src/bronzewall/config_state.py
@@ -168,10 +168,12 @@
     :raises SnapshotError: a part has another form; nothing was changed.
     """
     known = {**old.entries_by_part, **new.entries_by_part}
+    # Entries that did not change are the same objects, which is faster to
+    # find out than whether they are equal.
     changed = [
         part
         for part in known
-        if old.entries_by_part.get(part) != new.entries_by_part.get(part)
+        if old.entries_by_part.get(part) is not new.entries_by_part.get(part)
     ]
     services = _changed_services(changed, new)
     removed, added = _changed_accounts(changed, old, new)
--- a/src/bronzewall/control_plane.py
+++ b/src/bronzewall/control_plane.py
@@ -8,12 +8,14 @@
 from bronzewall.config_exchange import ConfigExchange
 from bronzewall.config_feed import ConfigFeed
 from bronzewall.config_reader import ConfigReader
+from bronzewall.errors import SnapshotError
 from bronzewall.freshness import Freshness
 from bronzewall.heartbeats import Heartbeats
 from bronzewall.membership import Members
 from bronzewall.peer_calls import PeerEndpoint
 from bronzewall.ports import Clock, ObjectStore, TableService, VmList
 from bronzewall.publication_check import VmAnswer
+from bronzewall.published_change import PublishedChange
 from bronzewall.suspicion import SuspicionVotes
 from bronzewall.topology import Topology
 from bronzewall.vm_list_feed import VmListFeed
@@ -93,15 +95,16 @@
         await self.exchange.close()
         await self.reader.close()
 
-    def answer(self, *, keys_generation: int) -> VmAnswer:
-        """Answer an operator who published a generation.
+    def answer(self, change: PublishedChange) -> VmAnswer:
+        """Take a change from an operator's tool and answer it.
 
-        Hearing of a generation that changed keys is enough to refuse
-        keyed routes when the store goes away before it was read.
-
-        :param keys_generation: the generation if it changed keys, else 0.
+        The tool hands it over because the store may go away before a
+        reader polls. A VM that cannot apply it still knows of it, and
+        refuses keyed routes if keys may have been withdrawn.
         """
-        self.freshness.hear_of_keys(keys_generation)
+        self.freshness.hear_of_keys(change.keys_generation)
+        if change.digest:
+            self._take(change)
         return VmAnswer(
             generation=self.feed.generation,
             serves_keyed=self.may_serve_keyed(),
@@ -111,6 +114,19 @@
         """Return whether routes that need a key may be served now."""
         return self.freshness.may_serve_keyed()
 
+    def _take(self, change: PublishedChange) -> None:
+        try:
+            self.feed.advance(
+                generation=change.generation,
+                digest=change.digest,
+                changes=change.changes,
+                bodies_by_part=change.bodies_by_part,
+            )
+        except SnapshotError:
+            # This VM is more than one generation behind; it is polled or
+            # pulled, or the tool asks again.
+            self.endpoint.counters['change_not_applied'] += 1
+
     def _on_generation(self) -> None:
         self.freshness.hear_of_keys(self.feed.state.keys_generation())
         self.heartbeats.push(is_urgent=True)
--- a/src/bronzewall/publication.py
+++ b/src/bronzewall/publication.py
@@ -25,6 +25,7 @@
     StoreUnavailableError,
 )
 from bronzewall.ports import ObjectStore, TableService
+from bronzewall.published_change import PublishedChange
 from bronzewall.types import RowCheck, RowWrite, ServiceName
 
 # Bodies up to this size travel inside the generation row, which each
@@ -51,17 +52,13 @@
 
     :param generation: the generation, or ``None`` if the outcome is
         unknown; publishing again with the same id then finds out.
-    :param has_accounts: whether keys may have been changed.
+    :param change: what to hand to the VMs, or ``None`` if unknown.
     """
 
     publication_id: str
     outcome: PublishOutcome
     generation: int | None
-    has_accounts: bool
-
-    def keys_generation(self) -> int:
-        """Return the generation if it may have changed keys, else 0."""
-        return (self.generation or 0) if self.has_accounts else 0
+    change: PublishedChange | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -154,7 +151,7 @@
     progress = _Progress(base=dict(base or {}))
     try:
         async with asyncio.timeout(timeout):
-            generation = await _publish_until_known(
+            change = await _publish_until_known(
                 wanted, progress, table, objects
             )
     except TimeoutError:
@@ -168,8 +165,8 @@
     return Publication(
         publication_id=publication_id,
         outcome=PublishOutcome.STORED,
-        generation=generation,
-        has_accounts=wanted.has_accounts,
+        generation=change.generation,
+        change=change,
     )
 
 
@@ -178,7 +175,7 @@
     progress: _Progress,
     table: TableService,
     objects: ObjectStore,
-) -> int:
+) -> PublishedChange:
     delays = random.Random(wanted.publication_id)
     while True:
         try:
@@ -202,13 +199,13 @@
     progress: _Progress,
     table: TableService,
     objects: ObjectStore,
-) -> int:
+) -> PublishedChange:
     # The generation row is read first: its version is checked by the
     # transaction, so whatever is read after it is still true then.
     current = await rows.read_generation_row(table)
     known = await rows.read_publication(table, wanted.publication_id)
     if known is not None:
-        return known
+        return _change(wanted, known)
     await _check_base(wanted, progress, table)
     entries = await rows.read_manifest(table)
     generation = current.row.generation + 1
@@ -235,7 +232,12 @@
             *await _forgotten(table, generation),
         ],
     )
-    return generation
+    return attrs.evolve(
+        _change(wanted, generation),
+        digest=row.digest,
+        changes=changes,
+        bodies_by_part=bodies,
+    )
 
 
 async def _check_base(
@@ -361,10 +363,16 @@
     return bodies if size <= _INLINE_BYTES else {}
 
 
+def _change(wanted: _Wanted, generation: int) -> PublishedChange:
+    return PublishedChange(
+        generation=generation,
+        keys_generation=generation if wanted.has_accounts else 0,
+    )
+
+
 def _unknown(wanted: _Wanted) -> Publication:
     return Publication(
         publication_id=wanted.publication_id,
         outcome=PublishOutcome.UNKNOWN,
         generation=None,
-        has_accounts=wanted.has_accounts,
     )
--- a/src/bronzewall/publication_check.py
+++ b/src/bronzewall/publication_check.py
@@ -9,7 +9,8 @@
 from bronzewall.errors import StoreError
 from bronzewall.freshness import FRESHNESS_LIMIT_S
 from bronzewall.ports import Clock, VmList
-from bronzewall.publication import Publication, PublishOutcome
+from bronzewall.publication import Publication
+from bronzewall.published_change import PublishedChange
 from bronzewall.types import VmId, VmRecord, VmState
 
 # A VM without a confirmation newer than the write refuses keyed routes by
@@ -31,7 +32,7 @@
     serves_keyed: bool
 
 
-Ask = Callable[[VmRecord, int], Awaitable[VmAnswer | None]]
+Ask = Callable[[VmRecord, PublishedChange], Awaitable[VmAnswer | None]]
 
 
 class Acceptance(enum.StrEnum):
@@ -72,14 +73,15 @@
 ) -> InForceReport:
     """Ask all listed VMs until none uses an older generation.
 
-    :param ask: tells one VM the generation if it changed keys, else 0,
-        and returns its answer, or ``None`` if it does not answer.
+    :param ask: hands the change to one VM and returns its answer, or
+        ``None`` if it does not answer.
     :param known: the list as it was before the publish; its VMs are told
         even if the platform went away right after the write.
     :param timeout: seconds after which the VMs that are left are
         reported as unconfirmed.
     """
-    if publication.outcome is PublishOutcome.UNKNOWN:
+    change = publication.change
+    if change is None:
         return InForceReport(result=Acceptance.UNKNOWN)
     started = clock.now()
     confirmed: set[VmId] = set()
@@ -87,7 +89,7 @@
         records = await _listed(vms)
         report = await _ask_all(
             records=known if records is None else records,
-            publication=publication,
+            change=change,
             ask=ask,
             confirmed=confirmed,
             may_be_fenced=clock.now() - started >= FENCE_S,
@@ -111,7 +113,7 @@
 async def _ask_all(
     *,
     records: Sequence[VmRecord],
-    publication: Publication,
+    change: PublishedChange,
     ask: Ask,
     confirmed: set[VmId],
     may_be_fenced: bool,
@@ -124,13 +126,13 @@
 
     async def ask_one(record: VmRecord) -> VmAnswer | None:
         async with limit:
-            return await ask(record, publication.keys_generation())
+            return await ask(record, change)
 
     answers = await asyncio.gather(*map(ask_one, asked))
     for record, answer in zip(asked, answers, strict=True):
         if answer is None:
             silent.append(record.vm_id)
-        elif answer.generation >= (publication.generation or 0):
+        elif answer.generation >= change.generation:
             confirmed.add(record.vm_id)
         elif answer.serves_keyed:
             behind.append(record.vm_id)
--- a/tests/test_control_plane.py
+++ b/tests/test_control_plane.py
@@ -15,6 +15,7 @@
     VmAnswer,
     wait_in_force,
 )
+from bronzewall.published_change import PublishedChange
 from bronzewall.standins.memory import MemoryPlatform, MemoryVmList
 from bronzewall.standins.virtual_time import VirtualClock, run_virtual
 from bronzewall.types import Placement, VmId, VmRecord, VmState
@@ -146,6 +147,30 @@
     _run(scenario)
 
 
+def test_change_handed_over_by_the_operator_before_an_outage() -> None:
+    """Guards against a key that runs on when nobody could poll in time.
+
+    VMs that get the change withdraw the key and serve the others; a VM
+    that only hears of it refuses.
+    """
+
+    async def scenario(fleet: SmallFleet) -> None:
+        fleet.outage(is_down=True)
+        stored = await fleet.publish('p2', accounts=['other'])
+        told, behind, *_ = fleet.vms_by_id.values()
+        assert stored.change is not None
+        told.plane.answer(stored.change)
+        assert not serves(told)
+        assert serves(told, 'other')
+        behind.plane.answer(attrs.evolve(stored.change, digest=b'wrong'))
+        await asyncio.sleep(_LIMIT_S)
+        for vm in fleet.vms_by_id.values():
+            assert not serves(vm)
+            assert serves(vm, 'other')
+
+    _run(scenario)
+
+
 def test_cut_off_region_refuses_while_the_rest_serves() -> None:
     """Guards against serving where the store may accept elsewhere."""
 
@@ -316,7 +341,7 @@
     """Guards against "accepted" while a VM uses an older generation."""
 
     async def scenario(fleet: SmallFleet) -> None:
-        async def ask(record: VmRecord, _generation: int) -> VmAnswer | None:
+        async def ask(record: VmRecord, _change: object) -> VmAnswer | None:
             if record.vm_id == _VM:
                 return answer
             return VmAnswer(generation=2, serves_keyed=True)
@@ -328,7 +353,7 @@
                 publication_id='p',
                 outcome=PublishOutcome.STORED,
                 generation=2,
-                has_accounts=True,
+                change=PublishedChange(generation=2, keys_generation=2),
             ),
             vms=MemoryVmList(platform=platform),
             ask=ask,
