--- a/src/bronzewall/config_state.py
+++ b/src/bronzewall/config_state.py
@@ -37,6 +37,17 @@
     entries_by_part: Mapping[str, PartEntry] = attrs.field(factory=dict)
     bodies_by_part: Mapping[str, bytes] = attrs.field(factory=dict)
 
+    def keys_generation(self) -> int:
+        """Return the newest generation that changed accounts."""
+        return max(
+            (
+                entry.generation
+                for part, entry in self.entries_by_part.items()
+                if part.startswith(ACCOUNTS_PREFIX)
+            ),
+            default=0,
+        )
+
     def changes_since(self, generation: int) -> dict[str, PartEntry]:
         """Return the parts that changed after a generation."""
         return {
@@ -107,9 +118,10 @@
     def __iter__(self) -> Iterator[AccountId]:
         """Return all account ids."""
         for part, body in self._bodies_by_part.items():
-            if part.startswith(ACCOUNTS_PREFIX):
-                for account in decode_accounts(body):
-                    yield account.account_id
+            if not part.startswith(ACCOUNTS_PREFIX):
+                continue
+            for account in decode_accounts(body):
+                yield account.account_id
 
     def __len__(self) -> int:
         """Return the number of accounts."""
@@ -156,18 +168,19 @@
     :raises SnapshotError: a part has another form; nothing was changed.
     """
     known = {**old.entries_by_part, **new.entries_by_part}
+    # Entries that did not change are the same objects, which is faster to
+    # find out than whether they are equal.
     changed = [
         part
         for part in known
-        if old.entries_by_part.get(part) != new.entries_by_part.get(part)
+        if old.entries_by_part.get(part) is not new.entries_by_part.get(part)
     ]
     services = _changed_services(changed, new)
     removed, added = _changed_accounts(changed, old, new)
-    services_by_name: dict[ServiceName, Service] = {}
-    routes, keys = RouteTable(), KeyTable()
-    if previous is not None:
-        services_by_name.update(previous.configuration.services_by_name)
-        routes, keys = previous.routes, previous.keys
+    if previous is None:
+        previous = _nothing()
+    services_by_name = dict(previous.configuration.services_by_name)
+    routes, keys = previous.routes, previous.keys
     _replace_services(services_by_name, routes, services)
     keys.update(removed=removed, added=added)
     return InForce(
@@ -181,6 +194,16 @@
     )
 
 
+def _nothing() -> InForce:
+    return InForce(
+        configuration=Configuration(
+            generation=0, services_by_name={}, accounts_by_id={}
+        ),
+        routes=RouteTable(),
+        keys=KeyTable(),
+    )
+
+
 def _changed_services(
     changed: list[str], new: ConfigState
 ) -> dict[ServiceName, Service | None]:
@@ -201,11 +224,19 @@
     added: list[Account] = []
     for part in changed:
         if part.startswith(ACCOUNTS_PREFIX):
-            removed.extend(_accounts_of(old, part))
-            added.extend(_accounts_of(new, part))
+            before = _accounts_of(old, part)
+            after = _accounts_of(new, part)
+            removed.extend(_without(before, after))
+            added.extend(_without(after, before))
     return removed, added
 
 
+def _without(some: list[Account], others: list[Account]) -> list[Account]:
+    """Return the accounts that are not the same in both lists."""
+    by_id = {account.account_id: account for account in others}
+    return [acc for acc in some if by_id.get(acc.account_id) != acc]
+
+
 def _accounts_of(state: ConfigState, part: str) -> list[Account]:
     body = state.bodies_by_part.get(part)
     return [] if body is None else list(decode_accounts(body))
