--- /dev/null
+++ b/bench/once.py
@@ -0,0 +1,443 @@
+"""Bench: a non-idempotent request runs at most once over the fleet."""
+
+import asyncio
+import json
+import logging
+import random
+from collections import Counter
+from typing import Any
+
+import attrs
+import structlog
+from harness import Target, run_bench
+
+from bronzewall import headers as header_rules
+from bronzewall.config_model import (
+    Account,
+    Configuration,
+    Instance,
+    Route,
+    Service,
+)
+from bronzewall.key_table import key_digest
+from bronzewall.run_issue import ISSUE_PATH
+from bronzewall.standins.memory_faults import TableFaults
+from bronzewall.standins.memory_fleet import (
+    MemoryAnswer,
+    MemoryFleet,
+    caller_request,
+)
+from bronzewall.standins.memory_link import MemoryNetwork
+from bronzewall.standins.memory_upstreams import (
+    MemoryUpstreamFaults,
+    MemoryUpstreams,
+)
+from bronzewall.standins.virtual_time import run_virtual
+from bronzewall.types import (
+    AccountId,
+    InstanceId,
+    Placement,
+    RouteId,
+    ServiceName,
+    VmId,
+)
+
+VMS = 40
+INSTANCES = 12
+REQUESTS = 2000
+REQUESTS_PER_S = 40.0
+DEADLINE_S = 3.0
+# Longer than any deadline, freeze and background retry in the run.
+LAST_LOOK_S = 90.0
+# When the attempts of a request start, each through another VM: before,
+# at the same time as, during and after the first try, and at the end.
+OFFSETS_S = (
+    (0.1, 0.1),
+    (0, 0.1),
+    (0.1, 0.11),
+    (0.1, 0.3),
+    (0.3, 5),
+    (5, 30),
+    (LAST_LOOK_S, LAST_LOOK_S),
+)
+KEY = 'bench-key'
+CREATED = 201
+
+POISONS = 20
+INNOCENTS_PER_S = 250.0
+CRASH_DURATION_S = 40.0
+# About 4 requests are in flight on an instance when it dies.
+CRASH_RUN_TIME_S = 0.25
+# Callers that re-send before the first instance has died: no VM can know
+# then that the request is dangerous, so this group has no target.
+IMPATIENT_POISONS = 5
+
+TARGETS = (
+    Target(figure='ran_twice', at_most=0),
+    Target(figure='false_not_run', at_most=0),
+    Target(figure='lost', at_most=0),
+    Target(figure='wrong_replay', at_most=0),
+    Target(figure='crash_instances_max', at_most=2),
+    Target(figure='crash_false_refusals', at_most=0),
+)
+
+
+@attrs.define(kw_only=True)
+class Tried:
+    """What one attempt's caller saw."""
+
+    request_id: str | None
+    is_answered: bool
+    is_replay: bool
+    ran: str | None
+    reason: str | None
+    body: bytes
+
+
+@attrs.define(kw_only=True)
+class Submission:
+    """One non-idempotent request and its attempts."""
+
+    marker: str
+    headers: list[tuple[str, str]]
+    tries: list[Tried] = attrs.field(factory=list)
+
+
+def _configuration() -> Configuration:
+    service = ServiceName('intake')
+    common: dict[str, Any] = {
+        'service': service,
+        'deadline': DEADLINE_S,
+        'retries': 2,
+    }
+    routes = [
+        Route(
+            route_id=RouteId('intake/write'),
+            path='/grids/*',
+            methods=frozenset({'POST'}),
+            idempotent=False,
+            **common,
+        ),
+        Route(
+            route_id=RouteId('intake/read'),
+            path='/grids/*',
+            methods=frozenset({'GET'}),
+            idempotent=True,
+            **common,
+        ),
+    ]
+    instances = [
+        Instance(
+            instance_id=InstanceId(f'intake-{number}'),
+            address='127.0.0.1:9',
+            placement=Placement(region='r', zone='r-a'),
+        )
+        for number in range(INSTANCES)
+    ]
+    account = Account(
+        account_id=AccountId('gulf-daily'),
+        rate=1000,
+        burst=1000,
+        key_digests=(key_digest(KEY),),
+    )
+    return Configuration(
+        generation=1,
+        services_by_name={
+            service: Service(
+                name=service,
+                instances_by_id={item.instance_id: item for item in instances},
+                routes_by_id={route.route_id: route for route in routes},
+            )
+        },
+        accounts_by_id={account.account_id: account},
+    )
+
+
+def _fleet(rng: random.Random) -> MemoryFleet:
+    fleet = MemoryFleet(
+        random=rng,
+        configuration=_configuration(),
+        upstreams=MemoryUpstreams(random=rng),
+        network=MemoryNetwork(random=rng, jitter=1, duplication=0.01),
+    )
+    fleet.network.delay = lambda _sender, _receiver: 0.008
+    for number in range(VMS):
+        fleet.start(VmId(f'vm-{number:02}'))
+    return fleet
+
+
+def _auth() -> tuple[str, str]:
+    return ('Authorization', f'Bearer {KEY}')
+
+
+async def _issue(fleet: MemoryFleet, rng: random.Random) -> str | None:
+    for _ in range(5):
+        answer = await fleet.send(
+            rng.choice(list(fleet.vms_by_id)),
+            caller_request(method='POST', path=ISSUE_PATH, headers=[_auth()]),
+            patience=2,
+        )
+        if answer.status == CREATED:
+            return str(json.loads(answer.body)['run_id'])
+    return None
+
+
+def _seen(answer: MemoryAnswer) -> Tried:
+    # The request id of a broken answer is known if its headers came.
+    problem: dict[str, str] = {}
+    if answer.header('Content-Type') == 'application/problem+json':
+        problem = json.loads(answer.body or b'{}')
+    return Tried(
+        request_id=answer.header(header_rules.REQUEST_ID),
+        is_answered=answer.is_finished and not problem,
+        is_replay=answer.header(header_rules.REPLAY) is not None,
+        ran=problem.get('ran'),
+        reason=problem.get('reason'),
+        body=answer.body,
+    )
+
+
+async def _submit(
+    fleet: MemoryFleet, rng: random.Random, number: int
+) -> Submission | None:
+    """Send one request and its re-sends through several VMs."""
+    marker = f'grid-{number}'
+    headers = [_auth(), ('X-Marker', marker)]
+    vm_ids = rng.sample(sorted(fleet.vms_by_id), len(OFFSETS_S))
+    if number % 2:
+        run_id = await _issue(fleet, rng)
+        if run_id is None:
+            return None
+        headers.append((header_rules.RUN_ID, run_id))
+    else:
+        headers.append((header_rules.IDEMPOTENCY_KEY, marker))
+    submission = Submission(marker=marker, headers=headers)
+    await asyncio.gather(
+        *(
+            _try(fleet, rng, submission, vm_id, rng.uniform(*offsets))
+            for vm_id, offsets in zip(vm_ids, OFFSETS_S, strict=True)
+        )
+    )
+    return submission
+
+
+async def _try(
+    fleet: MemoryFleet,
+    rng: random.Random,
+    submission: Submission,
+    vm_id: VmId,
+    offset: float,
+) -> None:
+    await asyncio.sleep(offset)
+    answer = await fleet.send(
+        vm_id,
+        caller_request(
+            method='POST',
+            path='/grids/7',
+            headers=submission.headers,
+            body=submission.marker.encode(),
+        ),
+        patience=rng.choice((0.1, 10.0, 10.0)),
+    )
+    submission.tries.append(_seen(answer))
+
+
+async def _disturb(fleet: MemoryFleet, rng: random.Random) -> None:
+    """Inject every fault while the load runs; all end before its end."""
+    ids = sorted(fleet.vms_by_id)
+    for round_number in range(3):
+        await asyncio.sleep(3)
+        victims = rng.sample(ids, 5)
+        fleet.freeze(victims[0])
+        fleet.kill(victims[1])
+        fleet.kill(victims[2])
+        await asyncio.sleep(1)
+        fleet.publish_members()
+        fleet.network.cut(sender=victims[3], receiver=victims[4])
+        await asyncio.sleep(4)
+        fleet.start(victims[1])
+        fleet.table_faults.is_down = True
+        await asyncio.sleep(4 + round_number)
+        fleet.table_faults.is_down = False
+        fleet.thaw(victims[0])
+        fleet.network.heal()
+
+
+async def _measure_once(seed: int) -> dict[str, Any]:
+    rng = random.Random(seed)
+    fleet = _fleet(rng)
+    fleet.network.loss = 0.02
+    fleet.table_faults = TableFaults(lost=0.04, dropped=0.03, late=0.03)
+    for vm in fleet.vms_by_id.values():
+        vm.table.faults = fleet.table_faults
+    fleet.upstreams.faults = MemoryUpstreamFaults(
+        connect=0.05,
+        shed=0.05,
+        break_before=0.03,
+        break_after=0.05,
+        hang_after=0.03,
+        truncate=0.02,
+    )
+    disturbance = asyncio.create_task(_disturb(fleet, rng))
+    sends = []
+    for number in range(REQUESTS):
+        sends.append(asyncio.create_task(_submit(fleet, rng, number)))
+        await asyncio.sleep(1 / REQUESTS_PER_S)
+    found = await asyncio.gather(*sends)
+    await disturbance
+    submissions = [item for item in found if item is not None]
+    return _once_report(fleet, submissions)
+
+
+def _once_report(
+    fleet: MemoryFleet, submissions: list[Submission]
+) -> dict[str, Any]:
+    runs = fleet.upstreams.runs
+    runs_by_marker = Counter(run.marker for run in runs)
+    ran_ids = {run.request_id for run in runs}
+    counts: Counter[str] = Counter()
+    reasons: Counter[str] = Counter()
+    for item in submissions:
+        is_ran = runs_by_marker[item.marker] > 0
+        answered = [tried for tried in item.tries if tried.is_answered]
+        told_no = [tried for tried in item.tries if tried.ran == 'no']
+        false_ids = {tried.request_id for tried in told_no} & ran_ids
+        all_no = len(told_no) == len(item.tries)
+        counts['false_not_run'] += bool(false_ids) or (all_no and is_ran)
+        counts['lost'] += bool(answered) and not is_ran
+        is_unknown = not answered and not all_no
+        counts['unknown'] += is_unknown
+        is_excess = item.marker not in fleet.upstreams.lost_markers
+        counts['unknown_excess'] += is_unknown and is_excess
+        counts['told_success'] += bool(answered)
+        counts['replays'] += any(tried.is_replay for tried in answered)
+        counts['status_only'] += any(not tried.body for tried in answered)
+        bodies = {tried.body.strip() for tried in answered if tried.body}
+        counts['wrong_replay'] += len(bodies) > 1 or any(
+            json.loads(body)['marker'] != item.marker for body in bodies
+        )
+        reasons.update(tried.reason for tried in item.tries if tried.reason)
+    keyed = sum(_is_keyed(submission) for submission in submissions)
+    return {
+        'requests': len(submissions),
+        'ran': len(runs_by_marker),
+        'ran_twice': sum(1 for count in runs_by_marker.values() if count > 1),
+        'false_not_run': counts['false_not_run'],
+        'lost': counts['lost'],
+        'wrong_replay': counts['wrong_replay'],
+        'unknown_share': round(counts['unknown'] / len(submissions), 4),
+        'unknown_excess_share': round(
+            counts['unknown_excess'] / len(submissions), 4
+        ),
+        'told_success': counts['told_success'],
+        'replayed': counts['replays'],
+        'status_only': counts['status_only'],
+        'store_writes_per_request': round(
+            fleet.platform.store.writes / keyed, 3
+        ),
+        'refusals': dict(sorted(reasons.items())),
+    }
+
+
+def _is_keyed(item: Submission) -> bool:
+    return any(name == header_rules.IDEMPOTENCY_KEY for name, _ in item.headers)
+
+
+def _is_poison(target: str) -> bool:
+    return target.startswith('/grids/poison')
+
+
+def _poison_path(number: int) -> str:
+    return f'/grids/poison-{number}'
+
+
+async def _send_poison(
+    fleet: MemoryFleet, rng: random.Random, number: int
+) -> None:
+    """Send a crashing request again and again through any VM."""
+    await asyncio.sleep(rng.uniform(0, CRASH_DURATION_S / 2))
+    for _ in range(12):
+        await fleet.send(
+            rng.choice(list(fleet.vms_by_id)),
+            caller_request(
+                method='GET', path=_poison_path(number), headers=[_auth()]
+            ),
+            patience=0.1 if number < IMPATIENT_POISONS else 10,
+        )
+        await asyncio.sleep(rng.choice((0, 0.01, 0.5, 3)))
+
+
+async def _send_innocent(
+    fleet: MemoryFleet, rng: random.Random, number: int, seen: Counter[str]
+) -> None:
+    refused = False
+    for _ in range(5):
+        answer = await fleet.send(
+            rng.choice(list(fleet.vms_by_id)),
+            caller_request(
+                method='GET', path=f'/grids/{number}', headers=[_auth()]
+            ),
+        )
+        tried = _seen(answer)
+        refused |= tried.reason == 'crash_suspect'
+        if tried.is_answered:
+            seen['answered'] += 1
+            break
+        await asyncio.sleep(0.2)
+    seen['refused'] += refused
+    seen['total'] += 1
+
+
+async def _measure_crash(seed: int) -> dict[str, Any]:
+    rng = random.Random(seed)
+    fleet = _fleet(rng)
+    fleet.network.loss = 0.01
+    fleet.upstreams.run_time = CRASH_RUN_TIME_S
+    fleet.upstreams.faults = MemoryUpstreamFaults(crashes=_is_poison)
+    seen: Counter[str] = Counter()
+    sends = [
+        asyncio.create_task(_send_poison(fleet, rng, number))
+        for number in range(POISONS)
+    ]
+    for number in range(int(CRASH_DURATION_S * INNOCENTS_PER_S)):
+        sends.append(
+            asyncio.create_task(_send_innocent(fleet, rng, number, seen))
+        )
+        await asyncio.sleep(1 / INNOCENTS_PER_S)
+    await asyncio.gather(*sends)
+    ran = Counter(
+        run.target for run in fleet.upstreams.runs if _is_poison(run.target)
+    )
+    dead_ids = {death.instance_id for death in fleet.upstreams.deaths}
+    excused = [
+        sum(1 for vm in fleet.vms_by_id.values() if vm.guard.is_excused(name))
+        for name in dead_ids
+    ]
+    impatient = set(map(_poison_path, range(IMPATIENT_POISONS)))
+    return {
+        'crash_instances_max': max(
+            count for target, count in ran.items() if target not in impatient
+        ),
+        'crash_instances_max_impatient': max(
+            count for target, count in ran.items() if target in impatient
+        ),
+        'crash_deaths': len(fleet.upstreams.deaths),
+        'crash_innocents': seen['total'],
+        'crash_innocents_answered': seen['answered'],
+        'crash_false_refusals': seen['refused'],
+        'crash_excused_views_min': min(excused),
+    }
+
+
+def measure(seed: int) -> dict[str, Any]:
+    """Run both parts in virtual time."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.WARNING)
+    )
+    report = run_virtual(_measure_once(seed))
+    report.update(run_virtual(_measure_crash(seed)))
+    return report
+
+
+if __name__ == '__main__':
+    run_bench(name='once', measure=measure, targets=TARGETS)
--- /dev/null
+++ b/src/bronzewall/crash_guard.py
@@ -0,0 +1,285 @@
+"""Keeps a request that crashes instances from crashing more than two."""
+
+import asyncio
+import contextlib
+import itertools
+import random
+from collections import Counter
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import attrs
+
+from bronzewall.background import BackgroundTasks
+from bronzewall.config_model import Instance
+from bronzewall.crash_messages import CrashReport, CrashReportAck, TurnEnd
+from bronzewall.crash_suspects import SuspectTable
+from bronzewall.crash_turns import CrashTurns, busy_refusal, condemned_refusal
+from bronzewall.errors import (
+    PeerTimeoutError,
+    UpstreamBrokenError,
+    UpstreamTimeoutError,
+)
+from bronzewall.membership import Members
+from bronzewall.messages import Envelope
+from bronzewall.peer_calls import PeerEndpoint
+from bronzewall.ports import Clock
+from bronzewall.types import InstanceId, VmId, VmState
+
+# A process that dies closes its connections and its listener at nearly the
+# same time; the probe must not come in between.
+_PROBE_DELAY_S = 0.02
+# The caller's answer waits for other VMs to know the suspect, so that a
+# re-send finds it known; an unreachable VM delays it by this much at most.
+_REPORT_WAIT_S = 0.1
+_REPORT_TIMEOUT_S = 0.3
+_REPORT_LIMIT_S = 30.0
+_REPORT_PAUSE_S = 0.2
+_FORWARD_TO = 3
+
+# A request that was given up may kill its instance for this much longer.
+_ABANDONED_S = 10.0
+# A connection costs an instance about 1 ms; 40 VMs that all watch it use
+# less than a tenth of one slot.
+_ABANDONED_CHECK_S = 0.5
+
+Prober = Callable[[Instance], Awaitable[bool]]
+
+
+@attrs.define(kw_only=True)
+class RunningTurn:
+    """One attempt while it runs.
+
+    :param is_held: whether it has the exclusive turn of a suspect.
+    """
+
+    instance: Instance
+    fingerprint: bytes
+    is_held: bool
+    has_survived: bool = False
+
+    def end(self) -> TurnEnd:
+        """Return how the attempt ended."""
+        return TurnEnd.SURVIVED if self.has_survived else TurnEnd.UNDECIDED
+
+
+@attrs.define(kw_only=True, eq=False)
+class CrashGuard:
+    """Watches instances for deaths and gates suspects.
+
+    :param refuses_connections: probes an instance; true if no connection
+        can be opened.
+    :param reported: deaths that this VM reported.
+    """
+
+    clock: Clock
+    endpoint: PeerEndpoint
+    members: Members
+    random: random.Random
+    table: SuspectTable
+    turns: CrashTurns
+    tasks: BackgroundTasks
+    refuses_connections: Prober
+    reported: int = 0
+    _in_flight_by_id: dict[InstanceId, Counter[bytes]] = attrs.field(
+        factory=dict
+    )
+    _abandoned_by_id: dict[InstanceId, dict[bytes, float]] = attrs.field(
+        factory=dict
+    )
+    _probes_by_id: dict[InstanceId, asyncio.Task[None]] = attrs.field(
+        factory=dict
+    )
+    _suspected_by_id: dict[InstanceId, set[bytes]] = attrs.field(factory=dict)
+    _numbers: 'itertools.count[int]' = attrs.field(factory=itertools.count)
+
+    def __attrs_post_init__(self) -> None:
+        """Receive reports of other VMs."""
+        self.endpoint.serve(CrashReport, self._on_report)
+
+    def check(self, fingerprint: bytes) -> None:
+        """Refuse a request that killed two instances.
+
+        :raises RefusalError: it is refused by the whole fleet.
+        """
+        suspect = self.table.find(fingerprint)
+        if suspect is not None and suspect.is_condemned:
+            raise condemned_refusal(self.clock, suspect)
+
+    def is_excused(self, instance_id: InstanceId) -> bool:
+        """Return whether a death of the instance is not its own fault."""
+        return self.table.is_excused(instance_id)
+
+    @contextlib.asynccontextmanager
+    async def turn(
+        self,
+        instance: Instance,
+        fingerprint: bytes,
+        *,
+        attempt_id: str,
+        deadline: float,
+    ) -> AsyncIterator['RunningTurn']:
+        """Run an attempt; a suspect waits for its exclusive turn.
+
+        :param deadline: clock time after which it is not sent.
+        :raises RefusalError: the request must not run now.
+        """
+        held = await self.turns.obtain(
+            fingerprint,
+            instance.instance_id,
+            attempt_id=attempt_id,
+            deadline=deadline,
+        )
+        running = RunningTurn(
+            instance=instance, fingerprint=fingerprint, is_held=held is not None
+        )
+        try:
+            yield running
+        finally:
+            if held is not None:
+                self.turns.give_back(held, running.end())
+
+    @contextlib.asynccontextmanager
+    async def running(self, turn: 'RunningTurn') -> AsyncIterator[None]:
+        """Watch one exchange with an instance.
+
+        :raises RefusalError: the request became suspect while it waited.
+        """
+        instance, fingerprint = turn.instance, turn.fingerprint
+        if not turn.is_held and self.table.find(fingerprint) is not None:
+            raise busy_refusal()
+        in_flight = self._in_flight_by_id.setdefault(
+            instance.instance_id, Counter()
+        )
+        in_flight[fingerprint] += 1
+        try:
+            yield
+        except UpstreamBrokenError:
+            await self.broken(instance, fingerprint)
+            raise
+        except (UpstreamTimeoutError, asyncio.CancelledError):
+            # Nobody waits for the answer, but the request may still run.
+            self._abandon(instance, fingerprint)
+            raise
+        finally:
+            in_flight[fingerprint] -= 1
+            if not in_flight[fingerprint]:
+                del in_flight[fingerprint]
+
+    async def broken(self, instance: Instance, fingerprint: bytes) -> None:
+        """Find out whether an instance died when a connection broke.
+
+        Returns when the death was reported or excluded.
+        """
+        instance_id = instance.instance_id
+        suspected = self._suspected_by_id.setdefault(instance_id, set())
+        suspected.update(self._in_flight_by_id.get(instance_id, ()))
+        suspected.add(fingerprint)
+        probe = self._probes_by_id.get(instance_id)
+        if probe is None:
+            probe = asyncio.create_task(self._probe(instance))
+            self._probes_by_id[instance_id] = probe
+            self.tasks.keep(probe)
+        await asyncio.shield(probe)
+
+    def report_lost_turn(self, fingerprint: bytes) -> None:
+        """Count a run that was never given back as a death."""
+        self.tasks.start(self._report(InstanceId(''), {fingerprint}))
+
+    def _abandon(self, instance: Instance, fingerprint: bytes) -> None:
+        instance_id = instance.instance_id
+        is_watched = instance_id in self._abandoned_by_id
+        abandoned = self._abandoned_by_id.setdefault(instance_id, {})
+        abandoned[fingerprint] = self.clock.now()
+        if not is_watched:
+            self.tasks.start(self._watch_abandoned(instance))
+
+    async def _watch_abandoned(self, instance: Instance) -> None:
+        """Check an instance while it may run abandoned requests."""
+        abandoned = self._abandoned_by_id[instance.instance_id]
+        while abandoned:
+            await self.clock.sleep(_ABANDONED_CHECK_S)
+            if await self.refuses_connections(instance):
+                await self._report_abandoned(instance.instance_id)
+            oldest = self.clock.now() - _ABANDONED_S
+            for known, at in tuple(abandoned.items()):
+                if at < oldest:
+                    del abandoned[known]
+        del self._abandoned_by_id[instance.instance_id]
+
+    async def _report_abandoned(self, instance_id: InstanceId) -> None:
+        """Report requests whose end was not seen on a dead instance."""
+        abandoned = self._abandoned_by_id.get(instance_id)
+        if abandoned:
+            fingerprints = set(abandoned)
+            abandoned.clear()
+            await self._report(instance_id, fingerprints)
+
+    async def _probe(self, instance: Instance) -> None:
+        instance_id = instance.instance_id
+        try:
+            await self.clock.sleep(_PROBE_DELAY_S)
+            is_dead = await self.refuses_connections(instance)
+        finally:
+            del self._probes_by_id[instance_id]
+            suspected = self._suspected_by_id.pop(instance_id)
+        if is_dead:
+            await self._report(instance_id, suspected)
+
+    async def _report(
+        self, instance_id: InstanceId, fingerprints: set[bytes]
+    ) -> None:
+        report = CrashReport(
+            reporter=self.endpoint.vm_id,
+            incarnation=self.endpoint.incarnation,
+            number=next(self._numbers),
+            instance_id=instance_id,
+            fingerprints=tuple(sorted(fingerprints)),
+            age=0,
+        )
+        self.reported += 1
+        self.table.record(report)
+        sends = [
+            asyncio.create_task(self._send_report(vm_id, report))
+            for vm_id in self._peers()
+        ]
+        for send in sends:
+            self.tasks.keep(send)
+        if sends:
+            await asyncio.wait(sends, timeout=_REPORT_WAIT_S)
+
+    async def _send_report(self, vm_id: VmId, report: CrashReport) -> None:
+        started = self.clock.now()
+        age = float(0)
+        while age < _REPORT_LIMIT_S:
+            aged = attrs.evolve(report, age=report.age + age)
+            try:
+                await self.endpoint.call(
+                    to=vm_id, message=aged, timeout=_REPORT_TIMEOUT_S
+                )
+            except PeerTimeoutError:
+                await self.clock.sleep(_REPORT_PAUSE_S)
+            else:
+                return
+            age = self.clock.now() - started
+
+    def _on_report(self, envelope: Envelope) -> CrashReportAck:
+        report: CrashReport = envelope.body
+        if self.table.record(report):
+            self.tasks.start(
+                self._report_abandoned(InstanceId(report.instance_id))
+            )
+            # A VM that the reporter cannot reach may be reached from here.
+            peers = self._peers()
+            for vm_id in self.random.sample(
+                peers, min(_FORWARD_TO, len(peers))
+            ):
+                self.endpoint.send(to=vm_id, message=report)
+        return CrashReportAck()
+
+    def _peers(self) -> list[VmId]:
+        return sorted(
+            vm_id
+            for vm_id, record in self.members.records_by_id.items()
+            if vm_id != self.endpoint.vm_id
+            and record.state is not VmState.DESTROYED
+        )
--- /dev/null
+++ b/src/bronzewall/crash_setup.py
@@ -0,0 +1,49 @@
+"""Builds the crash guard of one VM."""
+
+import random
+
+from bronzewall.background import BackgroundTasks
+from bronzewall.crash_guard import CrashGuard, Prober
+from bronzewall.crash_suspects import SuspectTable
+from bronzewall.crash_turns import CrashTurns
+from bronzewall.membership import Members
+from bronzewall.peer_calls import PeerEndpoint
+from bronzewall.ports import Clock
+from bronzewall.run_setup import gone_check
+
+
+def open_crash_guard(
+    *,
+    endpoint: PeerEndpoint,
+    clock: Clock,
+    members: Members,
+    refuses_connections: Prober,
+    rng: random.Random,
+) -> CrashGuard:
+    """Return the crash guard of one VM.
+
+    :param refuses_connections: checks an instance after a broken exchange.
+    :param rng: chooses the VMs to which reports are forwarded.
+    """
+    table = SuspectTable(clock=clock)
+    tasks = BackgroundTasks()
+    turns = CrashTurns(
+        clock=clock,
+        endpoint=endpoint,
+        members=members,
+        table=table,
+        tasks=tasks,
+        is_gone=gone_check(endpoint=endpoint, members=members),
+    )
+    guard = CrashGuard(
+        clock=clock,
+        endpoint=endpoint,
+        members=members,
+        random=rng,
+        table=table,
+        turns=turns,
+        tasks=tasks,
+        refuses_connections=refuses_connections,
+    )
+    turns.on_lost_turn = guard.report_lost_turn
+    return guard
--- /dev/null
+++ b/src/bronzewall/crash_suspects.py
@@ -0,0 +1,151 @@
+"""Fingerprints of requests that were in flight on dead instances."""
+
+import hashlib
+
+import attrs
+
+from bronzewall.crash_messages import CrashReport
+from bronzewall.ports import Clock
+from bronzewall.types import AccountId, InstanceId, RouteId, VmId
+
+REMEMBERED_S = 600.0
+DEATHS_TO_CONDEMN = 2
+_MAX_SUSPECTS = 20_000
+_FINGERPRINT_BYTES = 16
+# VMs see the death of an instance at nearly the same moment, and an
+# instance needs longer than this to start again.
+_SAME_DEATH_S = 2.0
+
+
+def request_fingerprint(
+    *,
+    account_id: AccountId | None,
+    route_id: RouteId,
+    target: str,
+    body: bytes,
+) -> bytes:
+    """Return what identifies a request that is sent again."""
+    digest = hashlib.blake2b(digest_size=_FINGERPRINT_BYTES)
+    head = f'{account_id or ""}\0{route_id}\0{target}\0'
+    digest.update(head.encode())
+    digest.update(body)
+    return digest.digest()
+
+
+@attrs.frozen(kw_only=True)
+class Reporter:
+    """A process that saw a death and gives turns to the suspects."""
+
+    vm_id: VmId
+    incarnation: int
+
+
+@attrs.frozen(kw_only=True)
+class Death:
+    """One death of an instance.
+
+    :param at: clock time of this VM.
+    """
+
+    instance_id: InstanceId
+    at: float
+
+
+@attrs.define(kw_only=True)
+class Suspect:
+    """What is known about one fingerprint."""
+
+    deaths: list[Death] = attrs.field(factory=list)
+    reporters: set[Reporter] = attrs.field(factory=set)
+
+    @property
+    def is_condemned(self) -> bool:
+        """Whether it is refused everywhere."""
+        return len(self.deaths) >= DEATHS_TO_CONDEMN
+
+    @property
+    def last_death(self) -> float:
+        """Clock time of the last death."""
+        return max(death.at for death in self.deaths)
+
+    def add(self, death: Death) -> None:
+        """Add a death unless another VM reported the same one."""
+        for known in self.deaths:
+            is_near = abs(known.at - death.at) < _SAME_DEATH_S
+            if is_near and known.instance_id == death.instance_id:
+                return
+        self.deaths.append(death)
+
+
+@attrs.define(kw_only=True)
+class SuspectTable:
+    """Suspects known to this VM, forgotten 10 min after their last death."""
+
+    clock: Clock
+    suspects_by_fingerprint: dict[bytes, Suspect] = attrs.field(factory=dict)
+    _seen: dict[tuple[Reporter, int], float] = attrs.field(factory=dict)
+
+    def find(self, fingerprint: bytes) -> Suspect | None:
+        """Return the suspect of a fingerprint, if any."""
+        suspect = self.suspects_by_fingerprint.get(fingerprint)
+        if suspect is None:
+            return None
+        if self.clock.now() - suspect.last_death > REMEMBERED_S:
+            del self.suspects_by_fingerprint[fingerprint]
+            return None
+        return suspect
+
+    def record(self, report: CrashReport) -> bool:
+        """Take over a report and return whether it is new."""
+        reporter = Reporter(
+            vm_id=VmId(report.reporter), incarnation=report.incarnation
+        )
+        now = self.clock.now()
+        report_id = (reporter, report.number)
+        if report_id in self._seen:
+            return False
+        self._forget_old()
+        self._seen[report_id] = now
+        death = Death(
+            instance_id=InstanceId(report.instance_id), at=now - report.age
+        )
+        for fingerprint in report.fingerprints:
+            suspect = self.suspects_by_fingerprint.setdefault(
+                fingerprint, Suspect()
+            )
+            suspect.add(death)
+            suspect.reporters.add(reporter)
+        return True
+
+    def clear(self, fingerprint: bytes) -> None:
+        """Forget a suspect that was answered, unless it is condemned."""
+        suspect = self.suspects_by_fingerprint.get(fingerprint)
+        if suspect is not None and not suspect.is_condemned:
+            del self.suspects_by_fingerprint[fingerprint]
+
+    def is_excused(self, instance_id: InstanceId) -> bool:
+        """Return whether a condemned request killed the instance."""
+        oldest = self.clock.now() - REMEMBERED_S
+        return any(
+            death.instance_id == instance_id and death.at >= oldest
+            for suspect in self.suspects_by_fingerprint.values()
+            if suspect.is_condemned
+            for death in suspect.deaths
+        )
+
+    def _forget_old(self) -> None:
+        now = self.clock.now()
+        self._seen = {
+            report_id: at
+            for report_id, at in self._seen.items()
+            if now - at <= REMEMBERED_S
+        }
+        by_age = sorted(
+            self.suspects_by_fingerprint.items(),
+            key=lambda item: (item[1].is_condemned, item[1].last_death),
+        )
+        surplus = max(len(by_age) - _MAX_SUSPECTS, 0)
+        for number, (fingerprint, suspect) in enumerate(by_age):
+            is_old = now - suspect.last_death > REMEMBERED_S
+            if is_old or number < surplus:
+                del self.suspects_by_fingerprint[fingerprint]
--- /dev/null
+++ b/src/bronzewall/crash_turns.py
@@ -0,0 +1,270 @@
+"""Exclusive turns: a suspect request runs on one instance at a time.
+
+The turn of a fingerprint is given by every VM that reported its death,
+because the reports name those VMs and no view of the members is needed.
+The turn of an instance is given by its home; it keeps an innocent suspect
+off the instance on which the guilty one runs.
+"""
+
+from collections.abc import Callable
+
+import attrs
+
+from bronzewall.background import BackgroundTasks
+from bronzewall.crash_messages import (
+    SuspectCleared,
+    TurnAnswer,
+    TurnAsk,
+    TurnDone,
+    TurnDoneAck,
+    TurnEnd,
+    TurnVerdict,
+)
+from bronzewall.crash_suspects import REMEMBERED_S, Suspect, SuspectTable
+from bronzewall.errors import PeerTimeoutError
+from bronzewall.homes import ranked_homes
+from bronzewall.membership import Members
+from bronzewall.messages import Envelope
+from bronzewall.peer_calls import PeerEndpoint
+from bronzewall.ports import Clock
+from bronzewall.problems import Reason, RefusalError
+from bronzewall.types import InstanceId, VmId
+
+_ASK_TIMEOUT_S = 0.3
+_ASK_PAUSE_S = 0.05
+# A suspect waits this long for its turn before it is refused.
+_MAX_WAIT_S = 2.0
+_BUSY_RETRY_AFTER_S = 2.0
+_DONE_LIMIT_S = 30.0
+_DONE_PAUSE_S = 0.5
+# Covers the way of the grant and of the report of the end.
+_TURN_MARGIN_S = 2.0
+# A turn of a reporter that is gone cannot be asked for; its last grant has
+# ended after this time, and the home alone decides.
+_GONE_REPORTER_S = 60.0
+
+
+def _ignore(_fingerprint: bytes) -> None:
+    """Stand in until the crash guard is connected."""
+
+
+@attrs.frozen(kw_only=True)
+class _Holder:
+    attempt_id: str
+    until: float
+
+
+@attrs.frozen(kw_only=True)
+class Turn:
+    """The turns held by one attempt, with the VMs that gave them."""
+
+    asks: tuple[tuple[VmId, TurnAsk], ...]
+
+
+@attrs.define(kw_only=True, eq=False)
+class CrashTurns:
+    """Gives turns to other VMs and obtains them for this VM.
+
+    :param on_lost_turn: called with a fingerprint whose turn was not given
+        back; its run may have killed an instance unseen.
+    """
+
+    clock: Clock
+    endpoint: PeerEndpoint
+    members: Members
+    table: SuspectTable
+    tasks: BackgroundTasks
+    is_gone: Callable[[VmId, int], bool]
+    on_lost_turn: Callable[[bytes], None] = _ignore
+    _holders: dict[tuple[bytes, str], _Holder] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        """Serve other VMs."""
+        self.endpoint.serve(TurnAsk, lambda envelope: self.ask(envelope.body))
+        self.endpoint.serve(TurnDone, self._on_done)
+        self.endpoint.serve(SuspectCleared, self._on_cleared)
+
+    async def obtain(
+        self,
+        fingerprint: bytes,
+        instance_id: InstanceId,
+        *,
+        attempt_id: str,
+        deadline: float,
+    ) -> Turn | None:
+        """Return the turn of a fingerprint, ``None`` if none is needed.
+
+        :param deadline: clock time after which the request is not sent.
+        :raises RefusalError: it must not run now.
+        """
+        give_up = min(deadline, self.clock.now() + _MAX_WAIT_S)
+        while True:
+            suspect = self._suspect(fingerprint)
+            if suspect is None:
+                return None
+            ask = TurnAsk(
+                fingerprint=fingerprint,
+                instance_id='',
+                attempt_id=attempt_id,
+                remaining=max(deadline - self.clock.now(), 0),
+            )
+            asks = self._asks(ask, suspect, instance_id)
+            verdict = await self._ask_all(asks)
+            if verdict is TurnVerdict.GRANTED:
+                return Turn(asks=tuple(asks))
+            if verdict is TurnVerdict.CLEARED:
+                self.table.clear(fingerprint)
+            elif self.clock.now() >= give_up:
+                raise busy_refusal()
+            else:
+                await self.clock.sleep(_ASK_PAUSE_S)
+
+    def give_back(self, turn: Turn, end: TurnEnd) -> None:
+        """End the turns of an attempt."""
+        for vm_id, ask in turn.asks:
+            done = TurnDone(
+                fingerprint=ask.fingerprint,
+                instance_id=ask.instance_id,
+                attempt_id=ask.attempt_id,
+                end=end,
+            )
+            if vm_id == self.endpoint.vm_id:
+                self.done(done)
+            else:
+                self.tasks.start(self._send_done(vm_id, done))
+
+    def ask(self, ask: TurnAsk) -> TurnAnswer:
+        """Give a turn or say why not."""
+        suspect = self.table.find(ask.fingerprint)
+        if suspect is not None and suspect.is_condemned:
+            return TurnAnswer(verdict=TurnVerdict.CONDEMNED)
+        if suspect is None and not ask.instance_id:
+            return TurnAnswer(verdict=TurnVerdict.CLEARED)
+        now = self.clock.now()
+        resource = _resource(ask)
+        holder = self._holders.get(resource)
+        if holder is not None and holder.attempt_id != ask.attempt_id:
+            if now <= holder.until:
+                return TurnAnswer(verdict=TurnVerdict.BUSY)
+            if not ask.instance_id:
+                del self._holders[resource]
+                self.on_lost_turn(ask.fingerprint)
+                return TurnAnswer(verdict=TurnVerdict.BUSY)
+        self._holders[resource] = _Holder(
+            attempt_id=ask.attempt_id,
+            until=now + ask.remaining + _TURN_MARGIN_S,
+        )
+        return TurnAnswer(verdict=TurnVerdict.GRANTED)
+
+    def done(self, done: TurnDone) -> None:
+        """Take a turn back."""
+        resource = _resource(done)
+        holder = self._holders.get(resource)
+        if holder is not None and holder.attempt_id == done.attempt_id:
+            del self._holders[resource]
+        if done.end is TurnEnd.SURVIVED and not done.instance_id:
+            self._clear(done.fingerprint)
+
+    def _suspect(self, fingerprint: bytes) -> Suspect | None:
+        suspect = self.table.find(fingerprint)
+        if suspect is not None and suspect.is_condemned:
+            raise condemned_refusal(self.clock, suspect)
+        return suspect
+
+    def _asks(
+        self, ask: TurnAsk, suspect: Suspect, instance_id: InstanceId
+    ) -> list[tuple[VmId, TurnAsk]]:
+        homes = ranked_homes(
+            duty=f'crash/{instance_id}',
+            vm_ids=self.members.usable_ids() or [self.endpoint.vm_id],
+        )
+        is_long_ago = self.clock.now() - suspect.last_death > _GONE_REPORTER_S
+        reporters = sorted(
+            reporter.vm_id
+            for reporter in suspect.reporters
+            if not is_long_ago
+            or not self.is_gone(reporter.vm_id, reporter.incarnation)
+        )
+        return [
+            (homes[0], attrs.evolve(ask, instance_id=instance_id)),
+            *((vm_id, ask) for vm_id in reporters),
+        ]
+
+    async def _ask_all(self, asks: list[tuple[VmId, TurnAsk]]) -> TurnVerdict:
+        """Ask one VM after the other; give all back unless all agree."""
+        for number, (vm_id, ask) in enumerate(asks):
+            verdict = await self._ask_one(vm_id, ask)
+            if verdict is not TurnVerdict.GRANTED:
+                # The last one may have granted although its answer was lost.
+                held = Turn(asks=tuple(asks[: number + 1]))
+                self.give_back(held, TurnEnd.UNDECIDED)
+                return verdict
+        return TurnVerdict.GRANTED
+
+    async def _ask_one(self, vm_id: VmId, ask: TurnAsk) -> TurnVerdict:
+        if vm_id == self.endpoint.vm_id:
+            return self.ask(ask).verdict
+        try:
+            answer: TurnAnswer = await self.endpoint.call(
+                to=vm_id, message=ask, timeout=_ASK_TIMEOUT_S
+            )
+        except PeerTimeoutError:
+            return TurnVerdict.BUSY
+        return answer.verdict
+
+    async def _send_done(self, vm_id: VmId, done: TurnDone) -> None:
+        give_up = self.clock.now() + _DONE_LIMIT_S
+        while self.clock.now() < give_up:
+            try:
+                await self.endpoint.call(
+                    to=vm_id, message=done, timeout=_ASK_TIMEOUT_S
+                )
+            except PeerTimeoutError:
+                await self.clock.sleep(_DONE_PAUSE_S)
+            else:
+                return
+
+    def _on_done(self, envelope: Envelope) -> TurnDoneAck:
+        self.done(envelope.body)
+        return TurnDoneAck()
+
+    def _on_cleared(self, envelope: Envelope) -> None:
+        self.table.clear(envelope.body.fingerprint)
+
+    def _clear(self, fingerprint: bytes) -> None:
+        """Clear a suspect here and, without certainty, everywhere.
+
+        A VM that misses the message asks this one and is told.
+        """
+        self.table.clear(fingerprint)
+        for vm_id in self.members.usable_ids():
+            if vm_id != self.endpoint.vm_id:
+                self.endpoint.send(
+                    to=vm_id, message=SuspectCleared(fingerprint=fingerprint)
+                )
+
+
+def busy_refusal() -> RefusalError:
+    """Return the refusal of a suspect that got no turn in time."""
+    return RefusalError(
+        reason=Reason.CRASH_SUSPECT,
+        retry_after=_BUSY_RETRY_AFTER_S,
+        detail='the request was in flight on an instance that died, and '
+        'other such requests run before it',
+    )
+
+
+def condemned_refusal(clock: Clock, suspect: Suspect) -> RefusalError:
+    """Return the refusal of a request that killed two instances."""
+    left = suspect.last_death + REMEMBERED_S - clock.now()
+    return RefusalError(
+        reason=Reason.CRASH_SUSPECT,
+        retry_after=max(left, 1),
+        detail='instances died twice while they ran this request',
+    )
+
+
+def _resource(item: TurnAsk | TurnDone) -> tuple[bytes, str]:
+    if item.instance_id:
+        return b'', item.instance_id
+    return item.fingerprint, ''
--- a/src/bronzewall/daemon.py
+++ b/src/bronzewall/daemon.py
@@ -14,10 +14,12 @@
 from bronzewall.adapters.entry_http import EntryServer
 from bronzewall.adapters.platform_http import PlatformClient, PlatformVmList
 from bronzewall.adapters.system_clock import SystemClock
+from bronzewall.adapters.tcp_probe import refuses_connections
 from bronzewall.adapters.upstream_http import AiohttpUpstreams, open_session
 from bronzewall.adapters.websocket_link import WebSocketLink
 from bronzewall.admin import AdminView
 from bronzewall.config_feed import ConfigFeed
+from bronzewall.crash_setup import open_crash_guard
 from bronzewall.dispatch import Dispatcher
 from bronzewall.errors import StoreError
 from bronzewall.journal import Journal
@@ -203,6 +205,13 @@
             quota=StaticSplitQuota(clock=clock, share=1.0),
             dispatcher=Dispatcher(random=rng),
             upstreams=AiohttpUpstreams(session=upstream_session),
+            crash_guard=open_crash_guard(
+                endpoint=endpoint,
+                clock=clock,
+                members=members,
+                refuses_connections=refuses_connections,
+                rng=rng,
+            ),
             run_gate=open_run_gate(
                 endpoint=endpoint,
                 clock=clock,
--- /dev/null
+++ b/src/bronzewall/exchange.py
@@ -0,0 +1,98 @@
+"""State of one request on its way through a VM."""
+
+import attrs
+
+from bronzewall import headers as header_rules
+from bronzewall.config_model import Account, Route, Service
+from bronzewall.crash_suspects import request_fingerprint
+from bronzewall.errors import (
+    ConnectFailedError,
+    UpstreamError,
+    UpstreamShedError,
+    UpstreamTimeoutError,
+)
+from bronzewall.ports import AnswerWriter, CallerRequest
+from bronzewall.problems import Ran, Reason, RefusalError
+from bronzewall.run_outcome import RunDemand, request_digest
+from bronzewall.types import AccountId, InstanceId, RequestId
+
+
+@attrs.define(kw_only=True)
+class Exchange:
+    """State of one request on its way.
+
+    :param deadline: clock time at which the caller's deadline passes.
+    :param key: the caller's key, never sent to an upstream.
+    :param may_have_run: an attempt ended with an unknown outcome, so no
+        later refusal may say "not run".
+    :param is_answered: the whole answer was received.
+    """
+
+    request: CallerRequest
+    request_id: RequestId
+    writer: AnswerWriter
+    route: Route
+    service: Service
+    account: Account | None
+    key: str | None
+    deadline: float
+    body: bytes = b''
+    tried_ids: set[InstanceId] = attrs.field(factory=set)
+    attempts: int = 0
+    may_have_run: bool = False
+    is_answered: bool = False
+
+    @property
+    def account_id(self) -> AccountId | None:
+        """Account of the request, ``None`` on a route open to all."""
+        return self.account.account_id if self.account else None
+
+    def fingerprint(self) -> bytes:
+        """Return what identifies the request if it crashes instances."""
+        return request_fingerprint(
+            account_id=self.account_id,
+            route_id=self.route.route_id,
+            target=self.request.target,
+            body=self.body,
+        )
+
+    def run_demand(self) -> RunDemand:
+        """Return what a non-idempotent request asks for."""
+        request = self.request
+        return RunDemand(
+            account_id=self.account_id,
+            route_id=self.route.route_id,
+            key=header_rules.find(
+                request.headers, header_rules.IDEMPOTENCY_KEY
+            ),
+            run_id=header_rules.find(request.headers, header_rules.RUN_ID),
+            digest=request_digest(
+                method=request.method, target=request.target, body=self.body
+            ),
+            attempt_id=self.request_id,
+            deadline=self.deadline,
+            is_key_optional=self.route.idempotency_key == 'optional',
+        )
+
+    def with_history(self, refusal: RefusalError) -> RefusalError:
+        """Correct a refusal by what earlier attempts may have run."""
+        if self.may_have_run:
+            refusal.ran = Ran.UNKNOWN
+        return refusal
+
+
+def upstream_refusal(exc: UpstreamError) -> RefusalError:
+    """Return the refusal after the last failed attempt."""
+    detail = str(exc)
+    if isinstance(exc, UpstreamShedError):
+        return RefusalError(
+            reason=Reason.OVERLOADED, retry_after=1, detail=detail
+        )
+    if isinstance(exc, ConnectFailedError):
+        return RefusalError(
+            reason=Reason.NO_INSTANCE, retry_after=1, detail=detail
+        )
+    reason = Reason.ANSWER_LOST
+    if isinstance(exc, UpstreamTimeoutError):
+        reason = Reason.UPSTREAM_TIMEOUT
+    return RefusalError(reason=reason, ran=Ran.UNKNOWN, detail=detail)
--- a/src/bronzewall/proxy.py
+++ b/src/bronzewall/proxy.py
@@ -9,7 +9,8 @@
 
 from bronzewall import headers as header_rules
 from bronzewall.config_feed import ConfigFeed, InForce
-from bronzewall.config_model import Account, Instance, Route, Service
+from bronzewall.config_model import Account, Instance, Route
+from bronzewall.crash_guard import CrashGuard, RunningTurn
 from bronzewall.dispatch import Dispatcher
 from bronzewall.errors import (
     BodyTimeoutError,
@@ -25,6 +26,7 @@
     UpstreamShedError,
     UpstreamTimeoutError,
 )
+from bronzewall.exchange import Exchange, upstream_refusal
 from bronzewall.journal import Journal
 from bronzewall.metrics import Metrics
 from bronzewall.ports import (
@@ -36,7 +38,6 @@
     UpstreamRequest,
 )
 from bronzewall.problems import (
-    Ran,
     Reason,
     RefusalError,
     problem_document,
@@ -48,8 +49,7 @@
     answer_issue,
     is_issue_request,
 )
-from bronzewall.run_outcome import RunDemand, request_digest
-from bronzewall.types import InstanceId, RequestId, VmId
+from bronzewall.types import RequestId, VmId
 
 _MS_PER_S = 1000
 _REQUEST_ID_BITS = 64
@@ -64,30 +64,6 @@
         """Admit one request or raise :class:`RateExceededError`."""
 
 
-@attrs.define(kw_only=True)
-class Exchange:
-    """State of one request on its way.
-
-    :param deadline: clock time at which the caller's deadline passes.
-    :param key: the caller's key, never sent to an upstream.
-    :param may_have_run: an attempt ended with an unknown outcome, so no
-        later refusal may say "not run".
-    """
-
-    request: CallerRequest
-    request_id: RequestId
-    writer: AnswerWriter
-    route: Route
-    service: Service
-    account: Account | None
-    key: str | None
-    deadline: float
-    body: bytes = b''
-    tried_ids: set[InstanceId] = attrs.field(factory=set)
-    attempts: int = 0
-    may_have_run: bool = False
-
-
 @attrs.define(kw_only=True)
 class RequestPath:
     """Serves callers' requests on one VM.
@@ -104,6 +80,7 @@
     dispatcher: Dispatcher
     upstreams: UpstreamHttp
     run_gate: RunGate
+    crash_guard: CrashGuard
     metrics: Metrics
     journal: Journal
     may_serve_keyed: Callable[[], bool]
@@ -152,6 +129,7 @@
             )
             return
         exchange.body = await self._read_body(request)
+        self.crash_guard.check(exchange.fingerprint())
         if exchange.route.idempotent:
             await self._run(exchange)
         else:
@@ -162,7 +140,7 @@
             exchange.writer = writer
             await self._run(exchange)
 
-        await self.run_gate.run(_run_demand(exchange), exchange.writer, execute)
+        await self.run_gate.run(exchange.run_demand(), exchange.writer, execute)
 
     def _open(
         self,
@@ -250,21 +228,35 @@
             except UpstreamError as exc:
                 self._check_retry(exchange, exc)
             except RefusalError as refusal:
-                raise _with_history(exchange, refusal) from refusal
+                raise exchange.with_history(refusal) from refusal
             else:
                 return
 
     async def _attempt(self, exchange: Exchange) -> None:
         instance = await self._acquire(exchange)
+        attempt_id = f'{exchange.request_id}/{exchange.attempts}'
         try:
-            # The key may have been withdrawn while the request waited.
-            self._authenticate(exchange)
-            self._check_freshness(exchange)
-            self._check_deadline(exchange)
-            await self._send(exchange, instance)
+            async with self.crash_guard.turn(
+                instance,
+                exchange.fingerprint(),
+                attempt_id=attempt_id,
+                deadline=exchange.deadline,
+            ) as turn:
+                await self._send_guarded(exchange, instance, turn)
+                turn.has_survived = exchange.is_answered
         finally:
             self.dispatcher.release(instance)
 
+    async def _send_guarded(
+        self, exchange: Exchange, instance: Instance, turn: RunningTurn
+    ) -> None:
+        # The key may have been withdrawn while the request waited.
+        self._authenticate(exchange)
+        self._check_freshness(exchange)
+        self._check_deadline(exchange)
+        async with self.crash_guard.running(turn):
+            await self._send(exchange, instance)
+
     async def _acquire(self, exchange: Exchange) -> Instance:
         account = exchange.account
         try:
@@ -301,7 +293,7 @@
             self._upstream_request(exchange, instance)
         )
         try:
-            await self._relay(exchange, upstream)
+            await self._relay(exchange, instance, upstream)
         finally:
             upstream.close()
 
@@ -326,7 +318,10 @@
         )
 
     async def _relay(
-        self, exchange: Exchange, upstream: UpstreamExchange
+        self,
+        exchange: Exchange,
+        instance: Instance,
+        upstream: UpstreamExchange,
     ) -> None:
         answer, writer = upstream.answer, exchange.writer
         own = (header_rules.REQUEST_ID, exchange.request_id)
@@ -339,6 +334,8 @@
                 await writer.write(chunk)
             await writer.finish()
         except (UpstreamBrokenError, UpstreamTimeoutError) as exc:
+            if isinstance(exc, UpstreamBrokenError):
+                await self.crash_guard.broken(instance, exchange.fingerprint())
             # The status line is out; only a broken connection can tell
             # the caller that the body is incomplete.
             writer.abort()
@@ -348,6 +345,7 @@
         except CallerGoneError:
             self.metrics.events['caller_gone'] += 1
             return
+        exchange.is_answered = True
         self.metrics.answered += 1
         self.note(exchange, 'answered', status=answer.status)
 
@@ -365,7 +363,7 @@
         ):
             self.metrics.retries[cause] += 1
             return
-        raise _with_history(exchange, _refusal_of(exc)) from exc
+        raise exchange.with_history(upstream_refusal(exc)) from exc
 
     async def _refuse(
         self,
@@ -396,43 +394,3 @@
     def _new_request_id(self) -> RequestId:
         number = self.random.getrandbits(_REQUEST_ID_BITS)
         return RequestId(f'{self.vm_id}-{number:016x}')
-
-
-def _run_demand(exchange: Exchange) -> RunDemand:
-    request, route = exchange.request, exchange.route
-    account = exchange.account
-    return RunDemand(
-        account_id=account.account_id if account else None,
-        route_id=route.route_id,
-        key=header_rules.find(request.headers, header_rules.IDEMPOTENCY_KEY),
-        run_id=header_rules.find(request.headers, header_rules.RUN_ID),
-        digest=request_digest(
-            method=request.method, target=request.target, body=exchange.body
-        ),
-        attempt_id=exchange.request_id,
-        deadline=exchange.deadline,
-        is_key_optional=route.idempotency_key == 'optional',
-    )
-
-
-def _with_history(exchange: Exchange, refusal: RefusalError) -> RefusalError:
-    """Return the refusal, corrected by what earlier attempts may have run."""
-    if exchange.may_have_run:
-        refusal.ran = Ran.UNKNOWN
-    return refusal
-
-
-def _refusal_of(exc: UpstreamError) -> RefusalError:
-    detail = str(exc)
-    if isinstance(exc, UpstreamShedError):
-        return RefusalError(
-            reason=Reason.OVERLOADED, retry_after=1, detail=detail
-        )
-    if isinstance(exc, ConnectFailedError):
-        return RefusalError(
-            reason=Reason.NO_INSTANCE, retry_after=1, detail=detail
-        )
-    reason = Reason.ANSWER_LOST
-    if isinstance(exc, UpstreamTimeoutError):
-        reason = Reason.UPSTREAM_TIMEOUT
-    return RefusalError(reason=reason, ran=Ran.UNKNOWN, detail=detail)
--- a/src/bronzewall/run_setup.py
+++ b/src/bronzewall/run_setup.py
@@ -2,6 +2,7 @@
 
 import random
 import secrets
+from collections.abc import Callable
 
 from bronzewall.background import BackgroundTasks
 from bronzewall.issued_ids import IssuedIds
@@ -18,6 +19,20 @@
 _SECRET_BYTES = 32
 
 
+def gone_check(
+    *, endpoint: PeerEndpoint, members: Members
+) -> Callable[[VmId, int], bool]:
+    """Return a check whether a process of a VM is known to have ended."""
+
+    def is_gone(vm_id: VmId, incarnation: int) -> bool:
+        if vm_id == endpoint.vm_id:
+            return incarnation != endpoint.incarnation
+        record = members.records_by_id.get(vm_id)
+        return record is not None and record.state is VmState.DESTROYED
+
+    return is_gone
+
+
 def open_run_gate(
     *,
     endpoint: PeerEndpoint,
@@ -31,12 +46,7 @@
     :param rng: source of unpredictable numbers.
     """
 
-    def is_gone(vm_id: VmId, incarnation: int) -> bool:
-        if vm_id == endpoint.vm_id:
-            return incarnation != endpoint.incarnation
-        record = members.records_by_id.get(vm_id)
-        return record is not None and record.state is VmState.DESTROYED
-
+    is_gone = gone_check(endpoint=endpoint, members=members)
     return RunGate(
         keys=KeyLedger(
             vm_id=endpoint.vm_id,
--- /dev/null
+++ b/src/bronzewall/standins/memory_fleet.py
@@ -0,0 +1,265 @@
+"""Request paths of several VMs over in-memory ports."""
+
+import asyncio
+import random
+
+import attrs
+
+from bronzewall import headers as header_rules
+from bronzewall.config_feed import ConfigFeed
+from bronzewall.config_model import Account, Configuration
+from bronzewall.crash_guard import CrashGuard
+from bronzewall.crash_setup import open_crash_guard
+from bronzewall.dispatch import Dispatcher
+from bronzewall.journal import Journal
+from bronzewall.membership import Members
+from bronzewall.metrics import Metrics
+from bronzewall.peer_calls import PeerEndpoint
+from bronzewall.ports import CallerRequest, Headers
+from bronzewall.proxy import RequestPath
+from bronzewall.run_gate import RunGate
+from bronzewall.run_setup import open_run_gate
+from bronzewall.standins.memory import MemoryPlatform
+from bronzewall.standins.memory_faults import (
+    FaultyTable,
+    Pause,
+    PausedClock,
+    PausedUpstreams,
+    TableFaults,
+)
+from bronzewall.standins.memory_link import MemoryLink, MemoryNetwork
+from bronzewall.standins.memory_upstreams import MemoryUpstreams
+from bronzewall.standins.virtual_time import VirtualClock
+from bronzewall.types import Placement, VmId, VmRecord, VmState
+
+_CALLER_DELAY_S = 0.003
+
+
+@attrs.define(kw_only=True)
+class MemoryAnswer:
+    """What a caller saw; port ``AnswerWriter``.
+
+    :param is_broken: the connection broke before the end.
+    """
+
+    status: int = 0
+    headers: Headers = ()
+    body: bytes = b''
+    is_finished: bool = False
+    is_broken: bool = False
+
+    async def start(self, *, status: int, headers: Headers) -> None:
+        """Record the status line and headers."""
+        self.status, self.headers = status, headers
+
+    async def write(self, chunk: bytes) -> None:
+        """Record a part of the body."""
+        self.body += chunk
+
+    async def finish(self) -> None:
+        """Record the end."""
+        self.is_finished = True
+
+    def abort(self) -> None:
+        """Record the break."""
+        self.is_broken = True
+
+    def header(self, name: str) -> str | None:
+        """Return a header."""
+        return header_rules.find(self.headers, name)
+
+
+class _NoQuota:
+    """Admits every request."""
+
+    async def admit(self, account: Account) -> None:
+        """Admit a request."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class MemoryVm:
+    """One process of a VM."""
+
+    vm_id: VmId
+    incarnation: int
+    members: Members
+    endpoint: PeerEndpoint
+    gate: RunGate
+    guard: CrashGuard
+    path: RequestPath
+    table: FaultyTable
+    pause: Pause
+    died: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    @property
+    def is_dead(self) -> bool:
+        """Whether the process has ended."""
+        return self.died.is_set()
+
+
+@attrs.define(kw_only=True, eq=False)
+class MemoryFleet:
+    """VMs that share a store, a network and upstream instances."""
+
+    random: random.Random
+    configuration: Configuration
+    upstreams: MemoryUpstreams
+    network: MemoryNetwork
+    table_faults: TableFaults = attrs.field(factory=TableFaults)
+    platform: MemoryPlatform = attrs.field(
+        factory=lambda: MemoryPlatform(clock=VirtualClock())
+    )
+    vms_by_id: dict[VmId, MemoryVm] = attrs.field(factory=dict)
+    ended: list[MemoryVm] = attrs.field(factory=list)
+    _incarnations: int = 0
+
+    def start(self, vm_id: VmId) -> MemoryVm:
+        """Start a process of a VM, in place of an earlier one."""
+        self._incarnations += 1
+        rng = random.Random(f'{vm_id}/{self._incarnations}')
+        pause = Pause()
+        clock = PausedClock(
+            clock=VirtualClock(offset=rng.uniform(0, 1000)), pause=pause
+        )
+        upstreams = PausedUpstreams(upstreams=self.upstreams, pause=pause)
+        table = FaultyTable(
+            table=self.platform,
+            pause=pause,
+            random=rng,
+            faults=self.table_faults,
+        )
+        members = Members(
+            own_id=vm_id, own_placement=Placement(region='r', zone='r-a')
+        )
+        endpoint = PeerEndpoint(
+            vm_id=vm_id,
+            incarnation=self._incarnations,
+            link=MemoryLink(vm_id=vm_id, network=self.network),
+        )
+        gate = open_run_gate(
+            endpoint=endpoint,
+            clock=clock,
+            table=table,
+            members=members,
+            rng=rng,
+        )
+        guard = open_crash_guard(
+            endpoint=endpoint,
+            clock=clock,
+            members=members,
+            refuses_connections=self.upstreams.refuses_connections,
+            rng=rng,
+        )
+        feed = ConfigFeed(clock=clock, table=table, objects=self.platform)
+        feed.offer(self.configuration)
+        vm = MemoryVm(
+            vm_id=vm_id,
+            incarnation=self._incarnations,
+            members=members,
+            endpoint=endpoint,
+            gate=gate,
+            guard=guard,
+            table=table,
+            pause=pause,
+            path=RequestPath(
+                vm_id=vm_id,
+                clock=clock,
+                random=rng,
+                feed=feed,
+                quota=_NoQuota(),
+                dispatcher=Dispatcher(random=rng),
+                upstreams=upstreams,
+                run_gate=gate,
+                crash_guard=guard,
+                metrics=Metrics(),
+                journal=Journal(capacity=100),
+                may_serve_keyed=lambda: True,
+            ),
+        )
+        self.vms_by_id[vm_id] = vm
+        self.publish_members()
+        return vm
+
+    def publish_members(self) -> None:
+        """Give every VM the current list."""
+        records = tuple(
+            VmRecord(
+                vm_id=vm.vm_id,
+                placement=vm.members.own_placement,
+                peer_address='',
+                state=VmState.DESTROYED if vm.is_dead else VmState.LIVE,
+            )
+            for vm in self.vms_by_id.values()
+        )
+        for vm in self.vms_by_id.values():
+            vm.members.update(records)
+
+    def kill(self, vm_id: VmId) -> None:
+        """End a VM's process; its callers see broken connections."""
+        vm = self.vms_by_id[vm_id]
+        vm.died.set()
+        # Keeps the tasks that wait for ever from being collected.
+        self.ended.append(vm)
+        self.network.kill(vm_id)
+        # Cancelled tasks would still run their clean-up, which a killed
+        # process does not.
+        vm.pause.freeze()
+
+    def freeze(self, vm_id: VmId) -> None:
+        """Pause a VM."""
+        self.network.freeze(vm_id)
+        self.vms_by_id[vm_id].pause.freeze()
+
+    def thaw(self, vm_id: VmId) -> None:
+        """Let a paused VM go on."""
+        self.network.thaw(vm_id)
+        self.vms_by_id[vm_id].pause.thaw()
+
+    async def send(
+        self, vm_id: VmId, request: CallerRequest, *, patience: float = 60.0
+    ) -> MemoryAnswer:
+        """Send a caller's request to a VM and return what the caller saw."""
+        answer = MemoryAnswer()
+        vm = self.vms_by_id[vm_id]
+        await asyncio.sleep(_CALLER_DELAY_S)
+        if vm.is_dead:
+            answer.is_broken = True
+            return answer
+        call = asyncio.create_task(vm.path.handle(request, answer))
+        death = asyncio.create_task(vm.died.wait())
+        await asyncio.wait(
+            {call, death},
+            timeout=patience,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        death.cancel()
+        seen = attrs.evolve(answer)
+        if not seen.is_finished:
+            seen.is_broken = True
+            if not vm.is_dead:
+                call.cancel()
+        elif call.done():
+            call.result()
+        await asyncio.sleep(_CALLER_DELAY_S)
+        return seen
+
+
+def caller_request(
+    *,
+    method: str,
+    path: str,
+    headers: Headers,
+    body: bytes = b'',
+) -> CallerRequest:
+    """Return a request as it reaches a VM."""
+
+    async def read_body() -> bytes:
+        return body
+
+    return CallerRequest(
+        method=method,
+        target=path,
+        path=path,
+        headers=headers,
+        read_body=read_body,
+    )
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -3,6 +3,8 @@
 import random
 from typing import Any
 
+import attrs
+
 from bronzewall.config_model import (
     Account,
     Configuration,
@@ -10,6 +12,8 @@
     Route,
     Service,
 )
+from bronzewall.crash_guard import CrashGuard
+from bronzewall.crash_setup import open_crash_guard
 from bronzewall.key_table import key_digest
 from bronzewall.membership import Members
 from bronzewall.peer_calls import PeerEndpoint
@@ -104,25 +108,53 @@
     )
 
 
-def a_run_gate(
+async def _accepts_connections(_instance: Instance) -> bool:
+    return False
+
+
+@attrs.define(kw_only=True)
+class VmParts:
+    """Parts of one VM on an in-memory network."""
+
+    endpoint: PeerEndpoint
+    members: Members
+    gate: RunGate
+    guard: CrashGuard
+
+
+def vm_parts(
     *,
     clock: Clock,
     table: TableService,
     name: str = 'vm-1',
     network: MemoryNetwork | None = None,
     incarnation: int = 1,
-) -> RunGate:
-    """Return the run gate of one VM on an in-memory network."""
+) -> VmParts:
+    """Return what a VM needs to run requests at most once."""
     network = network or MemoryNetwork(random=random.Random(1))
     vm_id = VmId(name)
-    return open_run_gate(
-        endpoint=PeerEndpoint(
-            vm_id=vm_id,
-            incarnation=incarnation,
-            link=MemoryLink(vm_id=vm_id, network=network),
+    rng = random.Random(f'{name}/{incarnation}')
+    endpoint = PeerEndpoint(
+        vm_id=vm_id,
+        incarnation=incarnation,
+        link=MemoryLink(vm_id=vm_id, network=network),
+    )
+    members = Members(own_id=vm_id, own_placement=a_placement())
+    return VmParts(
+        endpoint=endpoint,
+        members=members,
+        gate=open_run_gate(
+            endpoint=endpoint,
+            clock=clock,
+            table=table,
+            members=members,
+            rng=rng,
+        ),
+        guard=open_crash_guard(
+            endpoint=endpoint,
+            clock=clock,
+            members=members,
+            refuses_connections=_accepts_connections,
+            rng=rng,
         ),
-        clock=clock,
-        table=table,
-        members=Members(own_id=vm_id, own_placement=a_placement()),
-        rng=random.Random(incarnation),
     )
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -9,8 +9,8 @@
     ACCOUNT_KEY,
     a_configuration,
     a_route,
-    a_run_gate,
     a_service,
+    vm_parts,
 )
 
 from bronzewall.config_feed import ConfigFeed
@@ -130,9 +130,11 @@
         feed.offer(
             a_configuration(services=[a_service(routes=[a_route(), write])])
         )
+        parts = vm_parts(clock=clock, table=platform)
         path = RequestPath(
             vm_id=VmId('vm-1'),
-            run_gate=a_run_gate(clock=clock, table=platform),
+            run_gate=parts.gate,
+            crash_guard=parts.guard,
             clock=clock,
             random=random.Random(1),
             feed=feed,
