Test caller-chosen keys under every store fault at every step

Cause: the claim and its settlement had no tests of their own.

Change: a scripted table fails the n-th operation of a kind (down, answer lost after the write, write dropped, write late), for each pair of faults; further tests cover a dead or frozen owner, an outage between run and outcome, a late mark, expiry and cleanup.

--- /dev/null
+++ b/tests/test_once.py
@@ -0,0 +1,318 @@
+"""Caller-chosen idempotency keys under faults of the table service."""
+
+import asyncio
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import attrs
+import pytest
+from builders import a_placement
+
+from bronzewall.background import BackgroundTasks
+from bronzewall.errors import StoreAnswerLostError, StoreUnavailableError
+from bronzewall.membership import Members
+from bronzewall.once import KeyClaim, KeyLedger
+from bronzewall.once_cleanup import OnceSweep
+from bronzewall.once_rows import ONCE_TABLE, REMEMBERED_S, TableClock, row_key
+from bronzewall.problems import Ran, Reason, RefusalError
+from bronzewall.run_outcome import Outcome, RunDemand
+from bronzewall.standins.memory import MemoryPlatform
+from bronzewall.standins.virtual_time import VirtualClock, run_virtual
+from bronzewall.types import (
+    AccountId,
+    RequestId,
+    RouteId,
+    Row,
+    RowCheck,
+    RowWrite,
+    VmId,
+)
+
+OUTCOME = Outcome(status=201, headers=(('Location', '/a'),), body=b'made')
+LATENESS_S = 2.0
+
+
+@attrs.define(kw_only=True)
+class ScriptedTable:
+    """Table service whose n-th operation of a kind fails as scripted.
+
+    Faults: ``down`` (nothing happens), ``lost`` (done, answer lost),
+    ``dropped`` (not done, answer lost), ``late`` (done later).
+    """
+
+    platform: MemoryPlatform
+    faults: dict[tuple[str, int], str] = attrs.field(factory=dict)
+    counts: dict[str, int] = attrs.field(factory=dict)
+    late: set[asyncio.Task[None]] = attrs.field(factory=set)
+
+    async def read(self, *, table: str, key: str) -> Row | None:
+        """Return one row."""
+        self._fault('read')
+        return await self.platform.read(table=table, key=key)
+
+    async def scan(self, *, table: str, prefix: str) -> Mapping[str, Row]:
+        """Return rows by key."""
+        return await self.platform.scan(table=table, prefix=prefix)
+
+    async def time(self) -> float:
+        """Return the service's clock."""
+        self._fault('time')
+        return await self.platform.time()
+
+    async def transact(
+        self, *, checks: Sequence[RowCheck], writes: Sequence[RowWrite]
+    ) -> None:
+        """Write, or fail as scripted."""
+        fault = self._fault('write')
+        if fault == 'dropped':
+            raise StoreAnswerLostError(fault)
+        if fault == 'late':
+            write = asyncio.create_task(self._write_late(checks, writes))
+            self.late.add(write)
+            raise StoreAnswerLostError(fault)
+        await self.platform.transact(checks=checks, writes=writes)
+        if fault == 'lost':
+            raise StoreAnswerLostError(fault)
+
+    def _fault(self, kind: str) -> str:
+        number = self.counts.get(kind, 0)
+        self.counts[kind] = number + 1
+        fault = self.faults.get((kind, number), '')
+        if fault == 'down' or (fault and kind != 'write'):
+            raise StoreUnavailableError('scripted')
+        return fault
+
+    async def _write_late(self, checks: Any, writes: Any) -> None:
+        await asyncio.sleep(LATENESS_S)
+        await asyncio.gather(
+            self.platform.transact(checks=checks, writes=writes),
+            return_exceptions=True,
+        )
+
+
+@attrs.define(kw_only=True)
+class Keys:
+    """Ledgers of several VMs on one table."""
+
+    platform: MemoryPlatform = attrs.field(
+        factory=lambda: MemoryPlatform(clock=VirtualClock())
+    )
+    gone: set[str] = attrs.field(factory=set)
+    attempts: int = 0
+
+    def ledger(self, name: str, faults: Any = None) -> KeyLedger:
+        """Return the ledger of a VM with scripted faults."""
+        clock = VirtualClock()
+        table = ScriptedTable(platform=self.platform, faults=faults or {})
+        return KeyLedger(
+            vm_id=VmId(name),
+            incarnation=1,
+            clock=clock,
+            table=table,
+            is_gone=lambda vm_id, _incarnation: vm_id in self.gone,
+            tasks=BackgroundTasks(),
+            table_clock=TableClock(clock=clock, table=table),
+        )
+
+    def demand(self, digest: bytes = b'd', seconds: float = 5) -> RunDemand:
+        """Return the next attempt with the same key."""
+        self.attempts += 1
+        return RunDemand(
+            account_id=AccountId('gulf-daily'),
+            route_id=RouteId('intake/write'),
+            key='grid-7',
+            run_id=None,
+            digest=digest,
+            attempt_id=RequestId(f'attempt-{self.attempts}'),
+            deadline=VirtualClock().now() + seconds,
+        )
+
+    async def claim(self, ledger: KeyLedger) -> KeyClaim:
+        """Claim the key, which must be free."""
+        claim = await ledger.claim(self.demand())
+        assert isinstance(claim, KeyClaim)
+        return claim
+
+    async def refusal(
+        self, ledger: KeyLedger, demand: RunDemand | None = None
+    ) -> RefusalError:
+        """Return the refusal of an attempt that must not run."""
+        with pytest.raises(RefusalError) as found:
+            await ledger.claim(demand or self.demand())
+        return found.value
+
+
+FAULTS = ('down', 'lost', 'dropped', 'late')
+STEPS = [
+    *(('write', number) for number in range(3)),
+    *(('read', number) for number in range(3)),
+    *(('time', number) for number in range(2)),
+]
+
+
+@pytest.mark.parametrize('has_run', [True, False])
+@pytest.mark.parametrize('second', ['', *FAULTS])
+@pytest.mark.parametrize('fault', FAULTS)
+@pytest.mark.parametrize('step', STEPS)
+def test_every_store_fault_at_every_step(
+    step: tuple[str, int], fault: str, second: str, has_run: bool
+) -> None:
+    """Guards against a second run and false refusals after store faults.
+
+    The first VM meets the fault, and the next operation of the same kind
+    meets the second one; two more VMs then send the same request.
+    """
+    faults = {step: fault, (step[0], step[1] + 1): second}
+
+    async def main() -> None:
+        keys = Keys()
+        runs = await _attempt(keys, keys.ledger('a', faults), has_run)
+        runs += await _attempt(keys, keys.ledger('b'), has_run)
+        await asyncio.sleep(40)
+        try:
+            last = await keys.ledger('c').claim(keys.demand())
+        except RefusalError as refusal:
+            assert refusal.reason is Reason.OUTCOME_UNKNOWN
+        else:
+            assert (last == OUTCOME) is bool(runs)
+        assert runs <= 1
+
+    run_virtual(main())
+
+
+async def _attempt(keys: Keys, ledger: KeyLedger, has_run: bool) -> int:
+    """Claim and settle the key; return the number of runs."""
+    try:
+        claim = await ledger.claim(keys.demand())
+    except RefusalError as refusal:
+        if refusal.reason is Reason.STORE_UNAVAILABLE:
+            assert refusal.ran is Ran.NO
+            assert 'earlier attempts' in refusal.detail
+        else:
+            assert refusal.ran is Ran.UNKNOWN
+        return 0
+    if not isinstance(claim, KeyClaim):
+        return 0
+    if has_run:
+        claim.done(OUTCOME)
+    else:
+        claim.not_run()
+    return int(has_run)
+
+
+def test_second_comer_waits_and_then_gets_the_outcome() -> None:
+    """Guards against running a request that is in progress elsewhere."""
+
+    async def main() -> None:
+        keys = Keys()
+        owner, other = keys.ledger('a'), keys.ledger('b')
+        claim = await keys.claim(owner)
+        refusal = await keys.refusal(other)
+        assert refusal.reason is Reason.IN_PROGRESS
+        assert refusal.retry_after
+        claim.done(OUTCOME)
+        await asyncio.sleep(1)
+        assert await other.claim(keys.demand()) == OUTCOME
+        reused = await keys.refusal(other, keys.demand(digest=b'other'))
+        assert (reused.reason, reused.ran) == (Reason.KEY_REUSED, Ran.NO)
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize('is_listed_as_destroyed', [True, False])
+def test_entry_of_a_dead_vm_is_unknown_and_never_runs(
+    is_listed_as_destroyed: bool,
+) -> None:
+    """Guards against a run by a second VM while a late owner may run."""
+
+    async def main() -> None:
+        keys = Keys()
+        owner, other = keys.ledger('a'), keys.ledger('b')
+        claim = await keys.claim(owner)
+        if is_listed_as_destroyed:
+            keys.gone.add('a')
+        else:
+            await asyncio.sleep(8)
+        for _ in range(2):
+            refusal = await keys.refusal(other)
+            assert refusal.reason is Reason.OUTCOME_UNKNOWN
+            assert refusal.ran is Ran.UNKNOWN
+        # The owner was frozen; its outcome is still the true one.
+        claim.done(OUTCOME)
+        await asyncio.sleep(1)
+        assert await other.claim(keys.demand()) == OUTCOME
+
+    run_virtual(main())
+
+
+def test_outcome_is_written_after_an_outage() -> None:
+    """Guards against forgetting a success when its write fails first."""
+
+    async def main() -> None:
+        keys = Keys()
+        claim = await keys.claim(keys.ledger('a'))
+        keys.platform.faults.is_down = True
+        claim.done(OUTCOME)
+        await asyncio.sleep(10)
+        keys.platform.faults.is_down = False
+        await asyncio.sleep(5)
+        assert await keys.ledger('b').claim(keys.demand()) == OUTCOME
+
+    run_virtual(main())
+
+
+def test_late_mark_does_not_free_a_later_claim() -> None:
+    """Guards against a delayed "not run" that matches a newer claim."""
+
+    async def main() -> None:
+        keys = Keys()
+        # The first mark takes effect late; its repetition comes first.
+        first = await keys.claim(keys.ledger('a', {('write', 1): 'late'}))
+        first.not_run()
+        await asyncio.sleep(1)
+        await keys.claim(keys.ledger('b'))
+        await asyncio.sleep(LATENESS_S * 2)
+        refusal = await keys.refusal(keys.ledger('c'))
+        assert refusal.reason is Reason.OUTCOME_UNKNOWN or refusal.retry_after
+
+    run_virtual(main())
+
+
+def test_keys_are_remembered_for_a_day_and_then_deleted() -> None:
+    """Guards against early cleanup and against rows that stay for ever."""
+
+    async def main() -> None:
+        keys = Keys()
+        ledger = keys.ledger('a')
+        (await keys.claim(ledger)).done(OUTCOME)
+        await asyncio.sleep(REMEMBERED_S - 1)
+        sweep = OnceSweep(
+            clock=ledger.clock,
+            table=ledger.table,
+            table_clock=ledger.table_clock,
+            members=Members(own_id=VmId('a'), own_placement=a_placement()),
+        )
+        prefix = row_key(keys.demand())[:4]
+        await sweep.clean(prefix)
+        assert await ledger.claim(keys.demand()) == OUTCOME
+        await asyncio.sleep(2000)
+        await sweep.clean(prefix)
+        assert not keys.platform.store.rows_by_table[ONCE_TABLE]
+
+    run_virtual(main())
+
+
+def test_expired_key_can_be_claimed_by_one_attempt() -> None:
+    """Guards against two runs of a request whose old row has expired."""
+
+    async def main() -> None:
+        keys = Keys()
+        (await keys.claim(keys.ledger('a'))).done(OUTCOME)
+        await asyncio.sleep(REMEMBERED_S + 10)
+        found = await asyncio.gather(
+            *(keys.ledger(name).claim(keys.demand()) for name in 'abc'),
+            return_exceptions=True,
+        )
+        assert sum(isinstance(item, KeyClaim) for item in found) == 1
+
+    run_virtual(main())
