--- /dev/null
+++ b/tests/test_crash_guard.py
@@ -0,0 +1,229 @@
+"""Suspects, turns and condemnation of requests that crash instances."""
+
+import asyncio
+import random
+
+import pytest
+from builders import (
+    ACCOUNT_KEY,
+    a_configuration,
+    a_route,
+    a_service,
+    an_instance,
+)
+
+from bronzewall.crash_messages import (
+    CrashReport,
+    TurnAsk,
+    TurnDone,
+    TurnEnd,
+    TurnVerdict,
+)
+from bronzewall.crash_suspects import REMEMBERED_S, SuspectTable
+from bronzewall.standins.memory_fleet import (
+    MemoryAnswer,
+    MemoryFleet,
+    caller_request,
+)
+from bronzewall.standins.memory_link import MemoryNetwork
+from bronzewall.standins.memory_upstreams import MemoryUpstreams
+from bronzewall.standins.virtual_time import VirtualClock, run_virtual
+from bronzewall.types import InstanceId, VmId
+
+VMS = 4
+FINGERPRINT = b'f'
+
+
+def _fleet() -> MemoryFleet:
+    rng = random.Random(1)
+    instances = [an_instance(f'drafts-{number}') for number in range(6)]
+    fleet = MemoryFleet(
+        random=rng,
+        configuration=a_configuration(
+            services=[
+                a_service(instances=instances, routes=[a_route(retries=2)])
+            ]
+        ),
+        upstreams=MemoryUpstreams(random=rng),
+        network=MemoryNetwork(random=rng),
+    )
+    fleet.upstreams.faults.crashes = lambda target: 'poison' in target
+    for number in range(VMS):
+        fleet.start(VmId(f'vm-{number}'))
+    return fleet
+
+
+async def _get(fleet: MemoryFleet, vm: int, name: str) -> MemoryAnswer:
+    request = caller_request(
+        method='GET',
+        path=f'/drafts/{name}',
+        headers=[('Authorization', f'Bearer {ACCOUNT_KEY}')],
+    )
+    return await fleet.send(VmId(f'vm-{vm}'), request)
+
+
+def _report(number: int = 1, **changes: object) -> CrashReport:
+    fields: dict[str, object] = {
+        'reporter': 'vm-1',
+        'incarnation': 1,
+        'number': number,
+        'instance_id': 'drafts-1',
+        'fingerprints': (FINGERPRINT,),
+        'age': float(0),
+    }
+    return CrashReport(**{**fields, **changes})
+
+
+@pytest.mark.parametrize('fault', ['', 'cut', 'restart', 'kill'])
+def test_crashing_request_runs_on_two_instances(fault: str) -> None:
+    """Guards against a third instance killed through other VMs.
+
+    The VM that saw the deaths is cut from one other VM, or a VM that does
+    not know the reports starts, or the VM that saw the deaths is killed.
+    """
+
+    async def main() -> None:
+        fleet = _fleet()
+        for number in range(1, VMS):
+            if fault == 'cut':
+                fleet.network.cut(sender=VmId('vm-0'), receiver=VmId('vm-3'))
+            await _get(fleet, 0 if number == 1 else number, 'poison')
+            if fault == 'restart':
+                fleet.kill(VmId(f'vm-{number}'))
+                fleet.start(VmId(f'vm-{number}'))
+                await asyncio.sleep(1)
+            if fault == 'kill':
+                fleet.kill(VmId('vm-0'))
+        answer = await _get(fleet, 3, 'poison')
+        assert answer.status == 503
+        assert b'crash_suspect' in answer.body
+        assert len(fleet.upstreams.runs) == 2
+        dead = {death.instance_id for death in fleet.upstreams.deaths}
+        guard = fleet.vms_by_id[VmId('vm-3')].guard
+        assert all(guard.is_excused(name) for name in dead)
+        assert not guard.is_excused(InstanceId('drafts-x'))
+        await asyncio.sleep(REMEMBERED_S + 10)
+        assert not guard.is_excused(dead.pop())
+
+    run_virtual(main())
+
+
+def test_innocent_requests_are_answered_after_a_death() -> None:
+    """Guards against refusing every request that was in flight."""
+
+    async def main() -> None:
+        fleet = _fleet()
+        fleet.upstreams.run_time = 0.5
+        names = [f'innocent-{number}' for number in range(24)]
+        sends = [
+            asyncio.create_task(_get(fleet, number % VMS, name))
+            for number, name in enumerate(names)
+        ]
+        sends.append(asyncio.create_task(_get(fleet, 0, 'poison')))
+        answers = await asyncio.gather(*sends)
+        assert {item.status for item in answers[:-1]} == {201}
+        await asyncio.sleep(1)
+        suspects = fleet.vms_by_id[VmId('vm-2')].guard.table
+        left = suspects.suspects_by_fingerprint.values()
+        assert [item.is_condemned for item in left] == [True]
+
+    run_virtual(main())
+
+
+def test_late_end_of_a_round_does_not_free_the_next() -> None:
+    """Guards against two VMs that run a suspect at the same time."""
+
+    async def main() -> None:
+        fleet = _fleet()
+        vm = fleet.vms_by_id[VmId('vm-0')]
+        vm.guard.table.record(_report(incarnation=vm.incarnation))
+        turns = vm.guard.turns
+
+        def ask(attempt: str, **changes: object) -> TurnVerdict:
+            fields: dict[str, object] = {
+                'fingerprint': FINGERPRINT,
+                'instance_id': '',
+                'incarnation': vm.incarnation,
+                'remaining': 1.0,
+            }
+            fields.update(changes)
+            return turns.ask(TurnAsk(attempt_id=attempt, **fields)).verdict
+
+        def end(attempt: str) -> None:
+            turns.done(
+                TurnDone(
+                    fingerprint=FINGERPRINT,
+                    instance_id='',
+                    attempt_id=attempt,
+                    end=TurnEnd.UNDECIDED,
+                )
+            )
+
+        assert ask('b/1') is TurnVerdict.GRANTED
+        end('b/1')
+        assert ask('b/2') is TurnVerdict.GRANTED
+        end('b/1')
+        assert ask('c/1') is TurnVerdict.BUSY
+        end('b/2')
+        # A duplicated ask of an ended round holds nothing.
+        assert ask('b/2') is TurnVerdict.BUSY
+        assert ask('c/2') is TurnVerdict.GRANTED
+        # An earlier process of this VM may have granted other turns.
+        assert ask('d/1', incarnation=99) is TurnVerdict.GONE
+        # A turn that is never given back may hide a death.
+        await asyncio.sleep(10)
+        assert ask('d/2') is TurnVerdict.BUSY
+        await asyncio.sleep(1)
+        assert ask('d/3') is TurnVerdict.CONDEMNED
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize(
+    ('second', 'deaths'),
+    [
+        # The same report by another way.
+        (_report(), 1),
+        # The same death seen by another VM, reported late.
+        (_report(reporter='vm-2', age=0.9), 1),
+        # Another death.
+        (_report(2, instance_id='drafts-2'), 2),
+        # The instance has started again and died again.
+        (_report(3, age=-5.0), 2),
+    ],
+)
+def test_deaths_are_counted_once(second: CrashReport, deaths: int) -> None:
+    """Guards against condemning requests after a single death."""
+
+    async def main() -> None:
+        table = SuspectTable(clock=VirtualClock())
+        table.record(_report())
+        await asyncio.sleep(1)
+        table.record(second)
+        suspect = table.find(FINGERPRINT)
+        assert suspect is not None
+        assert len(suspect.deaths) == deaths
+        table.clear(FINGERPRINT)
+        assert (table.find(FINGERPRINT) is None) is (deaths == 1)
+        assert len(table.history()) == len({second, _report()})
+
+    run_virtual(main())
+
+
+def test_request_whose_caller_left_is_watched() -> None:
+    """Guards against crashes that nobody sees after an early hang-up."""
+
+    async def main() -> None:
+        fleet = _fleet()
+        fleet.upstreams.run_time = 0.4
+        request = caller_request(
+            method='GET',
+            path='/drafts/poison',
+            headers=[('Authorization', f'Bearer {ACCOUNT_KEY}')],
+        )
+        for number in range(VMS):
+            await fleet.send(VmId(f'vm-{number}'), request, patience=0.1)
+            await asyncio.sleep(2)
+        assert len(fleet.upstreams.runs) == 2
+
+    run_virtual(main())
