Bound a claim by the request's deadline

Cause: with a slow store the claim of a key took up to four writes, reads and clock readings, so the caller waited past the deadline. A claim that was cancelled during its write could also stay in progress although the attempt had been refused.

Ruled out: a fixed limit per store operation; the port's own timeout already bounds one operation, but not their sum.

Change: the claim ends at the request's deadline with store_unavailable, and a write without an answer is marked not_run when it shows up. The in-memory fleet now lets unexpected failures of a request path end the test.

--- a/bench/once.py
+++ b/bench/once.py
@@ -287,6 +287,7 @@
         await asyncio.sleep(1 / REQUESTS_PER_S)
     found = await asyncio.gather(*sends)
     await disturbance
+    await fleet.close()
     submissions = [item for item in found if item is not None]
     return _once_report(fleet, submissions)
 
@@ -417,6 +418,7 @@
         )
         await asyncio.sleep(1 / INNOCENTS_PER_S)
     await asyncio.gather(*sends)
+    await fleet.close()
     ran = Counter(
         run.target for run in fleet.upstreams.runs if _is_poison(run.target)
     )
--- a/src/bronzewall/once.py
+++ b/src/bronzewall/once.py
@@ -6,6 +6,7 @@
 never matches a later version.
 """
 
+import asyncio
 from collections.abc import Callable
 
 import attrs
@@ -66,14 +67,15 @@
 
         :raises RefusalError: the request must not run now.
         """
+        claim = KeyClaim(
+            ledger=self, row_key=row_key(demand), entry=self._entry(demand)
+        )
+        remaining = max(demand.deadline - self.clock.now(), 0)
         try:
-            entry = await self._new_entry(demand)
-        except StoreError as exc:
-            raise _store_refusal(exc) from exc
-        claim = KeyClaim(ledger=self, row_key=row_key(demand), entry=entry)
-        try:
-            return await self._take(claim)
-        except StoreError as exc:
+            async with asyncio.timeout(remaining):
+                claim.entry = await self._timed(claim.entry, remaining)
+                return await self._take(claim)
+        except (StoreError, TimeoutError) as exc:
             if claim.may_be_written:
                 # This attempt will not run, and its row may still appear.
                 claim.not_run()
@@ -94,17 +96,21 @@
             pause = min(pause * 2, _SETTLE_MAX_PAUSE_S)
         self.unsettled += 1
 
-    async def _new_entry(self, demand: RunDemand) -> Entry:
+    async def _timed(self, entry: Entry, remaining: float) -> Entry:
         now = await self.table_clock.latest()
-        remaining = max(demand.deadline - self.clock.now(), 0)
+        return attrs.evolve(
+            entry, deadline=now + remaining, expires=now + REMEMBERED_S
+        )
+
+    def _entry(self, demand: RunDemand) -> Entry:
         return Entry(
             state=RunState.IN_PROGRESS,
             vm_id=self.vm_id,
             incarnation=self.incarnation,
             attempt_id=demand.attempt_id,
             digest=demand.digest,
-            deadline=now + remaining,
-            expires=now + REMEMBERED_S,
+            deadline=0,
+            expires=0,
         )
 
     async def _take(self, claim: 'KeyClaim') -> 'KeyClaim | Outcome':
@@ -123,12 +129,17 @@
         raise StoreUnavailableError('the key is contended')
 
     async def _write_claim(self, claim: 'KeyClaim', version: int) -> bool:
+        # A claim that is given up during the write may still be written.
+        had_lost_answer = claim.may_be_written
+        claim.may_be_written = True
         try:
             await self._write(claim.row_key, version, claim.entry)
-        except StoreConflictError:
-            return False
         except StoreAnswerLostError:
-            claim.may_be_written = True
+            return False
+        except (StoreConflictError, StoreUnavailableError) as exc:
+            claim.may_be_written = had_lost_answer
+            if isinstance(exc, StoreUnavailableError):
+                raise
             return False
         return True
 
@@ -191,7 +202,7 @@
 class KeyClaim:
     """A key held by one attempt.
 
-    :param may_be_written: a write of the claim had no answer.
+    :param may_be_written: a write of the claim has or had no answer.
     """
 
     ledger: KeyLedger
@@ -216,9 +227,10 @@
         self.ledger.tasks.start(self.ledger.settle(self, settled))
 
 
-def _store_refusal(exc: StoreError) -> RefusalError:
+def _store_refusal(exc: Exception) -> RefusalError:
+    cause = str(exc) or 'no answer before the deadline'
     return RefusalError(
         reason=Reason.STORE_UNAVAILABLE,
         retry_after=_MAX_RETRY_AFTER_S,
-        detail=f'{_NO_CLAIM} ({exc})',
+        detail=f'{_NO_CLAIM} ({cause})',
     )
--- a/src/bronzewall/standins/memory_fleet.py
+++ b/src/bronzewall/standins/memory_fleet.py
@@ -217,6 +217,13 @@
         self.network.thaw(vm_id)
         self.vms_by_id[vm_id].pause.thaw()
 
+    async def close(self) -> None:
+        """Cancel every other task of the event loop."""
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     async def send(
         self, vm_id: VmId, request: CallerRequest, *, patience: float = 60.0
     ) -> MemoryAnswer:
@@ -236,12 +243,12 @@
         )
         death.cancel()
         seen = attrs.evolve(answer)
-        if not seen.is_finished:
-            seen.is_broken = True
-            if not vm.is_dead:
-                call.cancel()
-        elif call.done():
+        seen.is_broken = seen.is_broken or not seen.is_finished
+        if call.done():
+            # An unexpected failure of the code under test ends the test.
             call.result()
+        elif not vm.is_dead:
+            call.cancel()
         await asyncio.sleep(_CALLER_DELAY_S)
         return seen
 
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -20,6 +20,7 @@
     TurnVerdict,
 )
 from bronzewall.crash_suspects import REMEMBERED_S, SuspectTable
+from bronzewall.problems import RefusalError
 from bronzewall.standins.memory_fleet import (
     MemoryAnswer,
     MemoryFleet,
@@ -179,6 +180,20 @@
     run_virtual(main())
 
 
+def test_request_that_became_suspect_while_it_waited_is_not_sent() -> None:
+    """Guards against a run beside the turn of another VM."""
+
+    async def main() -> None:
+        guard = _fleet().vms_by_id[VmId('vm-0')].guard
+        async with guard.turn(an_instance(), FINGERPRINT, deadline=1e6) as turn:
+            guard.table.record(_report())
+            with pytest.raises(RefusalError):
+                async with guard.running(turn):
+                    pytest.fail('the request was sent')
+
+    run_virtual(main())
+
+
 @pytest.mark.parametrize(
     ('second', 'deaths'),
     [
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -278,6 +278,20 @@
     run_virtual(main())
 
 
+def test_late_claim_of_a_refused_attempt_is_released() -> None:
+    """Guards against keys spent by a claim that arrived after a refusal."""
+
+    async def main() -> None:
+        keys = Keys()
+        ledger = keys.ledger('a', {('write', 0): 'late', ('read', 0): 'down'})
+        refusal = await keys.refusal(ledger)
+        assert refusal.reason is Reason.STORE_UNAVAILABLE
+        await asyncio.sleep(LATENESS_S * 2)
+        await keys.claim(keys.ledger('b'))
+
+    run_virtual(main())
+
+
 def test_keys_are_remembered_for_a_day_and_then_deleted() -> None:
     """Guards against early cleanup and against rows that stay for ever."""
 
--- a/tests/test_once_fleet.py
+++ b/tests/test_once_fleet.py
@@ -288,6 +288,54 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize('is_frozen', [True, False])
+def test_claim_that_outlives_the_deadline_is_not_sent(is_frozen: bool) -> None:
+    """Guards against waiting for a slow store and against late owners.
+
+    The store is slow, or the VM is frozen while it waits for the answer.
+    """
+
+    async def main() -> None:
+        fleet = _fleet()
+        fleet.table_faults.delay = 0.5 if is_frozen else 10
+        call = asyncio.create_task(_post(fleet, 0, KEY))
+        await asyncio.sleep(1.3)
+        if is_frozen:
+            fleet.freeze(VM_IDS[0])
+            await asyncio.sleep(30)
+            fleet.thaw(VM_IDS[0])
+        else:
+            await asyncio.sleep(2)
+            assert call.done()
+        assert _problem(await call)['ran'] == 'no'
+        fleet.table_faults.delay = 0
+        await asyncio.sleep(SETTLED_S)
+        assert not fleet.upstreams.runs
+        assert (await _post(fleet, 1, KEY)).status == 201
+
+    run_virtual(main())
+
+
+def test_unexpected_failure_is_an_unknown_outcome() -> None:
+    """Guards against a second run after a failure without a type."""
+
+    async def main() -> None:
+        fleet = _fleet()
+        fleet.upstreams.faults.crashes = _fail
+        with pytest.raises(ZeroDivisionError):
+            await _post(fleet, 0, KEY)
+        await asyncio.sleep(1)
+        problem = _problem(await _post(fleet, 1, KEY))
+        assert problem['reason'] == 'outcome_unknown'
+        assert len(fleet.upstreams.runs) == 1
+
+    run_virtual(main())
+
+
+def _fail(_target: str) -> bool:
+    raise ZeroDivisionError
+
+
 def test_issued_ids_work_during_a_store_outage() -> None:
     """Guards against a dependency of issued ids on the store."""
 
