--- a/src/bronzewall/composition.py
+++ b/src/bronzewall/composition.py
@@ -7,9 +7,11 @@
 
 from bronzewall.adapters.platform_http import PlatformClient, PlatformVmList
 from bronzewall.adapters.system_clock import SystemClock
+from bronzewall.adapters.tcp_probe import refuses_connections
 from bronzewall.adapters.upstream_http import AiohttpUpstreams, open_session
 from bronzewall.adapters.websocket_link import WebSocketLink
 from bronzewall.control_plane import ControlPlane
+from bronzewall.crash_setup import open_crash_guard
 from bronzewall.daemon import Daemon
 from bronzewall.dispatch import Dispatcher
 from bronzewall.journal import Journal
@@ -54,6 +56,13 @@
             accounts=control.feed.accounts,
         )
     )
+    crash_guard = open_crash_guard(
+        endpoint=endpoint,
+        clock=clock,
+        members=members,
+        refuses_connections=refuses_connections,
+        rng=rng,
+    )
     run_gate = open_run_gate(
         endpoint=endpoint, clock=clock, table=store, members=members, rng=rng
     )
@@ -65,6 +74,7 @@
         quota=quota,
         dispatcher=Dispatcher(random=rng),
         upstreams=AiohttpUpstreams(session=upstream_session),
+        crash_guard=crash_guard,
         run_gate=run_gate,
         metrics=metrics,
         journal=journal,
--- a/src/bronzewall/logs.py
+++ b/src/bronzewall/logs.py
@@ -21,7 +21,12 @@
     """
     renderer: structlog.typing.Processor = structlog.processors.JSONRenderer()
     if log_format == 'console':
-        renderer = structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
+        renderer = structlog.dev.ConsoleRenderer(
+            colors=sys.stderr.isatty(),
+            # The default formatter prints all local variables, which may
+            # hold keys and takes seconds.
+            exception_formatter=structlog.dev.plain_traceback,
+        )
     structlog.configure(
         processors=[
             structlog.contextvars.merge_contextvars,
--- a/src/bronzewall/retry.py
+++ b/src/bronzewall/retry.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from bronzewall.config_model import Route
+from bronzewall.config_model import Route, Service
 from bronzewall.errors import (
     ConnectFailedError,
     UpstreamError,
@@ -46,6 +46,17 @@
         return self.saved >= 1
 
 
+def retry_allowance(service: Service) -> Allowance:
+    """Return a service's allowance for retries, full at the start.
+
+    The death of one instance breaks as many requests as it has slots; a
+    fleet at rest must be able to repeat all of them.
+    """
+    slots = [item.slots for item in service.instances_by_id.values()]
+    limit = max([ALLOWANCE_LIMIT, *slots])
+    return Allowance(ratio=service.retry_ratio, limit=limit, saved=limit)
+
+
 def is_not_run(error: UpstreamError) -> bool:
     """Return whether an error proves that the upstream did not run."""
     return isinstance(error, NOT_RUN_ERRORS)
--- a/src/bronzewall/service_load.py
+++ b/src/bronzewall/service_load.py
@@ -5,7 +5,7 @@
 from bronzewall.choice import InstanceLoad, nearness_of
 from bronzewall.config_model import Service
 from bronzewall.queueing import AccountKey, FairQueue
-from bronzewall.retry import Allowance
+from bronzewall.retry import Allowance, retry_allowance
 from bronzewall.types import InstanceId, Placement
 
 # Sheds that borrowing may cause per request; the retries that follow use
@@ -98,7 +98,7 @@
         service=service,
         loads_by_id={},
         queue=FairQueue(),
-        retry=Allowance(ratio=service.retry_ratio),
+        retry=retry_allowance(service),
         hedge=Allowance(ratio=service.hedge_ratio),
         borrow=Allowance(ratio=min(BORROW_RATIO, service.retry_ratio / 2)),
     )
