Lend returned rights to other pools at once

Ruled out: moving rights in smaller steps; it spreads the same loss. Change: a home confirms a smaller loan as soon as its older grants have expired, and the lender then states the larger loan to the other homes without waiting for their renewals. Iteration orders no longer depend on the hash seed.

--- a/bench/limits.py
+++ b/bench/limits.py
@@ -282,12 +282,13 @@
         await _sleep_until(start + THAW_S)
         fleet.thaw(frozen)
 
-    def _choose_killed(self) -> set[VmId]:
+    def _choose_killed(self) -> list[VmId]:
         """Return VMs to kill; one of them is the home of a pool."""
-        killed = set(self.fleet.pool_homes()[:1])
-        while len(killed) < KILLED:
-            killed.add(self._choose_live())
-        return killed
+        killed = self.fleet.pool_homes()[:1]
+        others = [
+            vm_id for vm_id in self.fleet.vms_by_id if vm_id not in killed
+        ]
+        return killed + self.random.sample(others, KILLED - len(killed))
 
     def _choose_live(self) -> VmId:
         return self.random.choice(
--- a/bench/limits_fleet.py
+++ b/bench/limits_fleet.py
@@ -1,6 +1,7 @@
 """Fleet of admission parts over in-memory ports for the limits bench."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Mapping
 from typing import Any
@@ -114,7 +115,7 @@
         vm.clock.running.set()
         self.network.thaw(vm_id)
 
-    def list_destroyed(self, vm_ids: set[VmId]) -> None:
+    def list_destroyed(self, vm_ids: list[VmId]) -> None:
         """Show VMs as destroyed in the platform's list."""
         self.store.vm_records = tuple(
             attrs.evolve(record, state=VmState.DESTROYED)
@@ -178,10 +179,8 @@
     async def _follow_list(self, vm: FleetVm) -> None:
         vm_list = MemoryVmList(platform=self._platform(vm))
         while True:
-            try:
+            with contextlib.suppress(StoreError):
                 vm.members.update(tuple(await vm_list.read()))
-            except StoreError:
-                await vm.clock.sleep(LIST_INTERVAL_S)
             await vm.clock.sleep(LIST_INTERVAL_S)
 
 
--- a/src/bronzewall/lending.py
+++ b/src/bronzewall/lending.py
@@ -41,6 +41,13 @@
     end: float
     rights_by_account: Mapping[AccountId, Right]
 
+    def exceeds(self, other: 'Statement') -> bool:
+        """Return whether it lends more of any account."""
+        return any(
+            right.burst > other.rights_by_account.get(name, NOTHING).burst
+            for name, right in self.rights_by_account.items()
+        )
+
 
 @attrs.define(kw_only=True)
 class HomeLedger:
@@ -55,28 +62,39 @@
     heard_at: float
     confirmed_at: float
     is_closed: bool = False
+    stamp: float = 0
     demands: Mapping[AccountId, float] = attrs.field(factory=dict)
     statements: list[Statement] = attrs.field(factory=list)
 
-    def hear(self, renew: Renew, now: float) -> None:
-        """Note a renewal and forget the statements that it replaced."""
+    def hear(self, renew: Renew, now: float) -> bool:
+        """Note a renewal and forget the statements that it replaced.
+
+        :returns: whether rights came back.
+        """
         if renew.epoch > self.epoch:
             self.epoch = renew.epoch
             self.confirmed_at = now
             self.is_closed = False
+            self.stamp = renew.stamp
         self.heard_at = now
+        self.stamp = max(self.stamp, renew.stamp)
         self.demands = renew.demands
-        if any(
-            self._is_number(statement, renew.adopted)
+        adopted = self._find(renew.adopted)
+        if adopted is None:
+            return False
+        self.confirmed_at = now
+        replaced = [
+            statement
             for statement in self.statements
-        ):
-            self.confirmed_at = now
-            self.statements = [
-                statement
-                for statement in self.statements
-                if statement.epoch != renew.epoch
-                or statement.number >= renew.adopted
-            ]
+            if statement.epoch == renew.epoch
+            and statement.number < renew.adopted
+        ]
+        self.statements = [
+            statement
+            for statement in self.statements
+            if statement not in replaced
+        ]
+        return any(statement.exceeds(adopted) for statement in replaced)
 
     def close(self, epoch: int) -> None:
         """Forget the statements of an epoch that has ended."""
@@ -109,8 +127,11 @@
             statement for statement in self.statements if statement.end > now
         ]
 
-    def _is_number(self, statement: Statement, number: int) -> bool:
-        return statement.epoch == self.epoch and statement.number == number
+    def _find(self, number: int) -> Statement | None:
+        for statement in self.statements:
+            if statement.epoch == self.epoch and statement.number == number:
+                return statement
+        return None
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -121,12 +142,14 @@
     rights kept are together never more than the slots carry.
 
     :param region_of: region of a VM, empty if not known.
+    :param push: sends a statement that no renewal asked for.
     """
 
     clock: Clock
     slots: SlotKeeper
     accounts: AccountsSource
     region_of: Callable[[VmId], str]
+    push: Callable[[VmId, Lend], None]
     is_retiring: bool = False
     ledgers_by_home: dict[VmId, HomeLedger] = attrs.field(factory=dict)
     _number: int = attrs.field(
@@ -146,27 +169,9 @@
         ledger = self._ledger(home, renew, now)
         if renew.epoch < ledger.epoch or ledger.is_closed:
             return None
-        ledger.hear(renew, now)
-        ledger.forget_ended(now)
-        rights = self._lendable(home, ledger, now)
-        self._number += 1
-        ledger.statements.append(
-            Statement(
-                epoch=renew.epoch,
-                number=self._number,
-                end=now + LOAN_LENGTH_S,
-                rights_by_account=rights,
-            )
-        )
-        self._clip_kept(rights, now)
-        return Lend(
-            epoch=renew.epoch,
-            stamp=renew.stamp,
-            number=self._number,
-            length=LOAN_LENGTH_S * (1 - CLOCK_DRIFT),
-            rates={name: right.rate for name, right in rights.items()},
-            bursts={name: right.burst for name, right in rights.items()},
-        )
+        if ledger.hear(renew, now):
+            self._lend_returned(home, now)
+        return self._state(home, ledger, now)
 
     def on_return(self, home: VmId, epoch: int) -> None:
         """Take back everything lent to a home under an epoch."""
@@ -205,6 +210,37 @@
             total = total.plus(ledger.committed(account_id, now))
         return total
 
+    def _lend_returned(self, home: VmId, now: float) -> None:
+        """Lend rights that came back from one home to the others at once.
+
+        Waiting for their next renewal would leave the rights unused.
+        """
+        for other, ledger in self.ledgers_by_home.items():
+            if other != home and ledger.is_fresh(now):
+                self.push(other, self._state(other, ledger, now))
+
+    def _state(self, home: VmId, ledger: HomeLedger, now: float) -> Lend:
+        ledger.forget_ended(now)
+        rights = self._lendable(home, ledger, now)
+        self._number += 1
+        ledger.statements.append(
+            Statement(
+                epoch=ledger.epoch,
+                number=self._number,
+                end=now + LOAN_LENGTH_S,
+                rights_by_account=rights,
+            )
+        )
+        self._clip_kept(rights, now)
+        return Lend(
+            epoch=ledger.epoch,
+            stamp=ledger.stamp,
+            number=self._number,
+            length=LOAN_LENGTH_S * (1 - CLOCK_DRIFT),
+            rates={name: right.rate for name, right in rights.items()},
+            bursts={name: right.burst for name, right in rights.items()},
+        )
+
     def _ledger(self, home: VmId, renew: Renew, now: float) -> HomeLedger:
         if home not in self.ledgers_by_home:
             self.ledgers_by_home[home] = HomeLedger(
--- a/src/bronzewall/pools.py
+++ b/src/bronzewall/pools.py
@@ -18,10 +18,12 @@
 from bronzewall.pool_homes import PoolHomes
 from bronzewall.ports import Clock
 from bronzewall.quota_messages import Ask, Grant, Lend, Renew, ReturnLoans
-from bronzewall.rights import Loan, Pool, Right
+from bronzewall.rights import CLOCK_DRIFT, Loan, Pool, Right
 from bronzewall.types import AccountId, VmId, VmState
 
 RENEW_INTERVAL_S = 0.5
+# After this time grants under the former statement have expired.
+_CONFIRM_DELAY_S = RELAYED_LIFETIME_S * (1 + 2 * CLOCK_DRIFT)
 # Time over which the demand of a region is averaged.
 _DEMAND_WINDOW_S = 4.0
 
@@ -35,6 +37,7 @@
     """
 
     number: int = 0
+    is_confirmation_due: bool = False
     adopted_at: float = 0
     confirmed: int = 0
 
@@ -105,14 +108,20 @@
         self._confirm(adopted, now)
         adopted.number, adopted.adopted_at = lend.number, now
         end = lend.stamp + lend.length - RELAYED_LIFETIME_S
-        account_ids = {*lend.bursts, *self.pools_by_account}
-        for account_id in account_ids:
+        is_reduced = False
+        for account_id in dict.fromkeys((*lend.bursts, *self.pools_by_account)):
             right = Right(
                 rate=lend.rates.get(account_id, 0),
                 burst=lend.bursts.get(account_id, 0),
             )
-            self._pool(account_id, now).adopt(
-                lender=lender, loan=Loan(right=right, end=end), now=now
+            pool = self._pool(account_id, now)
+            before = pool.burst_of(lender)
+            is_reduced = is_reduced or right.burst < before
+            pool.adopt(lender=lender, loan=Loan(right=right, end=end), now=now)
+        if is_reduced and not adopted.is_confirmation_due:
+            adopted.is_confirmation_due = True
+            asyncio.get_running_loop().call_later(
+                _CONFIRM_DELAY_S, self._confirm_early, lender, self.epoch
             )
 
     def take(self, account_id: AccountId) -> bool:
@@ -156,7 +165,7 @@
             self._count_demand(ask.counts)
         lifetime = RELAYED_LIFETIME_S if ask.relayed else QUICK_LIFETIME_S
         granted, missing = self._take_all(ask.counts, lifetime)
-        waiting = set() if ask.relayed else self._worth_relaying(missing)
+        waiting = [] if ask.relayed else self._worth_relaying(missing)
         refused = [name for name in missing if name not in waiting]
         if granted or refused:
             grant = self._grant(ask, 0, granted, refused, lifetime)
@@ -182,15 +191,17 @@
 
     def _worth_relaying(
         self, missing: Mapping[AccountId, int]
-    ) -> set[AccountId]:
+    ) -> list[AccountId]:
         now = self.clock.now()
         others = self.homes.others() if missing else []
-        return {
+        return [
             account_id
             for account_id in missing
-            for home in others
-            if self._empty_until.get((home, account_id), 0) <= now
-        }
+            if any(
+                self._empty_until.get((home, account_id), 0) <= now
+                for home in others
+            )
+        ]
 
     async def _relay_all(
         self, missing: Mapping[AccountId, int], waiting: Iterable[AccountId]
@@ -229,34 +240,39 @@
         return pool
 
     def _confirm(self, adopted: _Adopted, now: float) -> None:
-        if now - adopted.adopted_at > RELAYED_LIFETIME_S:
+        if now - adopted.adopted_at >= RELAYED_LIFETIME_S * (1 + CLOCK_DRIFT):
             adopted.confirmed = adopted.number
 
     def _renew(self) -> None:
-        now = self.clock.now()
-        demands = {
-            name: round(demand, 1)
-            for name, demand in self._demands_by_account.items()
-        }
         for vm_id in (*self._lenders(), self.own_id):
-            adopted = self._adopted_by_lender.setdefault(vm_id, _Adopted())
-            self._confirm(adopted, now)
-            renew = Renew(
-                epoch=self.epoch,
-                stamp=now,
-                adopted=adopted.confirmed,
-                demands=demands,
-            )
-            if vm_id == self.own_id:
-                self._renew_own(renew)
-            else:
-                self.endpoint.send(to=vm_id, message=renew)
+            self._renew_with(vm_id)
 
-    def _renew_own(self, renew: Renew) -> None:
+    def _renew_with(self, lender: VmId) -> None:
+        now = self.clock.now()
+        adopted = self._adopted_by_lender.setdefault(lender, _Adopted())
+        self._confirm(adopted, now)
+        renew = Renew(
+            epoch=self.epoch,
+            stamp=now,
+            adopted=adopted.confirmed,
+            demands={
+                name: round(demand, 1)
+                for name, demand in self._demands_by_account.items()
+            },
+        )
+        if lender != self.own_id:
+            self.endpoint.send(to=lender, message=renew)
+            return
         lend = self.lender.on_renew(self.own_id, renew)
         if lend is not None:
             self.on_lend(self.own_id, lend)
 
+    def _confirm_early(self, lender: VmId, epoch: int) -> None:
+        """Confirm a smaller loan, so that the rest can be lent again."""
+        if self.is_open and epoch == self.epoch:
+            self._adopted_by_lender[lender].is_confirmation_due = False
+            self._renew_with(lender)
+
     def _lenders(self) -> list[VmId]:
         return [
             record.vm_id
@@ -273,8 +289,7 @@
     def _average_demand(self) -> None:
         weight = RENEW_INTERVAL_S / _DEMAND_WINDOW_S
         asked, self._asked_by_account = self._asked_by_account, {}
-        account_ids = {*asked, *self._demands_by_account}
-        for account_id in account_ids:
+        for account_id in dict.fromkeys((*asked, *self._demands_by_account)):
             recent = asked.get(account_id, 0) / RENEW_INTERVAL_S
             before = self._demands_by_account.get(account_id, recent)
             self._demands_by_account[account_id] = before + weight * (
--- a/src/bronzewall/quota.py
+++ b/src/bronzewall/quota.py
@@ -179,11 +179,19 @@
         settle_s=SETTLE_S,
         on_given=lambda vm_id: endpoint.send(to=vm_id, message=SlotsGiven()),
     )
+
+    def push(home: VmId, lend: Lend) -> None:
+        if home == members.own_id:
+            quota.pool_home.on_lend(home, lend)
+        else:
+            endpoint.send(to=home, message=lend)
+
     lender = Lender(
         clock=parts.clock,
         slots=slots,
         accounts=parts.accounts,
         region_of=members.region_of,
+        push=push,
     )
     homes = PoolHomes(
         own_id=members.own_id,
--- a/src/bronzewall/rights.py
+++ b/src/bronzewall/rights.py
@@ -145,6 +145,11 @@
             self.loans_by_lender[lender] = loan
         self._sum_up()
 
+    def burst_of(self, lender: VmId) -> float:
+        """Return the burst share that a VM has lent."""
+        loan = self.loans_by_lender.get(lender)
+        return loan.right.burst if loan else 0
+
     def settle(self, now: float) -> None:
         """Bring tokens, loans and grants up to a clock time."""
         while self._next_end <= now:
