Shorten loans and stop a stuck relay from hiding its pool

Grants of 50 ms also held back burst that grants of 20 ms did not need. Change: relayed asks time out after 30 ms; a VM that is not home says so; outstanding grants expire each at its own time; loans last 1 s and are renewed every 0.25 s, because two thirds of the wrong refusals came from the loans of the killed home.

--- a/src/bronzewall/asking.py
+++ b/src/bronzewall/asking.py
@@ -3,7 +3,6 @@
 import asyncio
 import itertools
 from collections import Counter
-from collections.abc import Iterable
 
 import attrs
 
@@ -15,10 +14,14 @@
 
 # In which a grant must be used: the round trip inside a region is 2 ms.
 QUICK_LIFETIME_S = 0.02
-# The same when other regions were asked: two round trips of 16 ms.
-RELAYED_LIFETIME_S = 0.05
-# No part of an answer is useful after the lifetime of its grants.
-ASK_TIMEOUT_S = RELAYED_LIFETIME_S
+# Until a pool of another region is taken to be silent: the round trip
+# between regions is 16 ms.
+RELAY_TIMEOUT_S = 0.03
+# Longer than two relayed asks in turn, so that a pool whose relay waits in
+# vain is not itself taken to be silent.
+ASK_TIMEOUT_S = 0.07
+# Lifetime of a grant for which other regions may have been asked.
+RELAYED_LIFETIME_S = 0.08
 # Requests that arrive this soon after an ask to the same pool share the
 # next one.
 BATCH_INTERVAL_S = 0.002
@@ -84,11 +87,13 @@
     """Sends asks to pool homes and matches the grants.
 
     :param relayed: whether this VM asks as an empty pool.
+    :param timeout_s: seconds until a home is taken to be silent.
     """
 
     clock: Clock
     endpoint: PeerEndpoint
     relayed: bool = False
+    timeout_s: float = ASK_TIMEOUT_S
     ids: 'itertools.count[int]'
     counters: Counter[str] = attrs.field(factory=Counter)
     _batches_by_home: dict[VmId, _Batch] = attrs.field(factory=dict)
@@ -116,6 +121,9 @@
         if pending is None or grant.part in pending.parts:
             return
         pending.parts.add(grant.part)
+        if not grant.is_home:
+            self._resolve_silent(grant.ask_id)
+            return
         age = self.clock.now() - pending.sent_at
         granted = GRANTED if age <= grant.lifetime else SILENT
         if granted is SILENT:
@@ -142,7 +150,7 @@
         ask_id = next(self.ids)
         self._pending_by_id[ask_id] = pending
         asyncio.get_running_loop().call_later(
-            ASK_TIMEOUT_S, self._expire, ask_id
+            self.timeout_s, self._expire, ask_id
         )
         counts = {
             account_id: len(waiters)
@@ -154,10 +162,11 @@
         )
 
     def _expire(self, ask_id: int) -> None:
-        pending = self._pending_by_id.pop(ask_id, None)
-        if pending is None:
-            return
-        self.counters['asks_unanswered'] += 1
-        accounts: Iterable[AccountId] = tuple(pending.waiters_by_account)
-        for account_id in accounts:
+        if ask_id in self._pending_by_id:
+            self.counters['asks_unanswered'] += 1
+            self._resolve_silent(ask_id)
+
+    def _resolve_silent(self, ask_id: int) -> None:
+        pending = self._pending_by_id.pop(ask_id)
+        for account_id in tuple(pending.waiters_by_account):
             pending.resolve_rest(account_id, SILENT)
--- a/src/bronzewall/lending.py
+++ b/src/bronzewall/lending.py
@@ -21,10 +21,10 @@
 
 AccountsSource = Callable[[], Mapping[AccountId, Account]]
 # What a killed pool home held is lost for at most this time.
-LOAN_LENGTH_S = 2.0
+LOAN_LENGTH_S = 1.0
 # A home that was not heard from, or did not confirm loans, for this long
 # gets nothing more: two renewals were lost.
-SILENCE_S = 1.2
+SILENCE_S = 0.6
 # Rights follow the demand of a region in steps of this share, because a
 # right that changes its pool is unusable for about one renewal.
 _WEIGHT_STEP = 0.08
--- a/src/bronzewall/pool_homes.py
+++ b/src/bronzewall/pool_homes.py
@@ -11,7 +11,7 @@
 
 # A home that should renew loans but is not heard for this long is passed
 # over: two of its renewals were lost.
-SILENCE_S = 1.2
+SILENCE_S = 0.6
 # A home that did not answer an ask is not asked for this long.
 BACKOFF_S = 0.5
 _VIEW_LIFETIME_S = 0.1
--- a/src/bronzewall/pools.py
+++ b/src/bronzewall/pools.py
@@ -21,7 +21,8 @@
 from bronzewall.rights import CLOCK_DRIFT, Loan, Pool, Right
 from bronzewall.types import AccountId, VmId, VmState
 
-RENEW_INTERVAL_S = 0.5
+# A quarter of the length of a loan, so that lost messages end no loan.
+RENEW_INTERVAL_S = 0.25
 # After this time grants under the former statement have expired.
 _CONFIRM_DELAY_S = RELAYED_LIFETIME_S * (1 + 2 * CLOCK_DRIFT)
 # Time over which the demand of a region is averaged.
@@ -160,6 +161,9 @@
         """Answer an ask, after asking other pools if this one is empty."""
         ask: Ask = envelope.body
         if not self.is_open:
+            self.endpoint.send(
+                to=envelope.sender, message=_not_home(ask.ask_id)
+            )
             return
         if not ask.relayed:
             self._count_demand(ask.counts)
@@ -295,3 +299,9 @@
             self._demands_by_account[account_id] = before + weight * (
                 recent - before
             )
+
+
+def _not_home(ask_id: int) -> Grant:
+    return Grant(
+        ask_id=ask_id, part=0, counts={}, delays={}, lifetime=0, is_home=False
+    )
--- a/src/bronzewall/quota.py
+++ b/src/bronzewall/quota.py
@@ -11,6 +11,7 @@
 from bronzewall.asking import (
     GRANTED,
     LONGEST_DELAY_S,
+    RELAY_TIMEOUT_S,
     RELAYED_LIFETIME_S,
     SILENT,
     Asker,
@@ -217,7 +218,11 @@
             homes=homes,
             lender=lender,
             relay=Asker(
-                clock=parts.clock, endpoint=endpoint, relayed=True, ids=ask_ids
+                clock=parts.clock,
+                endpoint=endpoint,
+                relayed=True,
+                timeout_s=RELAY_TIMEOUT_S,
+                ids=ask_ids,
             ),
             epoch=endpoint.incarnation,
         ),
--- a/src/bronzewall/quota_messages.py
+++ b/src/bronzewall/quota_messages.py
@@ -34,6 +34,7 @@
         further requests are refused.
     :param lifetime: seconds, counted from when the ask was sent, in
         which the grants must be used.
+    :param is_home: false if the sender has no pools; the rest is empty.
     """
 
     ask_id: int
@@ -41,6 +42,7 @@
     counts: Mapping[AccountId, int]
     delays: Mapping[AccountId, float]
     lifetime: float
+    is_home: bool = True
 
 
 @message('renew')
--- a/src/bronzewall/rights.py
+++ b/src/bronzewall/rights.py
@@ -2,8 +2,8 @@
 
 import functools
 import hashlib
+import heapq
 import math
-from collections import deque
 
 import attrs
 
@@ -109,7 +109,7 @@
     end: float
 
 
-@attrs.frozen(kw_only=True)
+@attrs.frozen(kw_only=True, order=True)
 class _Outstanding:
     """Grants that may still be used."""
 
@@ -133,7 +133,7 @@
     outstanding: int = 0
     right: Right = NOTHING
     loans_by_lender: dict[VmId, Loan] = attrs.field(factory=dict)
-    _grants: deque[_Outstanding] = attrs.field(factory=deque)
+    _grants: list[_Outstanding] = attrs.field(factory=list)
     _next_end: float = float('inf')
 
     def adopt(self, *, lender: VmId, loan: Loan, now: float) -> None:
@@ -181,16 +181,12 @@
         return self._bucket().delay()
 
     def _hold_back(self, count: int, expires: float) -> None:
-        # Grants of a longer lifetime may precede shorter ones; they stay
-        # in order of expiry by extending the later one.
-        if self._grants:
-            expires = max(expires, self._grants[-1].expires)
-        self._grants.append(_Outstanding(expires=expires, count=count))
+        heapq.heappush(self._grants, _Outstanding(expires=expires, count=count))
         self.outstanding += count
 
     def _accrue_through_grants(self, now: float) -> None:
         while self._grants and self._grants[0].expires <= now:
-            grant = self._grants.popleft()
+            grant = heapq.heappop(self._grants)
             self._accrue(grant.expires)
             self.outstanding -= grant.count
         self._accrue(now)
