Wait briefly for a promised token and keep the present home

Cause: a request was refused although the next token was a few milliseconds away; a thawed home took its role back and cost a second change of loans; slots of destroyed VMs were taken a second later than possible. Ruled out: waits without promises; every refused request of an account over its rate would wait and ask again. Change: a request waits at most 0.1 s for a token promised to it; the home that renews loans stays home; takeover starts at once; the VM list is read every second; fewer tasks, timers and sums in the hot path.

--- a/src/bronzewall/asking.py
+++ b/src/bronzewall/asking.py
@@ -55,6 +55,7 @@
 
     sent_at: float
     waiters_by_account: dict[AccountId, _Waiters]
+    timer: asyncio.TimerHandle | None = None
     parts: set[int] = attrs.field(factory=set)
 
     def resolve(self, account_id: AccountId, outcome: Outcome) -> None:
@@ -135,7 +136,7 @@
             refused = Outcome(is_granted=False, delay=delay)
             pending.resolve_rest(account_id, refused)
         if not any(pending.waiters_by_account.values()):
-            self._pending_by_id.pop(grant.ask_id)
+            self._forget(grant.ask_id)
 
     def _send(self, home: VmId, batch: _Batch) -> None:
         batch.is_scheduled = False
@@ -149,7 +150,7 @@
         batch.waiters_by_account = {}
         ask_id = next(self.ids)
         self._pending_by_id[ask_id] = pending
-        asyncio.get_running_loop().call_later(
+        pending.timer = asyncio.get_running_loop().call_later(
             self.timeout_s, self._expire, ask_id
         )
         counts = {
@@ -167,6 +168,12 @@
             self._resolve_silent(ask_id)
 
     def _resolve_silent(self, ask_id: int) -> None:
-        pending = self._pending_by_id.pop(ask_id)
+        pending = self._forget(ask_id)
         for account_id in tuple(pending.waiters_by_account):
             pending.resolve_rest(account_id, SILENT)
+
+    def _forget(self, ask_id: int) -> _Pending:
+        pending = self._pending_by_id.pop(ask_id)
+        if pending.timer is not None:
+            pending.timer.cancel()
+        return pending
--- a/src/bronzewall/daemon.py
+++ b/src/bronzewall/daemon.py
@@ -35,7 +35,7 @@
 from bronzewall.settings import Origin, Settings
 from bronzewall.types import Placement, RequestId, VmId
 
-_LIST_INTERVAL_S = 2.0
+_LIST_INTERVAL_S = 1.0
 _DRAIN_CHECK_S = 0.05
 _LOG = structlog.get_logger()
 
--- a/src/bronzewall/lending.py
+++ b/src/bronzewall/lending.py
@@ -1,5 +1,7 @@
 """Rights of this VM's slots: lent to pool homes, the rest kept."""
 
+import bisect
+import itertools
 from collections import Counter
 from collections.abc import Callable, Mapping
 
@@ -49,15 +51,33 @@
         )
 
 
+@attrs.frozen(kw_only=True)
+class Division:
+    """Burst tokens of an account by home, kept until its causes change."""
+
+    account: Account
+    weights: Mapping[VmId, float]
+    slots: list[int]
+    units_by_home: Counter[VmId]
+
+    def fits(
+        self, account: Account, weights: Mapping[VmId, float], slots: list[int]
+    ) -> bool:
+        """Return whether a new division would be the same."""
+        return (
+            account is self.account
+            and weights is self.weights
+            and slots == self.slots
+        )
+
+
 @attrs.define(kw_only=True)
 class HomeLedger:
     """What this VM has lent to one pool home.
 
-    :param region: of the home; orders homes in the division.
     :param confirmed_at: when the home last confirmed a statement.
     """
 
-    region: str
     epoch: int
     heard_at: float
     confirmed_at: float
@@ -159,6 +179,7 @@
         )
     )
     _kept_by_account: dict[AccountId, TokenBucket] = attrs.field(factory=dict)
+    _divisions_by_account: dict[AccountId, Division] = attrs.field(factory=dict)
     _weights_by_account: dict[AccountId, dict[VmId, float]] = attrs.field(
         factory=dict
     )
@@ -244,7 +265,6 @@
     def _ledger(self, home: VmId, renew: Renew, now: float) -> HomeLedger:
         if home not in self.ledgers_by_home:
             self.ledgers_by_home[home] = HomeLedger(
-                region=self.region_of(home),
                 epoch=renew.epoch,
                 heard_at=now,
                 confirmed_at=now,
@@ -292,26 +312,33 @@
         fresh: Mapping[VmId, HomeLedger],
         slots: list[int],
     ) -> int:
-        positions = self._positions(account)
-        counted: Counter[VmId | None] = Counter()
-        bounds = self._bounds(account.account_id, fresh)
-        for slot in slots:
-            for position in positions.get(slot, ()):
-                counted[_owner(bounds, position)] += 1
-        return counted[home]
+        name = account.account_id
+        weights = self._weights(name, fresh)
+        division = self._divisions_by_account.get(name)
+        if division is None or not division.fits(account, weights, slots):
+            division = Division(
+                account=account,
+                weights=weights,
+                slots=slots,
+                units_by_home=self._divide(account, weights, slots),
+            )
+            self._divisions_by_account[name] = division
+        return division.units_by_home[home]
 
-    def _bounds(
-        self, account_id: AccountId, fresh: Mapping[VmId, HomeLedger]
-    ) -> list[tuple[float, VmId]]:
-        weights = self._weights(account_id, fresh)
+    def _divide(
+        self, account: Account, weights: Mapping[VmId, float], slots: list[int]
+    ) -> Counter[VmId]:
+        positions = self._positions(account)
         ordered = sorted(
-            weights, key=lambda vm_id: (fresh[vm_id].region, vm_id)
+            weights, key=lambda vm_id: (self.region_of(vm_id), vm_id)
         )
-        bounds, upper = [], float(0)
-        for vm_id in ordered:
-            upper += weights[vm_id]
-            bounds.append((upper, vm_id))
-        return bounds
+        bounds = list(itertools.accumulate(weights[home] for home in ordered))
+        counted: Counter[VmId] = Counter()
+        for slot in slots:
+            for position in positions.get(slot, ()):
+                index = bisect.bisect_right(bounds, position)
+                counted[ordered[min(index, len(ordered) - 1)]] += 1
+        return counted
 
     def _weights(
         self, account_id: AccountId, fresh: Mapping[VmId, HomeLedger]
@@ -349,13 +376,6 @@
                 self._kept(account, now)
 
 
-def _owner(bounds: list[tuple[float, VmId]], position: float) -> VmId | None:
-    for upper, vm_id in bounds:
-        if position < upper:
-            return vm_id
-    return bounds[-1][1] if bounds else None
-
-
 def _shares(
     account_id: AccountId, fresh: Mapping[VmId, HomeLedger]
 ) -> dict[VmId, float]:
--- a/src/bronzewall/pool_homes.py
+++ b/src/bronzewall/pool_homes.py
@@ -1,5 +1,6 @@
 """Which VM is asked as the home of each region's pool."""
 
+import math
 from collections.abc import Callable, Sequence
 
 import attrs
@@ -43,6 +44,12 @@
         """Note that a VM renews loans as the home of a pool."""
         self._heard_at_by_id[vm_id] = self.clock.now()
 
+    def forget(self, vm_id: VmId) -> None:
+        """Note that a VM is no longer the home of a pool."""
+        self._heard_at_by_id.pop(vm_id, None)
+        self._wanted_at_by_id[vm_id] = -SILENCE_S
+        self._expires = 0
+
     def note_unanswered(self, vm_id: VmId) -> None:
         """Note that a home did not answer an ask."""
         self._retry_at_by_id[vm_id] = self.clock.now() + BACKOFF_S
@@ -83,11 +90,20 @@
     def _is_backed_off(self, vm_id: VmId) -> bool:
         return self._retry_at_by_id.get(vm_id, 0) > self.clock.now()
 
+    def _renews(self, vm_id: VmId, now: float) -> bool:
+        # The present home stays home when a VM that ranks before it comes
+        # back, because a change of the home costs loans.
+        heard_at = self._heard_at_by_id.get(vm_id, -math.inf)
+        return now - heard_at <= SILENCE_S
+
     def _first_heard(self, region: str | None, now: float) -> VmId | None:
         candidates = ranked_homes(
             duty=f'pool/{region}',
             vm_ids=self.members.usable_ids(region=region),
         )
+        renewing = [vm_id for vm_id in candidates if self._renews(vm_id, now)]
+        if renewing:
+            return renewing[0]
         for vm_id in candidates:
             wanted_at = self._wanted_at_by_id.setdefault(vm_id, now)
             heard_at = self._heard_at_by_id.get(vm_id, wanted_at)
--- a/src/bronzewall/pools.py
+++ b/src/bronzewall/pools.py
@@ -1,7 +1,8 @@
 """The home of a region's pools: borrows rights and answers asks."""
 
 import asyncio
-from collections.abc import Iterable, Mapping
+from collections.abc import Coroutine, Iterable, Mapping
+from typing import Any
 
 import attrs
 
@@ -15,7 +16,7 @@
 from bronzewall.membership import Members
 from bronzewall.messages import Envelope
 from bronzewall.peer_calls import PeerEndpoint
-from bronzewall.pool_homes import PoolHomes
+from bronzewall.pool_homes import SILENCE_S, PoolHomes
 from bronzewall.ports import Clock
 from bronzewall.quota_messages import Ask, Grant, Lend, Renew, ReturnLoans
 from bronzewall.rights import CLOCK_DRIFT, Loan, Pool, Right
@@ -60,6 +61,7 @@
     epoch: int
     is_open: bool = False
     is_stopping: bool = False
+    _stepped_at: float = 0
     pools_by_account: dict[AccountId, Pool] = attrs.field(factory=dict)
     _adopted_by_lender: dict[VmId, _Adopted] = attrs.field(factory=dict)
     _demands_by_account: dict[AccountId, float] = attrs.field(factory=dict)
@@ -76,7 +78,13 @@
 
     async def step(self) -> None:
         """Open, renew or close the pools as the view asks for."""
+        now = self.clock.now()
+        if now - self._stepped_at > SILENCE_S:
+            # After a pause another VM may be home; its loans stay there.
+            await self.close()
+        self._stepped_at = now
         if self.homes.is_own() and not self.is_stopping:
+            self.homes.hear(self.own_id)
             if not self.is_open:
                 self.is_open = True
                 self.epoch += 1
@@ -90,6 +98,7 @@
         if not self.is_open:
             return
         self.is_open = False
+        self.homes.forget(self.own_id)
         self.pools_by_account.clear()
         self._adopted_by_lender.clear()
         # Grants given before may be used during their lifetime.
@@ -139,7 +148,7 @@
             for (_home, name), until in self._empty_until.items()
             if name == account_id and until > now
         ]
-        own = self._pool(account_id, now).delay()
+        own = self._pool(account_id, now).delay(now)
         return min(own, *hints, LONGEST_DELAY_S)
 
     async def relay_one(self, account_id: AccountId) -> bool:
@@ -157,14 +166,17 @@
                 self.homes.note_unanswered(home)
         return False
 
-    async def on_ask(self, envelope: Envelope) -> None:
-        """Answer an ask, after asking other pools if this one is empty."""
+    def on_ask(self, envelope: Envelope) -> Coroutine[Any, Any, None] | None:
+        """Answer an ask.
+
+        :returns: what remains to do if other pools must be asked.
+        """
         ask: Ask = envelope.body
         if not self.is_open:
             self.endpoint.send(
                 to=envelope.sender, message=_not_home(ask.ask_id)
             )
-            return
+            return None
         if not ask.relayed:
             self._count_demand(ask.counts)
         lifetime = RELAYED_LIFETIME_S if ask.relayed else QUICK_LIFETIME_S
@@ -174,10 +186,17 @@
         if granted or refused:
             grant = self._grant(ask, 0, granted, refused, lifetime)
             self.endpoint.send(to=envelope.sender, message=grant)
-        if waiting:
-            counts = await self._relay_all(missing, waiting)
-            grant = self._grant(ask, 1, counts, waiting, RELAYED_LIFETIME_S)
-            self.endpoint.send(to=envelope.sender, message=grant)
+        if not waiting:
+            return None
+        relayed = {name: missing[name] for name in waiting}
+        return self._answer_later(envelope.sender, ask, relayed)
+
+    async def _answer_later(
+        self, sender: VmId, ask: Ask, missing: Mapping[AccountId, int]
+    ) -> None:
+        counts = await self._relay_all(missing)
+        grant = self._grant(ask, 1, counts, missing, RELAYED_LIFETIME_S)
+        self.endpoint.send(to=sender, message=grant)
 
     def _take_all(
         self, counts: Mapping[AccountId, int], lifetime: float
@@ -208,9 +227,9 @@
         ]
 
     async def _relay_all(
-        self, missing: Mapping[AccountId, int], waiting: Iterable[AccountId]
+        self, missing: Mapping[AccountId, int]
     ) -> dict[AccountId, int]:
-        names = [name for name in waiting for _ in range(missing[name])]
+        names = [name for name, count in missing.items() for _ in range(count)]
         outcomes = await asyncio.gather(
             *(self.relay_one(name) for name in names)
         )
--- a/src/bronzewall/quota.py
+++ b/src/bronzewall/quota.py
@@ -10,7 +10,6 @@
 
 from bronzewall.asking import (
     GRANTED,
-    LONGEST_DELAY_S,
     RELAY_TIMEOUT_S,
     RELAYED_LIFETIME_S,
     SILENT,
@@ -34,7 +33,7 @@
     ReturnLoans,
     SlotsGiven,
 )
-from bronzewall.rights import CLOCK_DRIFT
+from bronzewall.rights import CLOCK_DRIFT, LONGEST_WAIT_S
 from bronzewall.slots import SlotKeeper
 from bronzewall.tokens import TokenBucket
 from bronzewall.types import AccountId, VmId
@@ -92,27 +91,21 @@
     counters: Counter[str] = attrs.field(factory=Counter)
 
     async def admit(self, account: Account) -> None:
-        """Admit one request.
+        """Admit one request, after a short wait for a token if needed.
 
-        :raises RateExceededError: no pool that answers has a token left.
+        :raises RateExceededError: no pool that answers has a token in time.
         """
-        if self.lender.take_kept(account):
-            self.counters['admitted_from_kept'] += 1
-            return
-        delay = LONGEST_DELAY_S
-        for home in self.homes.to_ask():
-            outcome = await self._ask(home, account)
+        limit = self.clock.now() + LONGEST_WAIT_S
+        while True:
+            outcome = await self._try(account)
             if outcome.is_granted:
                 return
-            if outcome.is_answered:
-                delay = outcome.delay
+            if self.clock.now() + outcome.delay > limit:
                 break
-            self.homes.note_unanswered(home)
-        if self.lender.take_kept(account):
-            self.counters['admitted_from_kept'] += 1
-            return
+            self.counters['waits'] += 1
+            await self.clock.sleep(outcome.delay)
         self.counters['refused'] += 1
-        raise RateExceededError(retry_after=delay)
+        raise RateExceededError(retry_after=outcome.delay)
 
     async def run(self) -> None:
         """Keep slots and loans until cancelled."""
@@ -133,6 +126,17 @@
         except StoreError as exc:
             _LOG.warning('slots_not_handed_over', error=str(exc))
 
+    async def _try(self, account: Account) -> Outcome:
+        if self.lender.take_kept(account):
+            self.counters['admitted_from_kept'] += 1
+            return GRANTED
+        for home in self.homes.to_ask():
+            outcome = await self._ask(home, account)
+            if outcome.is_answered:
+                return outcome
+            self.homes.note_unanswered(home)
+        return Outcome(is_granted=False)
+
     async def _ask(self, home: VmId, account: Account) -> Outcome:
         if home != self.own_id:
             return await self.asker.ask(home, account.account_id)
@@ -249,6 +253,7 @@
         quota.pool_home.on_lend(envelope.sender, envelope.body)
 
     def on_return(envelope: Envelope) -> None:
+        quota.homes.forget(envelope.sender)
         quota.lender.on_return(envelope.sender, envelope.body.epoch)
 
     endpoint.serve(Ask, quota.pool_home.on_ask)
--- a/src/bronzewall/rights.py
+++ b/src/bronzewall/rights.py
@@ -13,6 +13,8 @@
 
 # Relative drift between two clocks that the margins cover.
 CLOCK_DRIFT = 0.01
+# A request waits at most this long for a token before it is refused.
+LONGEST_WAIT_S = 0.1
 _DIGEST_BYTES = 8
 _DIGEST_RANGE = 2 ** (8 * _DIGEST_BYTES)
 _GOLDEN_RATIO = 0.6180339887498949
@@ -134,15 +136,24 @@
     right: Right = NOTHING
     loans_by_lender: dict[VmId, Loan] = attrs.field(factory=dict)
     _grants: list[_Outstanding] = attrs.field(factory=list)
+    # No loan ends before this time.
     _next_end: float = float('inf')
+    _promised: float = 0
+    _promised_at: float = 0
 
     def adopt(self, *, lender: VmId, loan: Loan, now: float) -> None:
         """Replace what a VM has lent; the tokens stay or are clipped."""
         self.settle(now)
+        before = self.loans_by_lender.get(lender)
         if loan.end <= now or loan.right.burst <= 0:
-            self.loans_by_lender.pop(lender, None)
+            if before is None:
+                return
+            self.loans_by_lender.pop(lender)
         else:
             self.loans_by_lender[lender] = loan
+            if before is not None and before.right == loan.right:
+                self._next_end = min(self._next_end, loan.end)
+                return
         self._sum_up()
 
     def burst_of(self, lender: VmId) -> float:
@@ -176,9 +187,23 @@
                 self._hold_back(granted, now + lifetime * (1 + CLOCK_DRIFT))
         return granted
 
-    def delay(self) -> float:
-        """Return the seconds from the last update to the next token."""
-        return self._bucket().delay()
+    def delay(self, now: float) -> float:
+        """Return the seconds to the next token that is not promised.
+
+        A caller that can wait so long is promised the token, so that the
+        next caller gets a later time.
+        """
+        self.settle(now)
+        if self.right.rate <= 0:
+            return float('inf')
+        accrued = self.right.rate * (now - self._promised_at)
+        self._promised = max(self._promised - accrued, 0)
+        self._promised_at = now
+        missing = max(1 - self.tokens, 0) + self._promised
+        delay = missing / self.right.rate
+        if delay <= LONGEST_WAIT_S:
+            self._promised += 1
+        return delay
 
     def _hold_back(self, count: int, expires: float) -> None:
         heapq.heappush(self._grants, _Outstanding(expires=expires, count=count))
--- a/src/bronzewall/slots.py
+++ b/src/bronzewall/slots.py
@@ -103,6 +103,7 @@
     _doubtful_slots: set[int] = attrs.field(factory=set)
     _destroyed_seen_by_id: dict[VmId, float] = attrs.field(factory=dict)
     _holders: frozenset[VmId] = frozenset()
+    _ready_ids: set[VmId] = attrs.field(factory=set)
     _started_at: float = 0
     _last_tick: float = 0
     _next_scan: float = 0
@@ -203,12 +204,16 @@
         }
         for vm_id in destroyed - set(self._destroyed_seen_by_id):
             self._destroyed_seen_by_id[vm_id] = now
-        ready = any(
-            holder in self._holders and now >= seen + self.settle_s
+        ready = {
+            holder
             for holder, seen in self._destroyed_seen_by_id.items()
-        )
-        if ready:
+            if holder in self._holders and now >= seen + self.settle_s
+        }
+        if ready - self._ready_ids:
+            self.wake()
+        elif ready:
             self._next_scan = min(self._next_scan, now + _RETRY_INTERVAL_S)
+        self._ready_ids = ready
 
     async def _read(self) -> Reading:
         started = self.clock.now()
