--- a/bench/limits_fleet.py
+++ b/bench/limits_fleet.py
@@ -1,6 +1,7 @@
 """Fleet of admission parts over in-memory ports for the limits bench."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Mapping
 from typing import Any
@@ -24,7 +25,7 @@
 
 REGIONS = ('muscat', 'dhofar', 'sharqiyah')
 ZONES_A_REGION = 2
-LIST_INTERVAL_S = 2.0
+LIST_INTERVAL_S = 1.0
 _SAME_ZONE_S = 0.0002
 _BETWEEN_ZONES_S = 0.001
 _BETWEEN_REGIONS_S = 0.008
@@ -114,7 +115,7 @@
         vm.clock.running.set()
         self.network.thaw(vm_id)
 
-    def list_destroyed(self, vm_ids: set[VmId]) -> None:
+    def list_destroyed(self, vm_ids: list[VmId]) -> None:
         """Show VMs as destroyed in the platform's list."""
         self.store.vm_records = tuple(
             attrs.evolve(record, state=VmState.DESTROYED)
@@ -178,10 +179,8 @@
     async def _follow_list(self, vm: FleetVm) -> None:
         vm_list = MemoryVmList(platform=self._platform(vm))
         while True:
-            try:
+            with contextlib.suppress(StoreError):
                 vm.members.update(tuple(await vm_list.read()))
-            except StoreError:
-                await vm.clock.sleep(LIST_INTERVAL_S)
             await vm.clock.sleep(LIST_INTERVAL_S)
 
 
--- a/src/bronzewall/lending.py
+++ b/src/bronzewall/lending.py
@@ -1,5 +1,7 @@
 """Rights of this VM's slots: lent to pool homes, the rest kept."""
 
+import bisect
+import itertools
 from collections import Counter
 from collections.abc import Callable, Mapping
 
@@ -21,10 +23,10 @@
 
 AccountsSource = Callable[[], Mapping[AccountId, Account]]
 # What a killed pool home held is lost for at most this time.
-LOAN_LENGTH_S = 2.0
+LOAN_LENGTH_S = 1.0
 # A home that was not heard from, or did not confirm loans, for this long
 # gets nothing more: two renewals were lost.
-SILENCE_S = 1.2
+SILENCE_S = 0.6
 # Rights follow the demand of a region in steps of this share, because a
 # right that changes its pool is unusable for about one renewal.
 _WEIGHT_STEP = 0.08
@@ -41,42 +43,78 @@
     end: float
     rights_by_account: Mapping[AccountId, Right]
 
+    def exceeds(self, other: 'Statement') -> bool:
+        """Return whether it lends more of any account."""
+        return any(
+            right.burst > other.rights_by_account.get(name, NOTHING).burst
+            for name, right in self.rights_by_account.items()
+        )
+
+
+@attrs.frozen(kw_only=True)
+class Division:
+    """Burst tokens of an account by home, kept until its causes change."""
+
+    account: Account
+    weights: Mapping[VmId, float]
+    slots: list[int]
+    units_by_home: Counter[VmId]
+
+    def fits(
+        self, account: Account, weights: Mapping[VmId, float], slots: list[int]
+    ) -> bool:
+        """Return whether a new division would be the same."""
+        return (
+            account is self.account
+            and weights is self.weights
+            and slots == self.slots
+        )
+
 
 @attrs.define(kw_only=True)
 class HomeLedger:
     """What this VM has lent to one pool home.
 
-    :param region: of the home; orders homes in the division.
     :param confirmed_at: when the home last confirmed a statement.
     """
 
-    region: str
     epoch: int
     heard_at: float
     confirmed_at: float
     is_closed: bool = False
+    stamp: float = 0
     demands: Mapping[AccountId, float] = attrs.field(factory=dict)
     statements: list[Statement] = attrs.field(factory=list)
 
-    def hear(self, renew: Renew, now: float) -> None:
-        """Note a renewal and forget the statements that it replaced."""
+    def hear(self, renew: Renew, now: float) -> bool:
+        """Note a renewal and forget the statements that it replaced.
+
+        :returns: whether rights came back.
+        """
         if renew.epoch > self.epoch:
             self.epoch = renew.epoch
             self.confirmed_at = now
             self.is_closed = False
+            self.stamp = renew.stamp
         self.heard_at = now
+        self.stamp = max(self.stamp, renew.stamp)
         self.demands = renew.demands
-        if any(
-            self._is_number(statement, renew.adopted)
+        adopted = self._find(renew.adopted)
+        if adopted is None:
+            return False
+        self.confirmed_at = now
+        replaced = [
+            statement
             for statement in self.statements
-        ):
-            self.confirmed_at = now
-            self.statements = [
-                statement
-                for statement in self.statements
-                if statement.epoch != renew.epoch
-                or statement.number >= renew.adopted
-            ]
+            if statement.epoch == renew.epoch
+            and statement.number < renew.adopted
+        ]
+        self.statements = [
+            statement
+            for statement in self.statements
+            if statement not in replaced
+        ]
+        return any(statement.exceeds(adopted) for statement in replaced)
 
     def close(self, epoch: int) -> None:
         """Forget the statements of an epoch that has ended."""
@@ -109,8 +147,11 @@
             statement for statement in self.statements if statement.end > now
         ]
 
-    def _is_number(self, statement: Statement, number: int) -> bool:
-        return statement.epoch == self.epoch and statement.number == number
+    def _find(self, number: int) -> Statement | None:
+        for statement in self.statements:
+            if statement.epoch == self.epoch and statement.number == number:
+                return statement
+        return None
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -121,12 +162,14 @@
     rights kept are together never more than the slots carry.
 
     :param region_of: region of a VM, empty if not known.
+    :param push: sends a statement that no renewal asked for.
     """
 
     clock: Clock
     slots: SlotKeeper
     accounts: AccountsSource
     region_of: Callable[[VmId], str]
+    push: Callable[[VmId, Lend], None]
     is_retiring: bool = False
     ledgers_by_home: dict[VmId, HomeLedger] = attrs.field(factory=dict)
     _number: int = attrs.field(
@@ -136,6 +179,7 @@
         )
     )
     _kept_by_account: dict[AccountId, TokenBucket] = attrs.field(factory=dict)
+    _divisions_by_account: dict[AccountId, Division] = attrs.field(factory=dict)
     _weights_by_account: dict[AccountId, dict[VmId, float]] = attrs.field(
         factory=dict
     )
@@ -146,27 +190,9 @@
         ledger = self._ledger(home, renew, now)
         if renew.epoch < ledger.epoch or ledger.is_closed:
             return None
-        ledger.hear(renew, now)
-        ledger.forget_ended(now)
-        rights = self._lendable(home, ledger, now)
-        self._number += 1
-        ledger.statements.append(
-            Statement(
-                epoch=renew.epoch,
-                number=self._number,
-                end=now + LOAN_LENGTH_S,
-                rights_by_account=rights,
-            )
-        )
-        self._clip_kept(rights, now)
-        return Lend(
-            epoch=renew.epoch,
-            stamp=renew.stamp,
-            number=self._number,
-            length=LOAN_LENGTH_S * (1 - CLOCK_DRIFT),
-            rates={name: right.rate for name, right in rights.items()},
-            bursts={name: right.burst for name, right in rights.items()},
-        )
+        if ledger.hear(renew, now):
+            self._lend_returned(home, now)
+        return self._state(home, ledger, now)
 
     def on_return(self, home: VmId, epoch: int) -> None:
         """Take back everything lent to a home under an epoch."""
@@ -205,10 +231,40 @@
             total = total.plus(ledger.committed(account_id, now))
         return total
 
+    def _lend_returned(self, home: VmId, now: float) -> None:
+        """Lend rights that came back from one home to the others at once.
+
+        Waiting for their next renewal would leave the rights unused.
+        """
+        for other, ledger in self.ledgers_by_home.items():
+            if other != home and ledger.is_fresh(now):
+                self.push(other, self._state(other, ledger, now))
+
+    def _state(self, home: VmId, ledger: HomeLedger, now: float) -> Lend:
+        ledger.forget_ended(now)
+        rights = self._lendable(home, ledger, now)
+        self._number += 1
+        ledger.statements.append(
+            Statement(
+                epoch=ledger.epoch,
+                number=self._number,
+                end=now + LOAN_LENGTH_S,
+                rights_by_account=rights,
+            )
+        )
+        self._clip_kept(rights, now)
+        return Lend(
+            epoch=ledger.epoch,
+            stamp=ledger.stamp,
+            number=self._number,
+            length=LOAN_LENGTH_S * (1 - CLOCK_DRIFT),
+            rates={name: right.rate for name, right in rights.items()},
+            bursts={name: right.burst for name, right in rights.items()},
+        )
+
     def _ledger(self, home: VmId, renew: Renew, now: float) -> HomeLedger:
         if home not in self.ledgers_by_home:
             self.ledgers_by_home[home] = HomeLedger(
-                region=self.region_of(home),
                 epoch=renew.epoch,
                 heard_at=now,
                 confirmed_at=now,
@@ -256,26 +312,33 @@
         fresh: Mapping[VmId, HomeLedger],
         slots: list[int],
     ) -> int:
-        positions = self._positions(account)
-        counted: Counter[VmId | None] = Counter()
-        bounds = self._bounds(account.account_id, fresh)
-        for slot in slots:
-            for position in positions.get(slot, ()):
-                counted[_owner(bounds, position)] += 1
-        return counted[home]
+        name = account.account_id
+        weights = self._weights(name, fresh)
+        division = self._divisions_by_account.get(name)
+        if division is None or not division.fits(account, weights, slots):
+            division = Division(
+                account=account,
+                weights=weights,
+                slots=slots,
+                units_by_home=self._divide(account, weights, slots),
+            )
+            self._divisions_by_account[name] = division
+        return division.units_by_home[home]
 
-    def _bounds(
-        self, account_id: AccountId, fresh: Mapping[VmId, HomeLedger]
-    ) -> list[tuple[float, VmId]]:
-        weights = self._weights(account_id, fresh)
+    def _divide(
+        self, account: Account, weights: Mapping[VmId, float], slots: list[int]
+    ) -> Counter[VmId]:
+        positions = self._positions(account)
         ordered = sorted(
-            weights, key=lambda vm_id: (fresh[vm_id].region, vm_id)
+            weights, key=lambda vm_id: (self.region_of(vm_id), vm_id)
         )
-        bounds, upper = [], float(0)
-        for vm_id in ordered:
-            upper += weights[vm_id]
-            bounds.append((upper, vm_id))
-        return bounds
+        bounds = list(itertools.accumulate(weights[home] for home in ordered))
+        counted: Counter[VmId] = Counter()
+        for slot in slots:
+            for position in positions.get(slot, ()):
+                index = bisect.bisect_right(bounds, position)
+                counted[ordered[min(index, len(ordered) - 1)]] += 1
+        return counted
 
     def _weights(
         self, account_id: AccountId, fresh: Mapping[VmId, HomeLedger]
@@ -313,13 +376,6 @@
                 self._kept(account, now)
 
 
-def _owner(bounds: list[tuple[float, VmId]], position: float) -> VmId | None:
-    for upper, vm_id in bounds:
-        if position < upper:
-            return vm_id
-    return bounds[-1][1] if bounds else None
-
-
 def _shares(
     account_id: AccountId, fresh: Mapping[VmId, HomeLedger]
 ) -> dict[VmId, float]:
--- a/src/bronzewall/pools.py
+++ b/src/bronzewall/pools.py
@@ -1,7 +1,8 @@
 """The home of a region's pools: borrows rights and answers asks."""
 
 import asyncio
-from collections.abc import Iterable, Mapping
+from collections.abc import Coroutine, Iterable, Mapping
+from typing import Any
 
 import attrs
 
@@ -15,13 +16,16 @@
 from bronzewall.membership import Members
 from bronzewall.messages import Envelope
 from bronzewall.peer_calls import PeerEndpoint
-from bronzewall.pool_homes import PoolHomes
+from bronzewall.pool_homes import SILENCE_S, PoolHomes
 from bronzewall.ports import Clock
 from bronzewall.quota_messages import Ask, Grant, Lend, Renew, ReturnLoans
-from bronzewall.rights import Loan, Pool, Right
+from bronzewall.rights import CLOCK_DRIFT, Loan, Pool, Right
 from bronzewall.types import AccountId, VmId, VmState
 
-RENEW_INTERVAL_S = 0.5
+# A quarter of the length of a loan, so that lost messages end no loan.
+RENEW_INTERVAL_S = 0.25
+# After this time grants under the former statement have expired.
+_CONFIRM_DELAY_S = RELAYED_LIFETIME_S * (1 + 2 * CLOCK_DRIFT)
 # Time over which the demand of a region is averaged.
 _DEMAND_WINDOW_S = 4.0
 
@@ -35,6 +39,7 @@
     """
 
     number: int = 0
+    is_confirmation_due: bool = False
     adopted_at: float = 0
     confirmed: int = 0
 
@@ -56,6 +61,7 @@
     epoch: int
     is_open: bool = False
     is_stopping: bool = False
+    _stepped_at: float = 0
     pools_by_account: dict[AccountId, Pool] = attrs.field(factory=dict)
     _adopted_by_lender: dict[VmId, _Adopted] = attrs.field(factory=dict)
     _demands_by_account: dict[AccountId, float] = attrs.field(factory=dict)
@@ -72,7 +78,13 @@
 
     async def step(self) -> None:
         """Open, renew or close the pools as the view asks for."""
+        now = self.clock.now()
+        if now - self._stepped_at > SILENCE_S:
+            # After a pause another VM may be home; its loans stay there.
+            await self.close()
+        self._stepped_at = now
         if self.homes.is_own() and not self.is_stopping:
+            self.homes.hear(self.own_id)
             if not self.is_open:
                 self.is_open = True
                 self.epoch += 1
@@ -86,6 +98,7 @@
         if not self.is_open:
             return
         self.is_open = False
+        self.homes.forget(self.own_id)
         self.pools_by_account.clear()
         self._adopted_by_lender.clear()
         # Grants given before may be used during their lifetime.
@@ -105,14 +118,20 @@
         self._confirm(adopted, now)
         adopted.number, adopted.adopted_at = lend.number, now
         end = lend.stamp + lend.length - RELAYED_LIFETIME_S
-        account_ids = {*lend.bursts, *self.pools_by_account}
-        for account_id in account_ids:
+        is_reduced = False
+        for account_id in dict.fromkeys((*lend.bursts, *self.pools_by_account)):
             right = Right(
                 rate=lend.rates.get(account_id, 0),
                 burst=lend.bursts.get(account_id, 0),
             )
-            self._pool(account_id, now).adopt(
-                lender=lender, loan=Loan(right=right, end=end), now=now
+            pool = self._pool(account_id, now)
+            before = pool.burst_of(lender)
+            is_reduced = is_reduced or right.burst < before
+            pool.adopt(lender=lender, loan=Loan(right=right, end=end), now=now)
+        if is_reduced and not adopted.is_confirmation_due:
+            adopted.is_confirmation_due = True
+            asyncio.get_running_loop().call_later(
+                _CONFIRM_DELAY_S, self._confirm_early, lender, self.epoch
             )
 
     def take(self, account_id: AccountId) -> bool:
@@ -129,7 +148,7 @@
             for (_home, name), until in self._empty_until.items()
             if name == account_id and until > now
         ]
-        own = self._pool(account_id, now).delay()
+        own = self._pool(account_id, now).delay(now)
         return min(own, *hints, LONGEST_DELAY_S)
 
     async def relay_one(self, account_id: AccountId) -> bool:
@@ -147,24 +166,37 @@
                 self.homes.note_unanswered(home)
         return False
 
-    async def on_ask(self, envelope: Envelope) -> None:
-        """Answer an ask, after asking other pools if this one is empty."""
+    def on_ask(self, envelope: Envelope) -> Coroutine[Any, Any, None] | None:
+        """Answer an ask.
+
+        :returns: what remains to do if other pools must be asked.
+        """
         ask: Ask = envelope.body
         if not self.is_open:
-            return
+            self.endpoint.send(
+                to=envelope.sender, message=_not_home(ask.ask_id)
+            )
+            return None
         if not ask.relayed:
             self._count_demand(ask.counts)
         lifetime = RELAYED_LIFETIME_S if ask.relayed else QUICK_LIFETIME_S
         granted, missing = self._take_all(ask.counts, lifetime)
-        waiting = set() if ask.relayed else self._worth_relaying(missing)
+        waiting = [] if ask.relayed else self._worth_relaying(missing)
         refused = [name for name in missing if name not in waiting]
         if granted or refused:
             grant = self._grant(ask, 0, granted, refused, lifetime)
             self.endpoint.send(to=envelope.sender, message=grant)
-        if waiting:
-            counts = await self._relay_all(missing, waiting)
-            grant = self._grant(ask, 1, counts, waiting, RELAYED_LIFETIME_S)
-            self.endpoint.send(to=envelope.sender, message=grant)
+        if not waiting:
+            return None
+        relayed = {name: missing[name] for name in waiting}
+        return self._answer_later(envelope.sender, ask, relayed)
+
+    async def _answer_later(
+        self, sender: VmId, ask: Ask, missing: Mapping[AccountId, int]
+    ) -> None:
+        counts = await self._relay_all(missing)
+        grant = self._grant(ask, 1, counts, missing, RELAYED_LIFETIME_S)
+        self.endpoint.send(to=sender, message=grant)
 
     def _take_all(
         self, counts: Mapping[AccountId, int], lifetime: float
@@ -182,20 +214,22 @@
 
     def _worth_relaying(
         self, missing: Mapping[AccountId, int]
-    ) -> set[AccountId]:
+    ) -> list[AccountId]:
         now = self.clock.now()
         others = self.homes.others() if missing else []
-        return {
+        return [
             account_id
             for account_id in missing
-            for home in others
-            if self._empty_until.get((home, account_id), 0) <= now
-        }
+            if any(
+                self._empty_until.get((home, account_id), 0) <= now
+                for home in others
+            )
+        ]
 
     async def _relay_all(
-        self, missing: Mapping[AccountId, int], waiting: Iterable[AccountId]
+        self, missing: Mapping[AccountId, int]
     ) -> dict[AccountId, int]:
-        names = [name for name in waiting for _ in range(missing[name])]
+        names = [name for name, count in missing.items() for _ in range(count)]
         outcomes = await asyncio.gather(
             *(self.relay_one(name) for name in names)
         )
@@ -229,34 +263,39 @@
         return pool
 
     def _confirm(self, adopted: _Adopted, now: float) -> None:
-        if now - adopted.adopted_at > RELAYED_LIFETIME_S:
+        if now - adopted.adopted_at >= RELAYED_LIFETIME_S * (1 + CLOCK_DRIFT):
             adopted.confirmed = adopted.number
 
     def _renew(self) -> None:
-        now = self.clock.now()
-        demands = {
-            name: round(demand, 1)
-            for name, demand in self._demands_by_account.items()
-        }
         for vm_id in (*self._lenders(), self.own_id):
-            adopted = self._adopted_by_lender.setdefault(vm_id, _Adopted())
-            self._confirm(adopted, now)
-            renew = Renew(
-                epoch=self.epoch,
-                stamp=now,
-                adopted=adopted.confirmed,
-                demands=demands,
-            )
-            if vm_id == self.own_id:
-                self._renew_own(renew)
-            else:
-                self.endpoint.send(to=vm_id, message=renew)
+            self._renew_with(vm_id)
 
-    def _renew_own(self, renew: Renew) -> None:
+    def _renew_with(self, lender: VmId) -> None:
+        now = self.clock.now()
+        adopted = self._adopted_by_lender.setdefault(lender, _Adopted())
+        self._confirm(adopted, now)
+        renew = Renew(
+            epoch=self.epoch,
+            stamp=now,
+            adopted=adopted.confirmed,
+            demands={
+                name: round(demand, 1)
+                for name, demand in self._demands_by_account.items()
+            },
+        )
+        if lender != self.own_id:
+            self.endpoint.send(to=lender, message=renew)
+            return
         lend = self.lender.on_renew(self.own_id, renew)
         if lend is not None:
             self.on_lend(self.own_id, lend)
 
+    def _confirm_early(self, lender: VmId, epoch: int) -> None:
+        """Confirm a smaller loan, so that the rest can be lent again."""
+        if self.is_open and epoch == self.epoch:
+            self._adopted_by_lender[lender].is_confirmation_due = False
+            self._renew_with(lender)
+
     def _lenders(self) -> list[VmId]:
         return [
             record.vm_id
@@ -273,10 +312,15 @@
     def _average_demand(self) -> None:
         weight = RENEW_INTERVAL_S / _DEMAND_WINDOW_S
         asked, self._asked_by_account = self._asked_by_account, {}
-        account_ids = {*asked, *self._demands_by_account}
-        for account_id in account_ids:
+        for account_id in dict.fromkeys((*asked, *self._demands_by_account)):
             recent = asked.get(account_id, 0) / RENEW_INTERVAL_S
             before = self._demands_by_account.get(account_id, recent)
             self._demands_by_account[account_id] = before + weight * (
                 recent - before
             )
+
+
+def _not_home(ask_id: int) -> Grant:
+    return Grant(
+        ask_id=ask_id, part=0, counts={}, delays={}, lifetime=0, is_home=False
+    )
