Take free ports for the demo and benches

Cause: two runs at once on one machine used the same ports and both failed. Change: the fleet looks for a free range of ports. Ruled out: port 0 for every process; peers must be told the ports first.

--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -15,10 +15,11 @@
     start_demo_fleet,
     summarize,
 )
-from bronzewall.standins.fleet import ProcessFleet
+from bronzewall.standins.fleet import ProcessFleet, free_base_port
 from bronzewall.types import VmId, VmState
 
-_BASE_PORT = 18600
+_PORTS = 60
+_FIRST_PORT = 18600
 _ZONES = (
     'muscat-a',
     'muscat-b',
@@ -114,7 +115,9 @@
 
 async def _measure(seed: int) -> dict[str, Any]:
     async with aiohttp.ClientSession() as session:
-        fleet = ProcessFleet(base_port=_BASE_PORT, session=session)
+        fleet = ProcessFleet(
+            base_port=free_base_port(_FIRST_PORT, count=_PORTS), session=session
+        )
         try:
             await start_demo_fleet(fleet, _ZONES)
             load = demo_load(fleet, seed)
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -15,9 +15,10 @@
 from harness import Target, run_bench
 
 from bronzewall.demo import demo_files, start_demo_fleet
-from bronzewall.standins.fleet import ProcessFleet
+from bronzewall.standins.fleet import ProcessFleet, free_base_port
 
-_BASE_PORT = 19000
+_PORTS = 180
+_FIRST_PORT = 19000
 _ZONES = ('muscat-a', 'muscat-b', 'dhofar-a', 'dhofar-b')
 _FLEET_SIZES = (5, 10, 20, 40)
 _IDLE_S = 4.0
@@ -127,7 +128,9 @@
     """Measure idle daemons, then the cost of configuration changes."""
     zones = [_ZONES[number % len(_ZONES)] for number in range(vms)]
     async with aiohttp.ClientSession() as session:
-        fleet = ProcessFleet(base_port=_BASE_PORT, session=session)
+        fleet = ProcessFleet(
+            base_port=free_base_port(_FIRST_PORT, count=_PORTS), session=session
+        )
         try:
             await start_demo_fleet(fleet, zones)
             await asyncio.sleep(_SETTLE_S)
--- a/src/bronzewall/demo.py
+++ b/src/bronzewall/demo.py
@@ -12,7 +12,7 @@
 import aiohttp
 
 from bronzewall.key_table import key_digest
-from bronzewall.standins.fleet import ProcessFleet
+from bronzewall.standins.fleet import ProcessFleet, free_base_port
 from bronzewall.standins.load import (
     Load,
     LoadAccount,
@@ -25,7 +25,8 @@
 _INSTANCES_PER_SERVICE = 3
 _ZONES = ('muscat-a', 'dhofar-a', 'sharqiyah-a')
 _KEYS_BY_ACCOUNT = {'gulf-daily': 'key-one', 'school-booklets': 'key-two'}
-_BASE_PORT = 18200
+_FIRST_PORT = 18200
+_PORTS = 60
 _FAULT_AFTER_S = 5.0
 _STOP_AFTER_S = 9.0
 _RATE = 60.0
@@ -172,7 +173,8 @@
 
 def main() -> None:
     """Run the demo, print its counts and exit 1 if a guarantee broke."""
-    counts = asyncio.run(run_demo(base_port=_BASE_PORT, seed=1))
+    base_port = free_base_port(_FIRST_PORT, count=_PORTS)
+    counts = asyncio.run(run_demo(base_port=base_port, seed=1))
     sys.stdout.write(f'{json.dumps(counts)}\n')
     sys.exit(1 if broken_guarantees(counts) else 0)
 
--- a/src/bronzewall/standins/fleet.py
+++ b/src/bronzewall/standins/fleet.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import signal
+import socket
 import sys
 import tempfile
 import uuid
@@ -16,6 +17,7 @@
 from bronzewall import platform_wire
 from bronzewall.adapters.platform_http import PlatformClient
 from bronzewall.config_files import load_directory
+from bronzewall.errors import BronzewallError
 from bronzewall.publication import publish
 from bronzewall.standins.load import EntryPoint
 from bronzewall.types import Placement, VmId, VmRecord, VmState
@@ -26,6 +28,33 @@
 _UPSTREAM_PORT_OFFSET = 10
 _VM_PORT_OFFSET = 40
 _PORTS_PER_VM = 3
+_RANGES = 20
+
+
+class NoFreePortsError(BronzewallError):
+    """Every range of ports tried is in use."""
+
+
+def free_base_port(first: int, *, count: int) -> int:
+    """Return the first of ``count`` free loopback ports in a row.
+
+    :param first: port from which to search.
+    :raises NoFreePortsError: every range tried is in use.
+    """
+    for base in range(first, first + _RANGES * count, count):
+        if all(_is_free(base + offset) for offset in range(count)):
+            return base
+    raise NoFreePortsError(f'no {count} free ports from {first}')
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((_HOST, port))
+        except OSError:
+            return False
+    return True
 
 
 @attrs.define(kw_only=True)
