--- a/bench/config.py
+++ b/bench/config.py
@@ -22,8 +22,11 @@
 _TICK_S = 0.1
 _WARM_UP_S = 5.0
 _P99 = 0.99
+# Publishes of the second part, in which tools hand nothing over.
+_READER_PUBLISHES = 30
 TARGETS = (
     Target(figure='in_force_p99_s', at_most=2),
+    Target(figure='in_force_by_readers_p99_s', at_most=2),
     Target(figure='withdrawn_key_ran_after_s', at_most=2),
     Target(figure='ran_after_accepted', at_most=0),
     Target(figure='reverted', at_most=0),
@@ -87,16 +90,18 @@
     seconds = now() - started
     await asyncio.gather(*operators.confirming)
     report = _report(fleet, operators)
+    traffic = (
+        fleet.network.messages - before[0],
+        fleet.network.bytes_sent - before[1],
+        fleet.store.reads - before[2],
+    )
+    report.update(await _measure_readers(fleet, operators))
     report.update(
         {
             'virtual_s': seconds,
-            'messages_per_vm_s': _rate(
-                fleet.network.messages - before[0], seconds * _VMS
-            ),
-            'bytes_per_vm_s': _rate(
-                fleet.network.bytes_sent - before[1], seconds * _VMS
-            ),
-            'store_reads_per_s': _rate(fleet.store.reads - before[2], seconds),
+            'messages_per_vm_s': _rate(traffic[0], seconds * _VMS),
+            'bytes_per_vm_s': _rate(traffic[1], seconds * _VMS),
+            'store_reads_per_s': _rate(traffic[2], seconds),
         }
     )
     watch.cancel()
@@ -105,6 +110,25 @@
     return report
 
 
+async def _measure_readers(
+    fleet: Fleet, operators: Operators
+) -> dict[str, float]:
+    """Return the delay when only the readers bring the change."""
+    first = max(fleet.stored_at) + 1
+    operators.hands_over = False
+    operators.limit = operators.started + _READER_PUBLISHES
+    await asyncio.gather(
+        *(operators.run(number) for number in range(_OPERATORS))
+    )
+    await asyncio.gather(*operators.confirming)
+    lags = sorted(_lags(fleet, first))
+    return {
+        'in_force_by_readers_p50_s': lags[len(lags) // 2],
+        'in_force_by_readers_p99_s': lags[int(len(lags) * _P99)],
+        'in_force_by_readers_max_s': lags[-1],
+    }
+
+
 async def _first_publish(fleet: Fleet, operators: Operators) -> None:
     store = fleet.platform(STORE_REGION, VirtualClock())
     first = await publish(
@@ -155,9 +179,11 @@
     }
 
 
-def _lags(fleet: Fleet) -> list[float]:
+def _lags(fleet: Fleet, first: int = 1) -> list[float]:
     found = []
     for generation, stored in fleet.stored_at.items():
+        if generation < first:
+            continue
         for vm in fleet.vms_by_id.values():
             at = vm.in_force_at(generation)
             if at is None and not vm.is_dead:
--- a/src/bronzewall/config_reader.py
+++ b/src/bronzewall/config_reader.py
@@ -74,8 +74,6 @@
     def _is_alone(self) -> bool:
         """Return whether it is time for a poll though not a reader."""
         now = self.clock.now()
-        if self.feed.generation == 0:
-            return True
         heard = min(self.freshness.age(), self.freshness.silent_age(self.zone))
         if heard <= _ALONE_AGE_S:
             self._alone_interval = _ALONE_INTERVAL_S
--- a/src/bronzewall/heartbeat_messages.py
+++ b/src/bronzewall/heartbeat_messages.py
@@ -1,13 +1,11 @@
 """Messages of heartbeats, suspicions and the members' list."""
 
-from typing import Any
-
 import attrs
 
 from bronzewall.freshness import StoreReport
 from bronzewall.membership import MemberState
 from bronzewall.messages import message
-from bronzewall.types import VmId
+from bronzewall.types import VmId, VmRecord
 
 
 @message('heartbeat')
@@ -111,5 +109,5 @@
 
     digest: bytes
     base: bytes = b''
-    records: list[dict[str, Any]] = attrs.field(factory=list)
+    records: list[VmRecord] = attrs.field(factory=list)
     removed_ids: list[VmId] = attrs.field(factory=list)
--- a/src/bronzewall/publication.py
+++ b/src/bronzewall/publication.py
@@ -34,6 +34,8 @@
 # At 12,000 changes a day this keeps history and publication ids for four
 # days, longer than any reader is behind and any operator repeats.
 _HISTORY_GENERATIONS = 48_000
+# The first accounts file may have thousands of parts.
+_PARALLEL_PUTS = 16
 _ABSENT = PartEntry(generation=0, digest=b'')
 _RETRY_DELAY_S = 0.1
 _DEFAULT_TIMEOUT_S = 15.0
@@ -96,6 +98,7 @@
     base: dict[str, int]
     is_sent: bool = False
     is_lost: bool = False
+    stored_digests: set[bytes] = attrs.field(factory=set)
 
 
 async def read_base(
@@ -215,8 +218,7 @@
         for part, body in wanted.bodies_by_part.items()
         if part in changes and body is not None
     }
-    for body in bodies.values():
-        await objects.put(name=rows.object_name(body_digest(body)), body=body)
+    await _put_all(bodies, progress, objects)
     row = rows.GenerationRow(
         generation=generation,
         digest=manifest_digest({**entries, **changes}),
@@ -240,6 +242,27 @@
     )
 
 
+async def _put_all(
+    bodies: Mapping[str, bytes], progress: _Progress, objects: ObjectStore
+) -> None:
+    """Store the bodies that no earlier attempt has stored."""
+    limit = asyncio.Semaphore(_PARALLEL_PUTS)
+
+    async def put(body: bytes) -> None:
+        digest = body_digest(body)
+        async with limit:
+            await objects.put(name=rows.object_name(digest), body=body)
+        progress.stored_digests.add(digest)
+
+    await asyncio.gather(
+        *(
+            put(body)
+            for body in bodies.values()
+            if body_digest(body) not in progress.stored_digests
+        )
+    )
+
+
 async def _check_base(
     wanted: _Wanted, progress: _Progress, table: TableService
 ) -> None:
--- a/src/bronzewall/vm_list_feed.py
+++ b/src/bronzewall/vm_list_feed.py
@@ -117,9 +117,7 @@
             records.update(self._copies_by_digest[body.base])
         for vm_id in body.removed_ids:
             records.pop(vm_id, None)
-        for wire in body.records:
-            record = platform_wire.vm_record_from_wire(wire)
-            records[record.vm_id] = record
+        records.update({record.vm_id: record for record in body.records})
         if list_digest(records) == body.digest:
             self.take(records, read_at)
         else:
@@ -130,7 +128,7 @@
         base = self._copies_by_digest.get(envelope.body.have)
         before: Records = base or {}
         changed = [
-            platform_wire.vm_record_to_wire(record)
+            record
             for vm_id, record in current.items()
             if before.get(vm_id) != record
         ]
