--- a/bench/config_operators.py
+++ b/bench/config_operators.py
@@ -11,7 +11,12 @@
 from bronzewall.config_model import Account, Instance, Route, Service
 from bronzewall.errors import PublishConflictError, StoreUnavailableError
 from bronzewall.key_table import key_digest
-from bronzewall.publication import PublishOutcome, publish, read_base
+from bronzewall.publication import (
+    Publication,
+    PublishOutcome,
+    publish,
+    read_base,
+)
 from bronzewall.standins.memory import MemoryPlatform
 from bronzewall.standins.virtual_time import VirtualClock
 from bronzewall.types import (
@@ -35,8 +40,9 @@
 class Operators:
     """Operators who publish at the same time.
 
-    :param expected: value of the last publish of each service by the
-        generation that stored it.
+    :param stored: service and serial by generation.
+    :param publications: generation by publication id.
+    :param hands_over: whether the tool hands changes to the VMs itself.
     """
 
     fleet: Fleet
@@ -46,13 +52,15 @@
     stored: dict[int, tuple[str, int]] = attrs.field(factory=dict)
     publications: dict[str, int] = attrs.field(factory=dict)
     started: int = 0
+    limit: int = PUBLISHES
+    hands_over: bool = True
     confirming: list[asyncio.Task[None]] = attrs.field(factory=list)
 
     async def run(self, number: int) -> None:
         """Publish until the fleet's total is reached."""
         clock = VirtualClock()
         store = self.fleet.platform(STORE_REGION, clock)
-        while self.started < PUBLISHES:
+        while self.started < self.limit:
             self.started += 1
             store.faults.is_down = self.fleet.is_store_down
             if self.started % _WITHDRAWAL_EVERY == 0:
@@ -92,6 +100,14 @@
         )
         self.fleet.withdrawn_by_key[key] = generation
 
+    def _handed_over(self, publication: Publication) -> Publication:
+        """Return what the tool knows, without the change if asked."""
+        change = publication.change
+        if change is None or self.hands_over:
+            return publication
+        bare = attrs.evolve(change, digest=b'')
+        return attrs.evolve(publication, change=bare)
+
     async def _publish(
         self,
         number: int,
@@ -136,7 +152,9 @@
             assert outcome.generation is not None
             self.publications[publication_id] = outcome.generation
             self.confirming.append(
-                asyncio.create_task(self.fleet.confirm(outcome, known))
+                asyncio.create_task(
+                    self.fleet.confirm(self._handed_over(outcome), known)
+                )
             )
             return outcome.generation
 
