--- a/bench/once.py
+++ b/bench/once.py
@@ -299,6 +299,7 @@
     runs_by_marker = Counter(run.marker for run in runs)
     ran_ids = {run.request_id for run in runs}
     counts: Counter[str] = Counter()
+    kinds: Counter[str] = Counter()
     reasons: Counter[str] = Counter()
     for item in submissions:
         is_ran = runs_by_marker[item.marker] > 0
@@ -310,6 +311,10 @@
         counts['lost'] += bool(answered) and not is_ran
         is_unknown = not answered and not all_no
         counts['unknown'] += is_unknown
+        kind = 'keyed' if _is_keyed(item) else 'issued'
+        kinds[f'{kind}_told_success'] += bool(answered)
+        kinds[f'{kind}_unknown'] += is_unknown
+        kinds[f'{kind}_refused'] += all_no
         is_excess = item.marker not in fleet.upstreams.lost_markers
         counts['unknown_excess'] += is_unknown and is_excess
         counts['told_success'] += bool(answered)
@@ -333,6 +338,7 @@
             counts['unknown_excess'] / len(submissions), 4
         ),
         'told_success': counts['told_success'],
+        **kinds,
         'replayed': counts['replays'],
         'status_only': counts['status_only'],
         'store_writes_per_request': round(
--- a/src/bronzewall/errors.py
+++ b/src/bronzewall/errors.py
@@ -25,6 +25,10 @@
     """A version check of a transaction failed; nothing was changed."""
 
 
+class OnceRowError(StoreError):
+    """The row of an idempotency key cannot be read."""
+
+
 class ObjectMissingError(StoreError):
     """The object store has no object of this name."""
 
--- a/src/bronzewall/once_rows.py
+++ b/src/bronzewall/once_rows.py
@@ -5,6 +5,7 @@
 import attrs
 from cattrs.preconf.cbor2 import make_converter
 
+from bronzewall.errors import OnceRowError
 from bronzewall.ports import Clock, TableService
 from bronzewall.run_outcome import Outcome, RunDemand, RunState
 from bronzewall.types import Row, VmId
@@ -62,8 +63,14 @@
 
 
 def decode_entry(row: Row) -> Entry:
-    """Return the entry of a row."""
-    return _converter.loads(row.value, Entry)
+    """Return the entry of a row.
+
+    :raises OnceRowError: another version of bronzewall wrote the row.
+    """
+    try:
+        return _converter.loads(row.value, Entry)
+    except Exception as exc:
+        raise OnceRowError(f'row of a key: {exc}') from exc
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/tests/test_caller_gone.py
@@ -0,0 +1,77 @@
+"""A caller that hangs up on the real HTTP server."""
+
+import asyncio
+import contextlib
+import random
+import socket
+
+import aiohttp
+from builders import (
+    ACCOUNT_KEY,
+    a_configuration,
+    a_route,
+    a_service,
+    an_instance,
+)
+
+from bronzewall.adapters.entry_http import EntryServer
+from bronzewall.standins.memory_fleet import MemoryFleet
+from bronzewall.standins.memory_link import MemoryNetwork
+from bronzewall.standins.memory_upstreams import MemoryUpstreams
+from bronzewall.types import VmId
+
+_RUN_TIME_S = 0.2
+
+
+def _free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+def _fleet() -> MemoryFleet:
+    route = a_route(methods=frozenset({'POST'}), idempotent=False)
+    rng = random.Random(1)
+    fleet = MemoryFleet(
+        random=rng,
+        configuration=a_configuration(
+            services=[a_service(instances=[an_instance()], routes=[route])]
+        ),
+        upstreams=MemoryUpstreams(random=rng, run_time=_RUN_TIME_S),
+        network=MemoryNetwork(random=rng),
+    )
+    fleet.start(VmId('vm-1'))
+    return fleet
+
+
+async def test_run_goes_on_when_the_caller_hangs_up() -> None:
+    """Guards against an outcome lost with the caller's connection.
+
+    The server cancels the handler when the connection closes; the run must
+    end, its outcome must be kept, and the answer to nobody must not fail.
+    """
+    fleet = _fleet()
+    vm = fleet.vms_by_id[VmId('vm-1')]
+    address = _free_address()
+    server = EntryServer(
+        listen=address, handler=vm.path.handle, max_body_bytes=1000
+    )
+    await server.start()
+    headers = {
+        'Authorization': f'Bearer {ACCOUNT_KEY}',
+        'Idempotency-Key': 'k-1',
+    }
+    url = f'http://{address}/drafts/7'
+    hang_up = aiohttp.ClientTimeout(total=_RUN_TIME_S / 4)
+    async with aiohttp.ClientSession(headers=headers) as session:
+        with contextlib.suppress(TimeoutError):
+            await session.post(url, data=b'grid', timeout=hang_up)
+        while vm.gate.pending:
+            await asyncio.sleep(_RUN_TIME_S / 10)
+        async with session.post(url, data=b'grid') as answer:
+            assert answer.status == 201
+            assert answer.headers['Bronzewall-Replay'] == 'full'
+            document = await answer.json()
+    assert [run.request_id for run in fleet.upstreams.runs] == [document['ran']]
+    await server.stop()
+    await fleet.close()
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -278,6 +278,23 @@
     run_virtual(main())
 
 
+def test_unreadable_row_is_refused() -> None:
+    """Guards against a run after a row of another version."""
+
+    async def main() -> None:
+        keys = Keys()
+        ledger = keys.ledger('a')
+        write = RowWrite(
+            table=ONCE_TABLE, key=row_key(keys.demand()), value=b'\xa0'
+        )
+        await keys.platform.transact(checks=[], writes=[write])
+        refusal = await keys.refusal(ledger)
+        assert refusal.reason is Reason.STORE_UNAVAILABLE
+        assert refusal.ran is Ran.NO
+
+    run_virtual(main())
+
+
 def test_late_claim_of_a_refused_attempt_is_released() -> None:
     """Guards against keys spent by a claim that arrived after a refusal."""
 
