Test three faults that mutations showed to be unguarded

Cause: without the attempt check before a settlement, the deadline check before a send, or the wait for the report of a death, all tests passed.

Change: the run in the store fault table takes 1 s, so that retried writes of earlier attempts meet it; a dispatcher that answers after the deadline; re-sends that are faster than one message between VMs.

--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -26,9 +26,9 @@
 FINGERPRINT = b'f'
 
 
-def _fleet() -> MemoryFleet:
+def _fleet(retries: int = 2) -> MemoryFleet:
     return a_fleet(
-        [a_route(retries=2)],
+        [a_route(retries=retries)],
         vms=VMS,
         crashes=lambda target: 'poison' in target,
     )
@@ -89,6 +89,22 @@
     run_virtual(main())
 
 
+def test_resend_does_not_overtake_the_report() -> None:
+    """Guards against a re-send at a VM that the report has not reached."""
+
+    async def main() -> None:
+        fleet = _fleet(retries=0)
+        # Two deaths and re-sends take less time than one message.
+        fleet.network.delay = lambda _sender, _receiver: 0.048
+        fleet.network.jitter = 0
+        fleet.upstreams.run_time = 0.004
+        for number in range(VMS):
+            await _get(fleet, number, 'poison')
+        assert len(fleet.upstreams.runs) == 2
+
+    run_virtual(main())
+
+
 def test_innocent_requests_are_answered_after_a_death() -> None:
     """Guards against refusing every request that was in flight."""
 
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -138,6 +138,8 @@
         return 0
     if not isinstance(claim, KeyClaim):
         return 0
+    # Writes of earlier attempts that are still retried meet this claim.
+    await asyncio.sleep(1)
     if has_run:
         claim.done(OUTCOME)
     else:
--- a/tests/test_once_fleet.py
+++ b/tests/test_once_fleet.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from bronzewall import headers as header_rules
+from bronzewall.dispatch import Dispatcher
 from bronzewall.run_issue import ISSUE_PATH
 from bronzewall.run_outcome import MAX_STORED_BODY_BYTES
 from bronzewall.standins.memory_faults import TableFaults
@@ -274,6 +275,29 @@
     run_virtual(main())
 
 
+class SlowDispatcher(Dispatcher):
+    """Hands out an instance after the deadline."""
+
+    async def acquire(self, **request: Any) -> Any:
+        """Wait as in a long queue."""
+        await asyncio.sleep(4)
+        return await super().acquire(**request)
+
+
+def test_request_that_waited_too_long_is_not_sent() -> None:
+    """Guards against a late run after a re-send was told "unknown"."""
+
+    async def main() -> None:
+        fleet = _fleet()
+        path = fleet.vms_by_id[VM_IDS[0]].path
+        path.dispatcher = SlowDispatcher(random=fleet.random)
+        problem = _problem(await _post(fleet, 0, KEY))
+        assert (problem['reason'], problem['ran']) == ('upstream_timeout', 'no')
+        assert not fleet.upstreams.runs
+
+    run_virtual(main())
+
+
 def test_unexpected_failure_is_an_unknown_outcome() -> None:
     """Guards against a second run after a failure without a type."""
 
