--- a/bench/once.py
+++ b/bench/once.py
@@ -257,7 +257,7 @@
         fleet.publish_members()
         fleet.network.cut(sender=victims[3], receiver=victims[4])
         await asyncio.sleep(4)
-        fleet.start(victims[1])
+        fleet.restart(victims[1])
         fleet.table_faults.is_down = True
         await asyncio.sleep(4 + round_number)
         fleet.table_faults.is_down = False
@@ -269,9 +269,7 @@
     rng = random.Random(seed)
     fleet = _fleet(rng)
     fleet.network.loss = 0.02
-    fleet.table_faults = TableFaults(lost=0.04, dropped=0.03, late=0.03)
-    for vm in fleet.vms_by_id.values():
-        vm.table.faults = fleet.table_faults
+    fleet.apply_table_faults(TableFaults(lost=0.04, dropped=0.03, late=0.03))
     fleet.upstreams.faults = MemoryUpstreamFaults(
         connect=0.05,
         shed=0.05,
@@ -299,6 +297,7 @@
     runs_by_marker = Counter(run.marker for run in runs)
     ran_ids = {run.request_id for run in runs}
     counts: Counter[str] = Counter()
+    kinds: Counter[str] = Counter()
     reasons: Counter[str] = Counter()
     for item in submissions:
         is_ran = runs_by_marker[item.marker] > 0
@@ -310,6 +309,10 @@
         counts['lost'] += bool(answered) and not is_ran
         is_unknown = not answered and not all_no
         counts['unknown'] += is_unknown
+        kind = 'keyed' if _is_keyed(item) else 'issued'
+        kinds[f'{kind}_told_success'] += bool(answered)
+        kinds[f'{kind}_unknown'] += is_unknown
+        kinds[f'{kind}_refused'] += all_no
         is_excess = item.marker not in fleet.upstreams.lost_markers
         counts['unknown_excess'] += is_unknown and is_excess
         counts['told_success'] += bool(answered)
@@ -333,6 +336,7 @@
             counts['unknown_excess'] / len(submissions), 4
         ),
         'told_success': counts['told_success'],
+        **kinds,
         'replayed': counts['replays'],
         'status_only': counts['status_only'],
         'store_writes_per_request': round(
@@ -397,7 +401,7 @@
         vm_id = rng.choice(sorted(fleet.vms_by_id))
         fleet.kill(vm_id)
         await asyncio.sleep(1)
-        fleet.start(vm_id)
+        fleet.restart(vm_id)
 
 
 async def _measure_crash(seed: int, spacing: float) -> dict[str, Any]:
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -1,16 +1,9 @@
 """Suspects, turns and condemnation of requests that crash instances."""
 
 import asyncio
-import random
 
 import pytest
-from builders import (
-    ACCOUNT_KEY,
-    a_configuration,
-    a_route,
-    a_service,
-    an_instance,
-)
+from builders import ACCOUNT_KEY, a_fleet, a_route, an_instance
 
 from bronzewall.crash_messages import (
     CrashReport,
@@ -26,8 +19,6 @@
     MemoryFleet,
     caller_request,
 )
-from bronzewall.standins.memory_link import MemoryNetwork
-from bronzewall.standins.memory_upstreams import MemoryUpstreams
 from bronzewall.standins.virtual_time import VirtualClock, run_virtual
 from bronzewall.types import InstanceId, VmId
 
@@ -35,23 +26,12 @@
 FINGERPRINT = b'f'
 
 
-def _fleet() -> MemoryFleet:
-    rng = random.Random(1)
-    instances = [an_instance(f'drafts-{number}') for number in range(6)]
-    fleet = MemoryFleet(
-        random=rng,
-        configuration=a_configuration(
-            services=[
-                a_service(instances=instances, routes=[a_route(retries=2)])
-            ]
-        ),
-        upstreams=MemoryUpstreams(random=rng),
-        network=MemoryNetwork(random=rng),
+def _fleet(retries: int = 2) -> MemoryFleet:
+    return a_fleet(
+        [a_route(retries=retries)],
+        vms=VMS,
+        crashes=lambda target: 'poison' in target,
     )
-    fleet.upstreams.faults.crashes = lambda target: 'poison' in target
-    for number in range(VMS):
-        fleet.start(VmId(f'vm-{number}'))
-    return fleet
 
 
 async def _get(fleet: MemoryFleet, vm: int, name: str) -> MemoryAnswer:
@@ -109,6 +89,22 @@
     run_virtual(main())
 
 
+def test_resend_does_not_overtake_the_report() -> None:
+    """Guards against a re-send at a VM that the report has not reached."""
+
+    async def main() -> None:
+        fleet = _fleet(retries=0)
+        # Two deaths and re-sends take less time than one message.
+        fleet.network.delay = lambda _sender, _receiver: 0.048
+        fleet.network.jitter = 0
+        fleet.upstreams.run_time = 0.004
+        for number in range(VMS):
+            await _get(fleet, number, 'poison')
+        assert len(fleet.upstreams.runs) == 2
+
+    run_virtual(main())
+
+
 def test_innocent_requests_are_answered_after_a_death() -> None:
     """Guards against refusing every request that was in flight."""
 
