--- a/bench/snapshot_process.py
+++ b/bench/snapshot_process.py
@@ -12,7 +12,9 @@
 
 import cbor2
 
+from bronzewall.adapters.system_clock import SystemClock
 from bronzewall.config_codec import PartEntry, body_digest, manifest_digest
+from bronzewall.config_feed import ConfigFeed
 from bronzewall.config_model import (
     Account,
     Configuration,
@@ -20,8 +22,9 @@
     Route,
     Service,
 )
-from bronzewall.config_state import ConfigState, put_in_force, state_of
+from bronzewall.config_state import state_of
 from bronzewall.key_table import key_digest
+from bronzewall.standins.memory import MemoryPlatform
 from bronzewall.types import (
     AccountId,
     InstanceId,
@@ -113,14 +116,16 @@
         part: PartEntry(generation=1, digest=body_digest(body))
         for part, body in bodies.items()
     }
-    state = ConfigState().advanced(
+    platform = MemoryPlatform(clock=SystemClock())
+    feed = ConfigFeed(clock=platform.clock, table=platform, objects=platform)
+    feed.advance(
         generation=1,
         digest=manifest_digest(entries),
         changes=entries,
         bodies_by_part=bodies,
     )
     del bodies
-    in_force = put_in_force(previous=None, old=ConfigState(), new=state)
+    in_force = feed.current()
     seconds = time.perf_counter() - started
     gc.collect()
     resident = _resident_bytes()
--- a/tests/test_caller_gone.py
+++ b/tests/test_caller_gone.py
@@ -31,7 +31,10 @@
     vm = fleet.vms_by_id[VmId('vm-0')]
     address = _free_address()
     server = EntryServer(
-        listen=address, handler=vm.path.handle, max_body_bytes=1000
+        listen=address,
+        handler=vm.path.handle,
+        on_bad_input=vm.path.bad_input,
+        max_body_bytes=1000,
     )
     await server.start()
     headers = {
--- a/tests/test_config_state.py
+++ b/tests/test_config_state.py
@@ -17,8 +17,9 @@
     ]
     configuration = a_configuration(accounts=accounts)
     empty = state_of(a_configuration(generation=0))
+    new = state_of(configuration)
     in_force = put_in_force(
-        previous=None, old=empty, new=state_of(configuration)
+        previous=None, old=empty, new=new, changed=new.entries_by_part
     )
     packed = in_force.configuration.accounts_by_id
     assert dict(packed) == {item.account_id: item for item in accounts}
--- a/tests/test_withdrawn_key.py
+++ b/tests/test_withdrawn_key.py
@@ -9,6 +9,7 @@
 from builders import (
     ACCOUNT_KEY,
     a_configuration,
+    a_fleet,
     a_route,
     a_service,
     an_account,
@@ -38,7 +39,7 @@
         found: Instance = next(iter(service.instances_by_id.values()))
         return found
 
-    def release(self, _instance: Instance) -> None:
+    def release(self, _instance: Instance, **_outcome: object) -> None:
         """Return the instance."""
 
 
@@ -61,6 +62,11 @@
     status: int = 0
     body: bytes = b''
 
+    @property
+    def is_started(self) -> bool:
+        """Whether a status was sent."""
+        return self.status > 0
+
     async def start(self, *, status: int, headers: Headers) -> None:
         """Keep the status."""
         self.status = status
@@ -124,6 +130,7 @@
             if event == 'cut_off'
             else lambda: _withdraw(feed, when_cut_off)
         )
+        parts = a_fleet([route], vms=1).vms_by_id[VmId('vm-0')]
         path = RequestPath(
             vm_id=VmId('vm-1'),
             clock=clock,
@@ -132,6 +139,8 @@
             quota=StaticSplitQuota(clock=clock, share=1),
             dispatcher=dispatcher,
             upstreams=upstreams,
+            run_gate=parts.gate,
+            crash_guard=parts.guard,
             metrics=Metrics(),
             journal=Journal(),
             may_serve_keyed=lambda: knowledge.is_fresh,
