--- /dev/null
+++ b/bench/detection_model.py
@@ -0,0 +1,629 @@
+"""Small fakes of upstream instances, links and callers for one service."""
+
+import collections
+import heapq
+import itertools
+import math
+import random
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from bronzewall import messages
+from bronzewall.config_model import Instance, Route, Service
+from bronzewall.ejection import Ejections
+from bronzewall.evidence import Attempt, Evidence, Outcome
+from bronzewall.membership import Members
+from bronzewall.suspicions import TICK_S, Suspicions
+from bronzewall.types import (
+    InstanceId,
+    Placement,
+    RouteId,
+    ServiceName,
+    VmId,
+    VmRecord,
+)
+
+SERVICE = ServiceName('service')
+VM_COUNT = 40
+INSTANCE_COUNT = 12
+DEADLINE_S = 2.0
+_SAME_ZONE_S = 0.0003
+_SICK_SHARE = 0.5
+_ENCODE_EVERY = 500
+_RESULT_LATE_S = 0.001
+
+
+@attrs.frozen(kw_only=True)
+class Deployment:
+    """Figures of one organisation, see design.md 1.4.
+
+    :param zone_delay: one way between zones, seconds.
+    """
+
+    name: str
+    regions: tuple[str, ...]
+    zone_delay: float
+    region_delay: float
+    slots: int
+    rate: float
+
+
+DEPLOYMENTS = (
+    Deployment(
+        name='trust',
+        regions=('muscat', 'dhofar', 'sharqiyah'),
+        zone_delay=0.001,
+        region_delay=0.008,
+        slots=4,
+        rate=400,
+    ),
+    Deployment(
+        name='wrzosek',
+        regions=('maz', 'mlp', 'wlkp'),
+        zone_delay=0.0005,
+        region_delay=0.008,
+        slots=6,
+        rate=600,
+    ),
+)
+
+
+@attrs.frozen(kw_only=True)
+class RequestClass:
+    """One route with the median time of its requests."""
+
+    route: Route
+    median: float
+    share: float
+
+
+def _request_class(
+    name: str, median: float, share: float, idempotent: bool
+) -> RequestClass:
+    route = Route(
+        route_id=RouteId(f'{SERVICE}/{name}'),
+        service=SERVICE,
+        path=f'/{name}',
+        methods=frozenset({'GET'}),
+        idempotent=idempotent,
+        deadline=DEADLINE_S,
+        retries=2,
+    )
+    return RequestClass(route=route, median=median, share=share)
+
+
+CLASSES = (
+    _request_class('read', 0.03, 0.5, idempotent=True),
+    _request_class('search', 0.06, 0.3, idempotent=True),
+    _request_class('write', 0.04, 0.2, idempotent=False),
+)
+_CLASS_SHARES = tuple(kind.share for kind in CLASSES)
+ACCOUNT_COUNT = 8
+
+
+@attrs.define(kw_only=True)
+class Timeline:
+    """Virtual time with scheduled calls; also the clock port."""
+
+    time: float = 0
+    _calls: list[Any] = attrs.field(factory=list)
+    _numbers: Any = attrs.field(factory=itertools.count)
+
+    def now(self) -> float:
+        """Return virtual seconds."""
+        return self.time
+
+    def wall(self) -> float:
+        """Return virtual seconds."""
+        return self.time
+
+    async def sleep(self, seconds: float) -> None:
+        """Not used; calls are scheduled."""
+        raise NotImplementedError
+
+    def after(self, delay: float, call: Callable[..., None], *args: Any):
+        """Call later."""
+        heapq.heappush(
+            self._calls, (self.time + delay, next(self._numbers), call, args)
+        )
+
+    def run_until(self, end: float) -> None:
+        """Make all calls that are due until a time."""
+        calls = self._calls
+        while calls and calls[0][0] <= end:
+            self.time, _, call, args = heapq.heappop(calls)
+            call(*args)
+        self.time = end
+
+
+@attrs.define(kw_only=True, eq=False)
+class Request:
+    """One caller's request."""
+
+    number: int
+    vm: 'FakeVm'
+    kind: RequestClass
+    account: int
+    started: float
+    work: float
+    tried: set[InstanceId] = attrs.field(factory=set)
+    is_done: bool = False
+    current: Any = None
+
+
+@attrs.define(kw_only=True, eq=False)
+class Sending:
+    """One attempt of a request."""
+
+    request: Request
+    instance: 'FakeInstance'
+    attempt: Attempt | None = None
+    is_over: bool = False
+
+
+@attrs.define(kw_only=True, eq=False)
+class FakeInstance:
+    """An upstream instance: slots, a short queue, then sheds.
+
+    :param fault: name of the present fault, ``''`` for none.
+    """
+
+    config: Instance
+    fleet: 'Fleet'
+    fault: str = ''
+    slowness: float = 1
+    shed_share: float = 0
+    running: int = 0
+    queue: Any = attrs.field(factory=collections.deque)
+    held: list[Sending] = attrs.field(factory=list)
+    epoch: int = 0
+
+    def receive(self, sending: Sending) -> None:
+        """Take a request that has arrived."""
+        fleet = self.fleet
+        zone = sending.request.vm.placement.zone
+        if self.fault == 'resets' and fleet.random.random() < _SICK_SHARE:
+            fleet.answer(sending, Outcome.BROKEN)
+        elif self.fault == 'one_zone' and zone == fleet.bad_zone:
+            self.held.append(sending)
+        elif self.running < self.config.slots:
+            self._run(sending)
+        elif len(self.queue) < self.config.slots:
+            self.queue.append(sending)
+        else:
+            fleet.answer(sending, Outcome.SHED)
+
+    def clear(self) -> None:
+        """End the fault and answer what was held."""
+        self.fault = ''
+        held, self.held = self.held, []
+        for sending in held:
+            self._free(sending, Outcome.ANSWERED)
+
+    def _run(self, sending: Sending) -> None:
+        self.running += 1
+        fleet = self.fleet
+        if fleet.random.random() < self.shed_share:
+            self._free(sending, Outcome.SHED)
+            return
+        if self.fault == 'hang':
+            self.held.append(sending)
+            return
+        seconds = sending.request.work * self.slowness * fleet.slowness
+        if self.fault == 'slow':
+            seconds *= 10
+        fleet.timeline.after(seconds, self._finish, sending)
+
+    def _finish(self, sending: Sending) -> None:
+        if self.fault == 'hang':
+            self.held.append(sending)
+            return
+        route = sending.request.kind.route
+        is_partial = (
+            self.fault == 'partial' and route is self.fleet.bad_class.route
+        )
+        failed = is_partial and self.fleet.random.random() < _SICK_SHARE
+        failed |= self.fleet.random.random() < self.fleet.usual_failures
+        self._free(sending, Outcome.FAILED if failed else Outcome.ANSWERED)
+
+    def _free(self, sending: Sending, outcome: Outcome) -> None:
+        self.fleet.answer(sending, outcome)
+        if self.running:
+            self.running -= 1
+        while self.queue and self.running < self.config.slots:
+            self._run(self.queue.popleft())
+
+
+@attrs.define(kw_only=True, eq=False)
+class FakeEndpoint:
+    """Passes messages between VMs after the link's delay."""
+
+    vm_id: VmId
+    fleet: 'Fleet'
+    handlers: dict[type, Any] = attrs.field(factory=dict)
+    sequence: int = 0
+
+    def serve(self, message_class: type, handler: Any) -> None:
+        """Set the handler of a class."""
+        self.handlers[message_class] = handler
+
+    def send(self, *, to: VmId, message: object) -> None:
+        """Deliver later."""
+        self.sequence += 1
+        envelope = messages.Envelope(
+            sender=self.vm_id,
+            incarnation=1,
+            sequence=self.sequence,
+            body=message,
+        )
+        self.fleet.count_message(envelope)
+        receiver = self.fleet.vms_by_id[to]
+        delay = self.fleet.delay(
+            self.fleet.vms_by_id[self.vm_id].placement, receiver.placement
+        )
+        self.fleet.timeline.after(delay, receiver.endpoint.deliver, envelope)
+
+    def deliver(self, envelope: messages.Envelope) -> None:
+        """Hand a message to its handler."""
+        self.handlers[type(envelope.body)](envelope)
+
+
+@attrs.define(kw_only=True, eq=False)
+class FakeVm:
+    """One VM with the real decision code."""
+
+    vm_id: VmId
+    placement: Placement
+    fleet: 'Fleet'
+    policy: Any = None
+    evidence: Evidence = attrs.field(init=False)
+    endpoint: FakeEndpoint = attrs.field(init=False)
+    in_flight: Any = attrs.field(factory=collections.Counter)
+
+    def __attrs_post_init__(self) -> None:
+        """Build the parts."""
+        self.evidence = Evidence()
+        self.endpoint = FakeEndpoint(vm_id=self.vm_id, fleet=self.fleet)
+
+    def tick(self) -> None:
+        """Let the policy work, then come back."""
+        self.policy.tick()
+        self.fleet.watch(self)
+        self.fleet.timeline.after(TICK_S, self.tick)
+
+    def choose(self, request: Request) -> Instance | None:
+        """Choose by two random choices among the instances in use."""
+        rng = self.fleet.random
+        found = []
+        for instance in self.fleet.service.instances_by_id.values():
+            if instance.instance_id in request.tried:
+                continue
+            weight = self.policy.weight_of(instance, request.kind.route)
+            if rng.random() < weight:
+                found.append(instance)
+        if not found:
+            return None
+        sample = rng.sample(found, min(2, len(found)))
+        return min(sample, key=lambda item: self.in_flight[item.instance_id])
+
+
+@attrs.define(kw_only=True, eq=False)
+class EvidencePolicy:
+    """The ejection of the daemon."""
+
+    vm: FakeVm
+    ejections: Ejections = attrs.field(init=False)
+    suspicions: Suspicions = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Build the parts as the daemon does."""
+        vm, fleet = self.vm, self.vm.fleet
+        self.ejections = Ejections(
+            clock=fleet.timeline,
+            service_of=lambda _name: fleet.service,
+            on_eject=self._on_eject,
+            capacity_of=fleet.capacity_of,
+        )
+        vm.evidence.is_cold = self.ejections.is_cold
+        self.suspicions = Suspicions(
+            vm_id=vm.vm_id,
+            placement=vm.placement,
+            clock=fleet.timeline,
+            members=fleet.members,
+            endpoint=vm.endpoint,
+            evidence=vm.evidence,
+            on_suspects=self.ejections.judge,
+        )
+
+    def weight_of(self, instance: Instance, route: Route) -> float:
+        """Return the weight."""
+        return self.ejections.weight_of(instance, route)
+
+    def tick(self) -> None:
+        """Share and decide, then check the floor."""
+        self.suspicions.tick()
+        fleet = self.vm.fleet
+        if not self.ejections.report():
+            return
+        for kind in CLASSES:
+            used = self.ejections.capacity_in_use(
+                fleet.service, kind.route.route_id
+            )
+            most = fleet.available_share()
+            if used < min(fleet.service.floor, most) - 1e-9:
+                fleet.floor_violations += 1
+
+    def on_result(self, instance: Instance, is_bad: bool) -> None:
+        """Nothing more than the evidence."""
+
+    def _on_eject(self, instance_id: InstanceId, route_class: RouteId) -> None:
+        fleet = self.vm.fleet
+        fleet.ejections.append(
+            (fleet.timeline.time, self.vm.vm_id, instance_id, route_class)
+        )
+        self.vm.evidence.abandon_overdue(
+            instance_id, route_class, fleet.timeline.time
+        )
+
+
+@attrs.define(kw_only=True, eq=False)
+class NoEjection:
+    """Baseline: uses every instance."""
+
+    vm: FakeVm
+
+    def weight_of(self, _instance: Instance, _route: Route) -> float:
+        """Return full use."""
+        return 1
+
+    def tick(self) -> None:
+        """Do nothing."""
+
+    def on_result(self, instance: Instance, is_bad: bool) -> None:
+        """Do nothing."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class ConsecutiveFailures(NoEjection):
+    """Baseline: 5 failures in a row eject for 5 s, half of them at most."""
+
+    failures: Any = attrs.field(factory=collections.Counter)
+    until: dict[InstanceId, float] = attrs.field(factory=dict)
+
+    def weight_of(self, instance: Instance, _route: Route) -> float:
+        """Return 0 while ejected."""
+        now = self.vm.fleet.timeline.time
+        return 0 if self.until.get(instance.instance_id, 0) > now else 1
+
+    def on_result(self, instance: Instance, is_bad: bool) -> None:
+        """Count failures in a row."""
+        instance_id = instance.instance_id
+        if not is_bad:
+            self.failures[instance_id] = 0
+            return
+        self.failures[instance_id] += 1
+        now = self.vm.fleet.timeline.time
+        out = sum(1 for end in self.until.values() if end > now)
+        if self.failures[instance_id] >= 5 and out < INSTANCE_COUNT // 2:
+            self.until[instance_id] = now + 5
+            self.failures[instance_id] = 0
+
+
+@attrs.define(kw_only=True, eq=False)
+class Fleet:
+    """All fakes of one run and the counts that they make."""
+
+    deployment: Deployment
+    random: random.Random
+    policy: Any = EvidencePolicy
+    timeline: Timeline = attrs.field(factory=Timeline)
+    rate: float = 0
+    slowness: float = 1
+    usual_failures: float = 0.001
+    work_scale: float = 1
+    pareto: bool = False
+    bad_zone: str = ''
+    bad_class: RequestClass = CLASSES[1]
+    leaving: set[InstanceId] = attrs.field(factory=set)
+    vms_by_id: dict[VmId, FakeVm] = attrs.field(factory=dict)
+    instances_by_id: dict[InstanceId, FakeInstance] = attrs.field(factory=dict)
+    service: Service = attrs.field(init=False)
+    members: Members = attrs.field(init=False)
+    ejections: list[Any] = attrs.field(factory=list)
+    watched: InstanceId | None = None
+    avoided_at: dict[VmId, float] = attrs.field(factory=dict)
+    sent_to_watched: int = 0
+    decisions: int = 0
+    floor_violations: int = 0
+    over_deadline: int = 0
+    results: Any = attrs.field(factory=collections.Counter)
+    message_count: int = 0
+    sampled_bytes: int = 0
+    _numbers: Any = attrs.field(factory=itertools.count)
+
+    def __attrs_post_init__(self) -> None:
+        """Build the VMs and instances and start the load."""
+        self.rate = self.deployment.rate
+        zones = [
+            Placement(region=region, zone=f'{region}-{letter}')
+            for region in self.deployment.regions
+            for letter in 'ab'
+        ]
+        self.members = Members(own_id=VmId('vm-0'), own_placement=zones[0])
+        for index in range(VM_COUNT):
+            vm = FakeVm(
+                vm_id=VmId(f'vm-{index}'),
+                placement=zones[index % len(zones)],
+                fleet=self,
+            )
+            self.vms_by_id[vm.vm_id] = vm
+        self.members.update(
+            tuple(
+                VmRecord(
+                    vm_id=vm.vm_id, placement=vm.placement, peer_address=''
+                )
+                for vm in self.vms_by_id.values()
+            )
+        )
+        instances = [
+            Instance(
+                instance_id=InstanceId(f'instance-{number}'),
+                address='',
+                placement=zones[number % len(zones)],
+                slots=self.deployment.slots,
+            )
+            for number in range(INSTANCE_COUNT)
+        ]
+        self.set_instances(instances)
+        self.reset_policy()
+        for place, vm in enumerate(self.vms_by_id.values()):
+            self.timeline.after(place * TICK_S / VM_COUNT, vm.tick)
+        self.timeline.after(0, self._arrive)
+
+    def reset_policy(self) -> None:
+        """Give every VM a new policy that knows no suspect."""
+        for vm in self.vms_by_id.values():
+            vm.policy = self.policy(vm=vm)
+
+    def set_instances(self, instances: list[Instance]) -> None:
+        """Publish another list of instances."""
+        self.service = Service(
+            name=SERVICE,
+            instances_by_id={item.instance_id: item for item in instances},
+            routes_by_id={kind.route.route_id: kind.route for kind in CLASSES},
+        )
+        for item in instances:
+            if item.instance_id not in self.instances_by_id:
+                self.instances_by_id[item.instance_id] = FakeInstance(
+                    config=item, fleet=self
+                )
+
+    def capacity_of(self, instance: Instance) -> float:
+        """Return 0 for a leaving instance."""
+        return 0 if instance.instance_id in self.leaving else 1
+
+    def available_share(self) -> float:
+        """Return the capacity that is not leaving."""
+        found = self.service.instances_by_id.values()
+        return sum(map(self.capacity_of, found)) / len(found)
+
+    def delay(self, one: Placement, other: Placement) -> float:
+        """Return the one-way delay between two places."""
+        if one.zone == other.zone:
+            return _SAME_ZONE_S
+        if one.region == other.region:
+            return self.deployment.zone_delay
+        return self.deployment.region_delay
+
+    def count_message(self, envelope: messages.Envelope) -> None:
+        """Count a message and the size of some."""
+        self.message_count += 1
+        if self.message_count % _ENCODE_EVERY == 0:
+            self.sampled_bytes += len(messages.encode(envelope))
+
+    def watch(self, vm: FakeVm) -> None:
+        """Note when a VM stops sending to the watched instance."""
+        if self.watched is None or vm.vm_id in self.avoided_at:
+            return
+        instance = self.instances_by_id[self.watched].config
+        if vm.policy.weight_of(instance, self.bad_class.route) == 0:
+            self.avoided_at[vm.vm_id] = self.timeline.time
+
+    def answer(self, sending: Sending, outcome: Outcome) -> None:
+        """Send an outcome back to the VM."""
+        delay = self.delay(
+            sending.instance.config.placement, sending.request.vm.placement
+        )
+        self.timeline.after(delay, self._end, sending, outcome)
+
+    def _arrive(self) -> None:
+        rng = self.random
+        self.timeline.after(rng.expovariate(self.rate), self._arrive)
+        vm = self.vms_by_id[VmId(f'vm-{rng.randrange(VM_COUNT)}')]
+        kind = rng.choices(CLASSES, _CLASS_SHARES)[0]
+        account = rng.randrange(ACCOUNT_COUNT)
+        request = Request(
+            number=next(self._numbers),
+            vm=vm,
+            kind=kind,
+            account=account,
+            started=self.timeline.time,
+            work=kind.median * self.work_scale * self._factor(account),
+        )
+        self.timeline.after(DEADLINE_S, self._expire, request)
+        self._send(request)
+
+    def _factor(self, account: int) -> float:
+        # Accounts differ in the size of their requests.
+        usual = 0.7 + 0.1 * account
+        if self.pareto:
+            return usual * 0.7 * self.random.paretovariate(2.2)
+        return usual * math.exp(self.random.gauss(0, 0.8))
+
+    def _send(self, request: Request) -> None:
+        self.decisions += 1
+        instance = request.vm.choose(request)
+        if instance is None:
+            self._close(request, 'no_instance')
+            return
+        if instance.instance_id == self.watched:
+            self.sent_to_watched += 1
+        request.tried.add(instance.instance_id)
+        vm = request.vm
+        vm.in_flight[instance.instance_id] += 1
+        sending = Sending(
+            request=request,
+            instance=self.instances_by_id[instance.instance_id],
+        )
+        request.current = sending
+        sending.attempt = vm.evidence.start(
+            instance=instance,
+            route=request.kind.route,
+            now=self.timeline.time,
+            abandon=(
+                (lambda: self._end(sending, Outcome.TIMED_OUT))
+                if request.kind.route.idempotent
+                else None
+            ),
+        )
+        self.timeline.after(
+            self.delay(vm.placement, instance.placement),
+            sending.instance.receive,
+            sending,
+        )
+
+    def _end(self, sending: Sending, outcome: Outcome) -> None:
+        if sending.is_over:
+            return
+        sending.is_over = True
+        request, vm = sending.request, sending.request.vm
+        instance = sending.instance.config
+        vm.in_flight[instance.instance_id] -= 1
+        vm.evidence.finish(sending.attempt, outcome, self.timeline.time)
+        is_bad = outcome not in {Outcome.ANSWERED, Outcome.SHED}
+        vm.policy.on_result(instance, is_bad)
+        if request.is_done:
+            return
+        if outcome is Outcome.ANSWERED or outcome is Outcome.FAILED:
+            self._close(request, outcome.value)
+            return
+        is_safe = request.kind.route.idempotent or outcome is Outcome.SHED
+        if is_safe and len(request.tried) <= request.kind.route.retries:
+            self._send(request)
+        else:
+            self._close(request, outcome.value)
+
+    def _expire(self, request: Request) -> None:
+        if request.is_done:
+            return
+        self._close(request, 'deadline')
+        self._end(request.current, Outcome.TIMED_OUT)
+
+    def _close(self, request: Request, result: str) -> None:
+        request.is_done = True
+        self.results[result] += 1
+        late = self.timeline.time - request.started - DEADLINE_S
+        if late > _RESULT_LATE_S:
+            self.over_deadline += 1
--- /dev/null
+++ b/src/bronzewall/attempts.py
@@ -0,0 +1,95 @@
+"""One attempt on an upstream instance, recorded as evidence."""
+
+import asyncio
+from collections.abc import Callable
+
+from bronzewall.config_model import Instance, Route
+from bronzewall.errors import (
+    AttemptAbandonedError,
+    ConnectFailedError,
+    UpstreamBrokenError,
+    UpstreamError,
+    UpstreamShedError,
+    UpstreamTimeoutError,
+)
+from bronzewall.evidence import (
+    Attempt,
+    Evidence,
+    Outcome,
+    outcome_of_status,
+)
+from bronzewall.ports import (
+    Clock,
+    UpstreamExchange,
+    UpstreamHttp,
+    UpstreamRequest,
+)
+
+_OUTCOMES_BY_ERROR: dict[type[BaseException], Outcome] = {
+    AttemptAbandonedError: Outcome.TIMED_OUT,
+    ConnectFailedError: Outcome.CONNECT_FAILED,
+    UpstreamBrokenError: Outcome.BROKEN,
+    UpstreamShedError: Outcome.SHED,
+    UpstreamTimeoutError: Outcome.TIMED_OUT,
+}
+
+
+async def observed_exchange(
+    *,
+    upstreams: UpstreamHttp,
+    evidence: Evidence,
+    clock: Clock,
+    instance: Instance,
+    route: Route,
+    request: UpstreamRequest,
+    fingerprint: bytes | None = None,
+) -> tuple[Attempt, UpstreamExchange]:
+    """Wait for the start of the answer and record the outcome.
+
+    :param fingerprint: see :meth:`Evidence.start`.
+    :returns: the attempt, for failures after the start, and the exchange.
+    :raises AttemptAbandonedError: the instance became suspect and the
+        request may be sent again.
+    :raises UpstreamError: as ``UpstreamHttp.exchange``.
+    """
+    # The time limit needs no task. It has no end until the instance
+    # becomes suspect.
+    limit = asyncio.timeout(None)
+    attempt = evidence.start(
+        instance=instance,
+        route=route,
+        now=clock.now(),
+        fingerprint=fingerprint,
+        abandon=_abandoning(limit) if route.idempotent else None,
+    )
+    outcome = Outcome.GONE
+    try:
+        upstream = await _limited_exchange(limit, upstreams, request)
+    except UpstreamError as exc:
+        outcome = _OUTCOMES_BY_ERROR[type(exc)]
+        raise
+    else:
+        outcome = outcome_of_status(upstream.answer.status)
+    finally:
+        evidence.finish(attempt, outcome, clock.now())
+    return attempt, upstream
+
+
+async def _limited_exchange(
+    limit: asyncio.Timeout, upstreams: UpstreamHttp, request: UpstreamRequest
+) -> UpstreamExchange:
+    try:
+        async with limit:
+            return await upstreams.exchange(request)
+    except TimeoutError as exc:
+        raise AttemptAbandonedError(
+            f'{request.instance_id} became suspect'
+        ) from exc
+
+
+def _abandoning(limit: asyncio.Timeout) -> Callable[[], None]:
+    def abandon() -> None:
+        if not limit.expired():
+            limit.reschedule(asyncio.get_running_loop().time())
+
+    return abandon
--- a/src/bronzewall/daemon.py
+++ b/src/bronzewall/daemon.py
@@ -19,7 +19,9 @@
 from bronzewall.admin import AdminView
 from bronzewall.config_feed import ConfigFeed
 from bronzewall.dispatch import Dispatcher
+from bronzewall.ejection import Ejections
 from bronzewall.errors import StoreError
+from bronzewall.evidence import Evidence
 from bronzewall.journal import Journal
 from bronzewall.membership import Members
 from bronzewall.metrics import Metrics
@@ -28,6 +30,7 @@
 from bronzewall.proxy import RequestPath
 from bronzewall.quota import StaticSplitQuota
 from bronzewall.settings import Origin, Settings
+from bronzewall.suspicions import Suspicions
 from bronzewall.types import Placement, RequestId, VmId
 
 _LIST_INTERVAL_S = 2.0
@@ -51,6 +54,8 @@
     metrics: Metrics
     journal: Journal
     sessions: tuple[aiohttp.ClientSession, ...]
+    ejections: Ejections
+    suspicions: Suspicions
     is_stopping: bool = False
     _tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
 
@@ -71,6 +76,7 @@
         self._tasks = [
             asyncio.create_task(self.feed.run()),
             asyncio.create_task(self._follow_vm_list()),
+            asyncio.create_task(self.suspicions.run()),
         ]
         await admin.start()
         await entry.start()
@@ -143,6 +149,7 @@
             'in_flight': len(self.path.in_flight_by_request),
             'refusals': dict(self.metrics.refusals),
             'retries': dict(self.metrics.retries),
+            'ejections': self.ejections.report(),
         }
 
     def _debug(self) -> dict[str, Any]:
@@ -173,17 +180,26 @@
     rng = random.SystemRandom()
     metrics, journal = Metrics(), Journal()
     feed = ConfigFeed(clock=clock, table=store, objects=store)
+    members = Members(
+        own_id=vm_id,
+        own_placement=Placement(region=settings.region, zone=settings.zone),
+    )
+    endpoint = PeerEndpoint(vm_id=vm_id, incarnation=time.time_ns(), link=link)
+    evidence = Evidence()
+    ejections = Ejections(
+        clock=clock,
+        service_of=feed.service_of,
+        on_eject=lambda instance_id, route_class: evidence.abandon_overdue(
+            instance_id, route_class, clock.now()
+        ),
+    )
+    evidence.is_cold = ejections.is_cold
     daemon = Daemon(
         settings=settings,
         origins=origins,
         clock=clock,
-        members=Members(
-            own_id=vm_id,
-            own_placement=Placement(region=settings.region, zone=settings.zone),
-        ),
-        endpoint=PeerEndpoint(
-            vm_id=vm_id, incarnation=time.time_ns(), link=link
-        ),
+        members=members,
+        endpoint=endpoint,
         link=link,
         vm_list=PlatformVmList(client=store),
         feed=feed,
@@ -193,15 +209,26 @@
             random=rng,
             feed=feed,
             quota=StaticSplitQuota(clock=clock, share=1.0),
-            dispatcher=Dispatcher(random=rng),
+            dispatcher=Dispatcher(random=rng, weight_of=ejections.weight_of),
             upstreams=AiohttpUpstreams(session=upstream_session),
             metrics=metrics,
             journal=journal,
             may_serve_keyed=lambda: True,
+            evidence=evidence,
         ),
         metrics=metrics,
         journal=journal,
         sessions=(store_session, upstream_session),
+        ejections=ejections,
+        suspicions=Suspicions(
+            vm_id=vm_id,
+            placement=members.own_placement,
+            clock=clock,
+            members=members,
+            endpoint=endpoint,
+            evidence=evidence,
+            on_suspects=ejections.judge,
+        ),
     )
     await daemon.run()
 
--- a/src/bronzewall/dispatch.py
+++ b/src/bronzewall/dispatch.py
@@ -1,6 +1,7 @@
 """Assigns requests to upstream instances within their capacity."""
 
 import random
+from collections.abc import Callable
 
 import attrs
 
@@ -9,11 +10,19 @@
 from bronzewall.types import AccountId, InstanceId
 
 
+def _full_weight(_instance: Instance, _route: Route) -> float:
+    return 1
+
+
 @attrs.define(kw_only=True)
 class Dispatcher:
-    """Load of each instance as seen by this VM."""
+    """Load of each instance as seen by this VM.
+
+    :param weight_of: share of its usual load that an instance may get.
+    """
 
     random: random.Random
+    weight_of: Callable[[Instance, Route], float] = _full_weight
     in_flight_by_id: dict[InstanceId, int] = attrs.field(factory=dict)
 
     async def acquire(
@@ -36,6 +45,7 @@
             instance
             for instance in service.instances_by_id.values()
             if instance.instance_id not in excluded
+            and self._is_allowed(instance, route)
         ]
         if not found:
             raise NoInstanceError(f'no instance of {service.name}')
@@ -48,5 +58,9 @@
         """Give back the capacity taken by ``acquire``."""
         self.in_flight_by_id[instance.instance_id] -= 1
 
+    def _is_allowed(self, instance: Instance, route: Route) -> bool:
+        weight = self.weight_of(instance, route)
+        return weight >= 1 or (weight > 0 and self.random.random() < weight)
+
     def _load(self, instance: Instance) -> int:
         return self.in_flight_by_id.get(instance.instance_id, 0)
--- a/src/bronzewall/errors.py
+++ b/src/bronzewall/errors.py
@@ -69,6 +69,10 @@
     """The exchange broke after the request was sent; outcome unknown."""
 
 
+class AttemptAbandonedError(UpstreamError):
+    """The instance became suspect before it answered; outcome unknown."""
+
+
 class CallerError(BronzewallError):
     """The caller's connection or request is unusable."""
 
--- /dev/null
+++ b/src/bronzewall/evidence.py
@@ -0,0 +1,276 @@
+"""Outcome and latency by instance and route class, and open attempts."""
+
+import enum
+import itertools
+from collections.abc import Callable
+from typing import TypeAlias
+
+import attrs
+
+from bronzewall.config_model import Instance, Route
+from bronzewall.latency_shape import LatencyShape
+from bronzewall.types import InstanceId, RouteId, ServiceName
+
+# An open attempt counts as overdue once only one of 10 requests of its
+# class takes longer.
+OVERDUE_SURPRISE = 2.303
+# A single request is no stronger evidence than this, so that one caller's
+# exceptional request cannot eject an instance.
+_MAX_SURPRISE = 10.0
+_FIRST_SERVER_ERROR = 500
+
+
+class Outcome(enum.Enum):
+    """How an attempt ended."""
+
+    ANSWERED = 'answered'
+    FAILED = 'failed'
+    CONNECT_FAILED = 'connect_failed'
+    BROKEN = 'broken'
+    TIMED_OUT = 'timed_out'
+    SHED = 'shed'
+    GONE = 'gone'
+
+
+_FAILURES = frozenset((Outcome.FAILED, Outcome.CONNECT_FAILED, Outcome.BROKEN))
+_TIMED = frozenset((Outcome.ANSWERED, Outcome.TIMED_OUT))
+
+
+def outcome_of_status(status: int) -> Outcome:
+    """Return the outcome that an answer's status stands for."""
+    if status >= _FIRST_SERVER_ERROR:
+        return Outcome.FAILED
+    return Outcome.ANSWERED
+
+
+@attrs.frozen(kw_only=True)
+class EvidenceRow:
+    """What one VM saw of one (instance, route class) since its last row.
+
+    :param ok: answers.
+    :param failed: errors, connect failures and broken exchanges.
+    :param surprise: sum over the answers, see :class:`LatencyShape`.
+    :param overdue: attempts that are open and overdue now.
+    :param overdue_surprise: sum over the overdue attempts.
+    """
+
+    instance_id: InstanceId
+    route_class: RouteId
+    ok: int
+    failed: int
+    surprise: float
+    overdue: int
+    overdue_surprise: float
+
+
+@attrs.define(kw_only=True, eq=False)
+class Attempt:
+    """One attempt on its way to an instance.
+
+    :param abandon: ends the attempt early, or ``None`` where the request
+        must not be sent again.
+    """
+
+    number: int
+    cell: 'EvidenceCell'
+    started: float
+    fingerprint: bytes | None
+    abandon: Callable[[], None] | None
+    is_cold: bool
+
+
+@attrs.define(kw_only=True, eq=False)
+class EvidenceCell:
+    """Evidence about one (instance, route class) since the last drain."""
+
+    instance_id: InstanceId
+    route_class: RouteId
+    service: ServiceName
+    shape: LatencyShape
+    ok: int = 0
+    failed: int = 0
+    surprise: float = 0
+    was_overdue: bool = False
+    open_by_number: dict[int, Attempt] = attrs.field(factory=dict)
+
+    def drain(self, now: float) -> EvidenceRow | None:
+        """Return what is new since the last call, or ``None``."""
+        overdue, overdue_surprise = self._overdue(now)
+        has_news = self.ok or self.failed or overdue or self.was_overdue
+        if not has_news:
+            return None
+        row = EvidenceRow(
+            instance_id=self.instance_id,
+            route_class=self.route_class,
+            ok=self.ok,
+            failed=self.failed,
+            surprise=round(self.surprise, 2),
+            overdue=overdue,
+            overdue_surprise=round(overdue_surprise, 2),
+        )
+        self.ok = 0
+        self.failed = 0
+        self.surprise = 0
+        self.was_overdue = overdue > 0
+        return row
+
+    def _overdue(self, now: float) -> tuple[int, float]:
+        count, total = 0, float(0)
+        # Attempts are kept in the order of their start.
+        for attempt in self.open_by_number.values():
+            surprise = self.shape.surprise(now - attempt.started)
+            if surprise < OVERDUE_SURPRISE:
+                break
+            if attempt.is_cold:
+                continue
+            count += 1
+            total += min(surprise, _MAX_SURPRISE)
+        return count, total
+
+
+_Cells: TypeAlias = dict[tuple[InstanceId, RouteId], EvidenceCell]
+
+
+def _never_excused(_fingerprint: bytes) -> bool:
+    return False
+
+
+def _never_cold(_instance_id: InstanceId) -> bool:
+    return False
+
+
+@attrs.define(kw_only=True, eq=False)
+class Evidence:
+    """All evidence that one VM has collected itself.
+
+    :param is_excused: whether failures of this request fingerprint say
+        nothing about the instance, because the request crashes instances.
+    :param is_cold: whether an instance has just started; its latency is
+        then no evidence, but its failures are.
+    """
+
+    is_excused: Callable[[bytes], bool] = _never_excused
+    is_cold: Callable[[InstanceId], bool] = _never_cold
+    _cells_by_key: _Cells = attrs.field(factory=dict)
+    # Cells that may have news; a drain costs nothing for the others.
+    _cells_by_service: dict[ServiceName, _Cells] = attrs.field(factory=dict)
+    _shapes_by_class: dict[RouteId, LatencyShape] = attrs.field(factory=dict)
+    _numbers: 'itertools.count[int]' = attrs.field(factory=itertools.count)
+
+    @property
+    def services(self) -> tuple[ServiceName, ...]:
+        """Services that attempts were made on."""
+        return tuple(self._cells_by_service)
+
+    def start(
+        self,
+        *,
+        instance: Instance,
+        route: Route,
+        now: float,
+        fingerprint: bytes | None = None,
+        abandon: Callable[[], None] | None = None,
+    ) -> Attempt:
+        """Record that an attempt begins; ``finish`` it afterwards.
+
+        :param fingerprint: identifies requests that would act alike.
+        :param abandon: see :class:`Attempt`.
+        """
+        cell = self._cell(instance, route)
+        attempt = Attempt(
+            number=next(self._numbers),
+            cell=cell,
+            started=now,
+            fingerprint=fingerprint,
+            abandon=abandon,
+            is_cold=self.is_cold(instance.instance_id),
+        )
+        cell.open_by_number[attempt.number] = attempt
+        return attempt
+
+    def finish(self, attempt: Attempt, outcome: Outcome, now: float) -> None:
+        """Record how an attempt ended; a second call is ignored.
+
+        Shed answers are load, and callers who left say nothing.
+        """
+        cell = attempt.cell
+        if cell.open_by_number.pop(attempt.number, None) is None:
+            return
+        if outcome in _FAILURES:
+            self.fail(attempt)
+        elif outcome in _TIMED and not attempt.is_cold:
+            seconds = now - attempt.started
+            cell.ok += 1
+            cell.surprise += min(cell.shape.surprise(seconds), _MAX_SURPRISE)
+            cell.shape.learn(seconds)
+
+    def fail(self, attempt: Attempt) -> None:
+        """Record a failure, also one after the start of the answer."""
+        fingerprint = attempt.fingerprint
+        if fingerprint is None or not self.is_excused(fingerprint):
+            cell = attempt.cell
+            cell.failed += 1
+            key = (cell.instance_id, cell.route_class)
+            self._cells_by_service[cell.service][key] = cell
+
+    def drain(self, service: ServiceName, now: float) -> list[EvidenceRow]:
+        """Return the news about a service's instances since the last call."""
+        active = self._cells_by_service.get(service, {})
+        rows = []
+        for key, cell in tuple(active.items()):
+            row = cell.drain(now)
+            if row is not None:
+                rows.append(row)
+            elif not cell.open_by_number:
+                active.pop(key)
+        return rows
+
+    def abandon_overdue(
+        self, instance_id: InstanceId, route_class: RouteId, now: float
+    ) -> int:
+        """End overdue attempts that may run elsewhere; return their count.
+
+        :param route_class: empty for all classes.
+        """
+        found = [
+            attempt
+            for cell in tuple(self._cells_by_key.values())
+            if cell.instance_id == instance_id
+            and route_class in {'', cell.route_class}
+            for attempt in cell.open_by_number.values()
+            if attempt.abandon is not None
+            and cell.shape.surprise(now - attempt.started) >= OVERDUE_SURPRISE
+        ]
+        for attempt in found:
+            assert attempt.abandon is not None
+            attempt.abandon()
+        return len(found)
+
+    def forget(self, instance_id: InstanceId) -> None:
+        """Drop everything about an instance that was removed."""
+        gone = [key for key in self._cells_by_key if key[0] == instance_id]
+        for key in gone:
+            cell = self._cells_by_key.pop(key)
+            self._cells_by_service[cell.service].pop(key, None)
+
+    def shape_of(self, route_class: RouteId) -> LatencyShape:
+        """Return the latency distribution of a route class."""
+        return self._shapes_by_class.setdefault(route_class, LatencyShape())
+
+    def _cell(self, instance: Instance, route: Route) -> EvidenceCell:
+        key = (instance.instance_id, route.route_id)
+        cell = self._cells_by_key.get(key)
+        if cell is None:
+            cell = EvidenceCell(
+                instance_id=instance.instance_id,
+                route_class=route.route_id,
+                service=route.service,
+                shape=self.shape_of(route.route_id),
+            )
+            self._cells_by_key[key] = cell
+        active = self._cells_by_service.get(route.service)
+        if active is None:
+            active = {}
+            self._cells_by_service[route.service] = active
+        active[key] = cell
+        return cell
--- /dev/null
+++ b/src/bronzewall/pool_state.py
@@ -0,0 +1,135 @@
+"""State of one instance in the pooled evidence."""
+
+import math
+
+import attrs
+
+from bronzewall.evidence import EvidenceRow
+from bronzewall.types import RouteId, VmId
+
+# Memory of the peers' figures; short, so that a slow shared dependency is
+# seen at all instances at the same moment.
+_MOMENT_S = 0.7
+# A higher score would only delay the return.
+_MAX_SCORE = 24.0
+# Overdue attempts are reported at every tick; a VM that is silent for
+# longer has stopped.
+_STALE_OVERDUE_S = 0.6
+# Score at which an instance is reported at all.
+REPORT_SCORE = 6.0
+
+EVERYWHERE = ''
+
+
+@attrs.define(kw_only=True, eq=False)
+class Moment:
+    """Sums that decay within moments."""
+
+    at: float
+    ok: float = 0
+    failed: float = 0
+    surprise: float = 0
+
+    def decay(self, now: float) -> None:
+        """Bring the sums to a time."""
+        if now > self.at:
+            kept = math.exp((self.at - now) / _MOMENT_S)
+            self.at = now
+            self.ok *= kept
+            self.failed *= kept
+            self.surprise *= kept
+
+    def add(self, row: EvidenceRow, now: float) -> None:
+        """Add the finished attempts of a row."""
+        self.decay(now)
+        self.ok += row.ok
+        self.failed += row.failed
+        self.surprise += row.surprise
+
+
+@attrs.define(kw_only=True, eq=False)
+class Place:
+    """Scores of one (instance, route class, zone), empty for any."""
+
+    at: float
+    moment: Moment
+    slow: float = 0
+    failing: float = 0
+    good_run: int = 0
+    good_at: float = -math.inf
+    answered_at: float = -math.inf
+
+    def add(self, *, slow: float, failing: float, kept: float) -> None:
+        """Add new scores after the earlier ones have decayed."""
+        self.slow = _bounded(self.slow * kept + slow)
+        self.failing = _bounded(self.failing * kept + failing)
+        if slow > 0 or failing > 0:
+            self.good_run = 0
+        elif slow or failing:
+            self.good_run += 1
+            self.good_at = self.at
+
+
+@attrs.define(kw_only=True, eq=False)
+class Overdue:
+    """Overdue attempts, of one VM or summed over several."""
+
+    zone: str = EVERYWHERE
+    count: int = 0
+    surprise: float = 0
+    at: float = 0
+
+
+@attrs.define(kw_only=True, eq=False)
+class InstanceState:
+    """Everything known about one instance.
+
+    :param words_by_vm: cumulative score on the evidence of one VM alone.
+    :param is_doubtful: new evidence may have made it a suspect.
+    """
+
+    places: dict[tuple[RouteId, str], Place] = attrs.field(factory=dict)
+    overdue: dict[tuple[RouteId, VmId], Overdue] = attrs.field(factory=dict)
+    words_by_vm: dict[tuple[RouteId, VmId], float] = attrs.field(factory=dict)
+    is_doubtful: bool = False
+
+    def has_score(self) -> bool:
+        """Return whether any place has a score worth a report."""
+        return any(
+            place.slow >= REPORT_SCORE or place.failing >= REPORT_SCORE
+            for place in self.places.values()
+        )
+
+    def place(self, route_class: RouteId, zone: str, now: float) -> Place:
+        """Return the scores of a route class and zone."""
+        found = self.places.get((route_class, zone))
+        if found is None:
+            found = Place(at=now, moment=Moment(at=now))
+            self.places[route_class, zone] = found
+        return found
+
+    def hear(self, route_class: RouteId, vm_id: VmId, score: float) -> None:
+        """Add to what one VM says."""
+        key = (route_class, vm_id)
+        earlier = self.words_by_vm.get(key, 0)
+        self.words_by_vm[key] = _bounded(earlier + score)
+
+    def drop_stale(self, now: float) -> None:
+        """Drop the overdue attempts of VMs that are silent."""
+        oldest = now - _STALE_OVERDUE_S
+        stale = [key for key, seen in self.overdue.items() if seen.at < oldest]
+        for key in stale:
+            self.overdue.pop(key)
+
+    def overdue_of(self, route_class: RouteId) -> Overdue:
+        """Return the sum over all VMs for one route class."""
+        total = Overdue()
+        for (its_class, _), seen in self.overdue.items():
+            if its_class == route_class:
+                total.count += seen.count
+                total.surprise += seen.surprise
+        return total
+
+
+def _bounded(score: float) -> float:
+    return min(max(score, 0), _MAX_SCORE)
--- /dev/null
+++ b/src/bronzewall/pooled_evidence.py
@@ -0,0 +1,388 @@
+"""Compares the instances of a service on the evidence of many VMs."""
+
+import math
+import statistics
+from collections.abc import Iterable
+
+import attrs
+
+from bronzewall.evidence import EvidenceRow
+from bronzewall.pool_state import (
+    EVERYWHERE,
+    REPORT_SCORE,
+    InstanceState,
+    Moment,
+    Overdue,
+)
+from bronzewall.types import InstanceId, RouteId, VmId
+
+# Latency test: the surprise of a sick instance's requests has this many
+# times the mean of its peers'.
+_SICK_RATIO = 4.0
+_SLOW_BASE = -math.log(_SICK_RATIO)
+_SLOW_GAIN = 1 - 1 / _SICK_RATIO
+# Failure test: share of failures of a sick instance, and the least share
+# assumed of a healthy one.
+_SICK_FAILURES = 0.5
+_USUAL_FAILURES = 0.01
+# Peers that fail this often show a shared cause, not a sick instance.
+_SHARED_FAILURES = 0.25
+# Peers' figures are raised by the margin, because they are estimates; the
+# prior counts as this many healthy requests of the peers.
+_PEER_MARGIN = 1.1
+_PRIOR_WEIGHT = 5.0
+# Score of a zone or class above which it takes part in a common failure.
+_PART_SCORE = 2.5
+# A zone without a score counts as good after this many good reports in a
+# row, the last of them at most so long ago.
+_LEAST_GOOD = 2
+_GOOD_LIFE_S = 0.5
+# A score counts only above this multiple of the median of the peers'.
+_SHARED_MARGIN = 2.0
+# An instance that answers nobody for so long hangs; the longest requests
+# of a healthy one rarely occupy all of its slots at the same time.
+_SILENCE_S = 0.15
+# Requests that wait in the queue of a silent instance are overdue
+# together, so that an open attempt is half an independent observation.
+_SILENT_GAIN = 0.5
+# A VM is a witness when its own evidence has this score.
+_WITNESS_SCORE = 1.0
+
+ANY_CLASS = RouteId('')
+
+
+@attrs.frozen(kw_only=True)
+class Suspect:
+    """An (instance, route class) that does worse than its peers.
+
+    :param route_class: empty for the whole instance.
+    :param zone: zone from which it is unreachable; empty if it fails for
+        all zones.
+    :param score: log likelihood ratio of sick to healthy.
+    :param failed: recent failures, decayed.
+    :param ok: recent answers, decayed.
+    :param overdue: open attempts that are overdue now.
+    :param witnesses: VMs with evidence against it.
+    """
+
+    instance_id: InstanceId
+    route_class: RouteId
+    zone: str
+    score: float
+    failed: float
+    ok: float
+    overdue: int
+    witnesses: int
+
+
+@attrs.frozen(kw_only=True)
+class _Usual:
+    """What the peers of an instance show in the same moment.
+
+    :param surprise: mean surprise, at least 1.
+    :param failed: share of failures.
+    """
+
+    surprise: float
+    failed: float
+
+    @property
+    def failure_worth(self) -> float:
+        """Evidence of a failure, relative to peers that hardly fail."""
+        if self.failed >= _SHARED_FAILURES:
+            return 0
+        most = math.log(_SICK_FAILURES / _USUAL_FAILURES)
+        return math.log(_SICK_FAILURES / self.failed) / most
+
+
+@attrs.define(kw_only=True, eq=False)
+class EvidencePool:
+    """Evidence of several VMs about the instances of one service.
+
+    Each score is a cumulative sum test: evidence for sickness adds,
+    evidence for health subtracts down to 0, so that a long good past does
+    not delay the detection. All shares are relative to the other
+    instances in the same moment.
+
+    :param memory: seconds after which a score has fallen to 1/e.
+    :param least_witnesses: VMs that must have evidence against a suspect.
+    """
+
+    memory: float
+    least_witnesses: int
+    _states_by_id: dict[InstanceId, InstanceState] = attrs.field(factory=dict)
+    _moments_by_class: dict[RouteId, Moment] = attrs.field(factory=dict)
+    _zones_by_vm: dict[VmId, str] = attrs.field(factory=dict)
+
+    def add(
+        self, *, vm_id: VmId, zone: str, rows: Iterable[EvidenceRow], now: float
+    ) -> None:
+        """Add the rows of one VM's report."""
+        self._zones_by_vm[vm_id] = zone
+        for row in rows:
+            self._add_row(vm_id, zone, row, now)
+
+    def suspects(self, now: float) -> list[Suspect]:
+        """Return the suspects, the worst first."""
+        found: list[Suspect] = []
+        for instance_id, state in self._states_by_id.items():
+            if not state.is_doubtful:
+                continue
+            state.drop_stale(now)
+            state.is_doubtful = bool(state.overdue) or state.has_score()
+            if state.is_doubtful:
+                found.extend(self._suspects_of(instance_id, state, now))
+        return sorted(found, key=lambda suspect: -suspect.score)
+
+    def forget(self, instance_id: InstanceId) -> None:
+        """Drop the evidence about an instance that was removed."""
+        self._states_by_id.pop(instance_id, None)
+
+    def _add_row(
+        self, vm_id: VmId, zone: str, row: EvidenceRow, now: float
+    ) -> None:
+        state = self._states_by_id.get(row.instance_id)
+        if state is None:
+            state = InstanceState()
+            self._states_by_id[row.instance_id] = state
+        usual = self._usual(row.instance_id, row.route_class, now)
+        self._class_moment(row.route_class, now).add(row, now)
+        _set_overdue(state, vm_id, zone, row, now)
+        slow = _slow_score(row.ok, row.surprise, usual)
+        failing = _failing_score(row, usual)
+        state.hear(row.route_class, vm_id, max(slow, failing))
+        state.is_doubtful |= row.overdue > 0 or slow > 0 or failing > 0
+        for route_class in (row.route_class, ANY_CLASS):
+            for scope in (zone, EVERYWHERE):
+                place = state.place(route_class, scope, now)
+                kept = math.exp((place.at - now) / self.memory)
+                place.at = now
+                place.add(slow=slow, failing=failing, kept=kept)
+                place.moment.add(row, now)
+                if row.ok:
+                    place.answered_at = now
+
+    def _class_moment(self, route_class: RouteId, now: float) -> Moment:
+        moment = self._moments_by_class.get(route_class)
+        if moment is None:
+            moment = Moment(at=now)
+            self._moments_by_class[route_class] = moment
+        return moment
+
+    def _usual(
+        self, instance_id: InstanceId, route_class: RouteId, now: float
+    ) -> _Usual:
+        total = self._class_moment(route_class, now)
+        total.decay(now)
+        own = self._states_by_id[instance_id].place(
+            route_class, EVERYWHERE, now
+        )
+        own.moment.decay(now)
+        ok = total.ok - own.moment.ok
+        failed = total.failed - own.moment.failed
+        count, surprise = ok, total.surprise - own.moment.surprise
+        for other_id, state in self._states_by_id.items():
+            if state.overdue and other_id != instance_id:
+                overdue = state.overdue_of(route_class)
+                count += overdue.count
+                surprise += overdue.surprise
+        mean = (surprise + _PRIOR_WEIGHT) / (count + _PRIOR_WEIGHT)
+        share = failed / (ok + failed + _PRIOR_WEIGHT)
+        return _Usual(
+            surprise=max(1, _PEER_MARGIN * mean),
+            failed=max(_USUAL_FAILURES, _PEER_MARGIN * share),
+        )
+
+    def _suspects_of(
+        self, instance_id: InstanceId, state: InstanceState, now: float
+    ) -> list[Suspect]:
+        sheet = self._sheet(instance_id, state, now)
+        classes = tuple(sheet.usual_by_class)
+        bad = [its for its in classes if sheet.score(its, '') >= _PART_SCORE]
+        # One failing class is not a failing instance.
+        is_common = len(bad) >= min(2, len(classes))
+        wanted = [ANY_CLASS, *bad] if is_common else bad
+        found = []
+        for route_class in wanted:
+            for zone in sheet.failing_zones(route_class, self.least_witnesses):
+                shared = self._shared_score(instance_id, route_class, zone, now)
+                score = sheet.score(route_class, zone) - shared
+                if score >= REPORT_SCORE:
+                    found.append(
+                        sheet.suspect(instance_id, route_class, zone, score)
+                    )
+        return found
+
+    def _shared_score(
+        self,
+        instance_id: InstanceId,
+        route_class: RouteId,
+        zone: str,
+        now: float,
+    ) -> float:
+        """Return what a cause that most instances share may explain."""
+        scores = [
+            self._sheet(other_id, state, now).score(route_class, zone)
+            for other_id, state in self._states_by_id.items()
+            if other_id != instance_id
+        ]
+        return _SHARED_MARGIN * statistics.median(scores) if scores else 0
+
+    def _sheet(
+        self, instance_id: InstanceId, state: InstanceState, now: float
+    ) -> '_Sheet':
+        classes = sorted({its for its, _ in state.places} - {ANY_CLASS})
+        return _Sheet(
+            state=state,
+            usual_by_class={
+                its: self._usual(instance_id, its, now) for its in classes
+            },
+            zones_by_vm=self._zones_by_vm,
+            memory=self.memory,
+            now=now,
+        )
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Sheet:
+    """Scores of one instance at one time."""
+
+    state: InstanceState
+    usual_by_class: dict[RouteId, _Usual]
+    zones_by_vm: dict[VmId, str]
+    memory: float
+    now: float
+
+    def score(self, route_class: RouteId, zone: str) -> float:
+        place = self.state.places.get((route_class, zone))
+        if place is None:
+            return 0
+        kept = math.exp((place.at - self.now) / self.memory)
+        # Earlier evidence counts as much as it would in the present moment;
+        # a cause that reached this instance first then ejects nobody.
+        usual = self._usual(route_class)
+        slow = place.slow * kept / usual.surprise
+        failing = place.failing * kept * usual.failure_worth
+        return max(slow + self._overdue_score(route_class, zone), failing)
+
+    def failing_zones(self, route_class: RouteId, least: int) -> list[str]:
+        """Return the zones to report, or ``EVERYWHERE`` alone.
+
+        :param least: VMs that must have seen it.
+        """
+        zones = sorted({zone for _, zone in self.state.places} - {EVERYWHERE})
+        bad = [
+            zone
+            for zone in zones
+            if self.score(route_class, zone) >= _PART_SCORE
+        ]
+        good = [
+            zone
+            for zone in zones
+            if zone not in bad and self._is_good(route_class, zone)
+        ]
+        if len(bad) > len(good) and len(bad) >= min(2, len(zones)):
+            bad = [EVERYWHERE]
+        return [
+            zone
+            for zone in bad
+            if self.score(route_class, zone) >= REPORT_SCORE
+            and len(self._witnesses(route_class, zone)) >= least
+        ]
+
+    def suspect(
+        self,
+        instance_id: InstanceId,
+        route_class: RouteId,
+        zone: str,
+        score: float,
+    ) -> Suspect:
+        place = self.state.places[route_class, zone]
+        place.moment.decay(self.now)
+        return Suspect(
+            instance_id=instance_id,
+            route_class=route_class,
+            zone=zone,
+            score=round(score, 1),
+            failed=round(place.moment.failed, 1),
+            ok=round(place.moment.ok, 1),
+            overdue=sum(
+                seen.count for _, _, seen in self._overdue(route_class, zone)
+            ),
+            witnesses=len(self._witnesses(route_class, zone)),
+        )
+
+    def _usual(self, route_class: RouteId) -> _Usual:
+        if route_class != ANY_CLASS:
+            return self.usual_by_class[route_class]
+        found = self.usual_by_class.values()
+        return _Usual(
+            surprise=max(usual.surprise for usual in found),
+            failed=max(usual.failed for usual in found),
+        )
+
+    def _is_good(self, route_class: RouteId, zone: str) -> bool:
+        place = self.state.places.get((route_class, zone))
+        if place is None:
+            return False
+        age = self.now - place.good_at
+        return place.good_run >= _LEAST_GOOD and age <= _GOOD_LIFE_S
+
+    def _witnesses(self, route_class: RouteId, zone: str) -> set[VmId]:
+        seen = {vm_id for _, vm_id, _ in self._overdue(route_class, zone)}
+        return seen | {
+            vm_id
+            for (its, vm_id), score in self.state.words_by_vm.items()
+            if score >= _WITNESS_SCORE
+            and route_class in {ANY_CLASS, its}
+            and zone in {EVERYWHERE, self.zones_by_vm.get(vm_id)}
+        }
+
+    def _overdue(
+        self, route_class: RouteId, zone: str
+    ) -> list[tuple[RouteId, VmId, Overdue]]:
+        return [
+            (its, vm_id, seen)
+            for (its, vm_id), seen in self.state.overdue.items()
+            if route_class in {ANY_CLASS, its}
+            and zone in {EVERYWHERE, seen.zone}
+        ]
+
+    def _overdue_score(self, route_class: RouteId, zone: str) -> float:
+        total = float(0)
+        answered_at = self.state.places[route_class, zone].answered_at
+        is_silent = self.now - answered_at >= _SILENCE_S
+        for its, _, seen in self._overdue(route_class, zone):
+            usual = self.usual_by_class[its]
+            if is_silent:
+                total += _SILENT_GAIN * seen.surprise / usual.surprise
+            else:
+                total += max(0, _slow_score(seen.count, seen.surprise, usual))
+        return total
+
+
+def _set_overdue(
+    state: InstanceState, vm_id: VmId, zone: str, row: EvidenceRow, now: float
+) -> None:
+    key = (row.route_class, vm_id)
+    if row.overdue:
+        state.overdue[key] = Overdue(
+            zone=zone,
+            count=row.overdue,
+            surprise=row.overdue_surprise,
+            at=now,
+        )
+    else:
+        state.overdue.pop(key, None)
+
+
+def _slow_score(count: int, surprise: float, usual: _Usual) -> float:
+    return count * _SLOW_BASE + _SLOW_GAIN * surprise / usual.surprise
+
+
+def _failing_score(row: EvidenceRow, usual: _Usual) -> float:
+    if usual.failed >= _SHARED_FAILURES:
+        return 0
+    bad = math.log(_SICK_FAILURES / usual.failed)
+    good = math.log((1 - _SICK_FAILURES) / (1 - usual.failed))
+    return row.failed * bad + row.ok * good
--- a/src/bronzewall/proxy.py
+++ b/src/bronzewall/proxy.py
@@ -8,10 +8,12 @@
 import structlog
 
 from bronzewall import headers as header_rules
+from bronzewall.attempts import observed_exchange
 from bronzewall.config_feed import ConfigFeed, InForce
 from bronzewall.config_model import Account, Instance, Route, Service
 from bronzewall.dispatch import Dispatcher
 from bronzewall.errors import (
+    AttemptAbandonedError,
     BodyTimeoutError,
     BodyTooLargeError,
     CallerGoneError,
@@ -25,6 +27,7 @@
     UpstreamShedError,
     UpstreamTimeoutError,
 )
+from bronzewall.evidence import Attempt, Evidence
 from bronzewall.journal import Journal
 from bronzewall.metrics import Metrics
 from bronzewall.ports import (
@@ -98,6 +101,7 @@
     metrics: Metrics
     journal: Journal
     may_serve_keyed: Callable[[], bool]
+    evidence: Evidence = attrs.field(factory=Evidence)
     in_flight_by_request: dict[RequestId, Route] = attrs.field(factory=dict)
 
     async def handle(
@@ -257,11 +261,16 @@
 
     async def _send(self, exchange: Exchange, instance: Instance) -> None:
         self.note(exchange, 'sent', instance=instance.instance_id)
-        upstream = await self.upstreams.exchange(
-            self._upstream_request(exchange, instance)
+        attempt, upstream = await observed_exchange(
+            upstreams=self.upstreams,
+            evidence=self.evidence,
+            clock=self.clock,
+            instance=instance,
+            route=exchange.route,
+            request=self._upstream_request(exchange, instance),
         )
         try:
-            await self._relay(exchange, upstream)
+            await self._relay(exchange, upstream, attempt)
         finally:
             upstream.close()
 
@@ -286,7 +295,7 @@
         )
 
     async def _relay(
-        self, exchange: Exchange, upstream: UpstreamExchange
+        self, exchange: Exchange, upstream: UpstreamExchange, attempt: Attempt
     ) -> None:
         answer, writer = upstream.answer, exchange.writer
         own = (header_rules.REQUEST_ID, exchange.request_id)
@@ -302,6 +311,7 @@
             # The status line is out; only a broken connection can tell
             # the caller that the body is incomplete.
             writer.abort()
+            self.evidence.fail(attempt)
             self.metrics.events['answer_truncated'] += 1
             self.note(exchange, 'answer_truncated', error=str(exc))
             return
@@ -376,6 +386,6 @@
             reason=Reason.NO_INSTANCE, retry_after=1, detail=detail
         )
     reason = Reason.ANSWER_LOST
-    if isinstance(exc, UpstreamTimeoutError):
+    if isinstance(exc, (UpstreamTimeoutError, AttemptAbandonedError)):
         reason = Reason.UPSTREAM_TIMEOUT
     return RefusalError(reason=reason, ran=Ran.UNKNOWN, detail=detail)
--- /dev/null
+++ b/tests/test_suspicions.py
@@ -0,0 +1,162 @@
+"""Sharing of evidence between VMs over an in-memory network."""
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+import pytest
+from builders import a_route, a_vm_record, an_instance
+
+from bronzewall.evidence import Evidence, Outcome
+from bronzewall.membership import Members
+from bronzewall.messages import Envelope, decode, encode
+from bronzewall.peer_calls import PeerEndpoint
+from bronzewall.pooled_evidence import Suspect
+from bronzewall.standins.memory_link import MemoryLink, MemoryNetwork
+from bronzewall.standins.virtual_time import VirtualClock, run_virtual
+from bronzewall.suspicions import (
+    TICK_S,
+    EvidenceReport,
+    Suspicions,
+    SuspicionSummary,
+)
+from bronzewall.types import ServiceName, VmId
+
+INSTANCES = tuple(an_instance(f'drafts-{number}') for number in range(4))
+ROUTE = a_route()
+OWN = frozenset(('own path',))
+BOTH = frozenset(('', 'own path'))
+ZONES = ('muscat-a', 'muscat-b', 'dhofar-a')
+
+
+class Fleet:
+    """Three VMs, one a zone, that share their evidence."""
+
+    def __init__(self) -> None:
+        self.network = MemoryNetwork(random=random.Random(1))
+        self.seen_by_vm: dict[VmId, list[Suspect]] = {}
+        records = tuple(a_vm_record(f'vm-{zone}', zone=zone) for zone in ZONES)
+        self.parts = [self._part(record, records) for record in records]
+
+    async def run(self, ticks: int, failing: Sequence[VmId]) -> None:
+        """Let the VMs send; those listed see the first instance fail."""
+        for _ in range(ticks):
+            for part in self.parts:
+                for instance in INSTANCES:
+                    self._attempt(part, instance, part.vm_id in failing)
+                part.tick()
+            await asyncio.sleep(TICK_S)
+
+    def _part(self, record, records) -> Suspicions:
+        vm_id = record.vm_id
+        members = Members(own_id=vm_id, own_placement=record.placement)
+        members.update(records)
+
+        def keep(_service: ServiceName, found: list[Suspect]) -> None:
+            self.seen_by_vm[vm_id] = found
+
+        return Suspicions(
+            vm_id=vm_id,
+            placement=record.placement,
+            clock=VirtualClock(),
+            members=members,
+            endpoint=PeerEndpoint(
+                vm_id=vm_id,
+                incarnation=1,
+                link=MemoryLink(vm_id=vm_id, network=self.network),
+            ),
+            evidence=Evidence(),
+            on_suspects=keep,
+        )
+
+    def _attempt(self, part, instance, is_failing: bool) -> None:
+        now = asyncio.get_running_loop().time()
+        outcome = Outcome.ANSWERED
+        if is_failing and instance is INSTANCES[0]:
+            outcome = Outcome.CONNECT_FAILED
+        attempt = part.evidence.start(instance=instance, route=ROUTE, now=now)
+        part.evidence.finish(attempt, outcome, now + 0.02)
+
+
+def _zones_seen(failing: Sequence[str], *, cut: bool = False):
+    async def main():
+        fleet = Fleet()
+        await fleet.run(10, [])
+        if cut:
+            for part in fleet.parts:
+                for other in fleet.parts:
+                    fleet.network.cut(sender=part.vm_id, receiver=other.vm_id)
+            await fleet.run(6, [])
+        await fleet.run(20, [VmId(f'vm-{zone}') for zone in failing])
+        return {
+            vm_id: {seen.zone for seen in found}
+            for vm_id, found in fleet.seen_by_vm.items()
+        }
+
+    return run_virtual(main())
+
+
+@pytest.mark.parametrize(
+    ('failing', 'cut', 'expected'),
+    [
+        ((), False, [set(), set(), set()]),
+        (ZONES, False, [BOTH, BOTH, BOTH]),
+        (ZONES[:1], False, [OWN, set(), set()]),
+        (ZONES, True, [OWN, OWN, OWN]),
+    ],
+    ids=['none', 'everywhere', 'one_vm', 'no_observer_reached'],
+)
+def test_suspects_reach_the_vms_concerned(failing, cut, expected) -> None:
+    """Guards against silence, and against one VM convincing the others."""
+    seen = _zones_seen(failing, cut=cut)
+    assert [seen[VmId(f'vm-{zone}')] for zone in ZONES] == expected
+
+
+def test_messages_survive_the_wire() -> None:
+    """Guards against rows that the converter cannot rebuild."""
+    part = Fleet().parts[0]
+    attempt = part.evidence.start(instance=INSTANCES[0], route=ROUTE, now=0)
+    part.evidence.finish(attempt, Outcome.ANSWERED, 0.5)
+    report = EvidenceReport(
+        service=ROUTE.service,
+        zone=ZONES[0],
+        rows=tuple(part.evidence.drain(ROUTE.service, 1)),
+    )
+    suspect = Suspect(
+        instance_id=INSTANCES[0].instance_id,
+        route_class=ROUTE.route_id,
+        zone='',
+        score=20,
+        failed=1,
+        ok=2,
+        overdue=3,
+        witnesses=4,
+    )
+    summary = SuspicionSummary(service=ROUTE.service, suspects=(suspect,))
+    for body in (report, summary):
+        envelope = Envelope(
+            sender=part.vm_id, incarnation=1, sequence=1, body=body
+        )
+        assert decode(encode(envelope)) == envelope
+
+
+def test_repeated_report_counts_once() -> None:
+    """Guards against duplicated messages that double the evidence."""
+    fleet = Fleet()
+    first, second = fleet.parts[:2]
+    attempt = second.evidence.start(instance=INSTANCES[0], route=ROUTE, now=0)
+    second.evidence.finish(attempt, Outcome.BROKEN, 1)
+    rows = tuple(second.evidence.drain(ROUTE.service, 1))
+    envelope = Envelope(
+        sender=second.vm_id,
+        incarnation=1,
+        sequence=5,
+        body=EvidenceReport(service=ROUTE.service, zone=ZONES[1], rows=rows),
+    )
+    run_virtual(_receive_twice(first, envelope))
+    assert fleet.network.sent_by_id == {first.vm_id: 1}
+
+
+async def _receive_twice(part: Suspicions, envelope: Envelope) -> None:
+    part.endpoint.receive(encode(envelope))
+    part.endpoint.receive(encode(envelope))
