--- a/bench/detection_model.py
+++ b/bench/detection_model.py
@@ -99,7 +99,9 @@
     _request_class('search', 0.06, 0.3, idempotent=True),
     _request_class('write', 0.04, 0.2, idempotent=False),
 )
-_CLASS_SHARES = tuple(kind.share for kind in CLASSES)
+_CLASS_BY_TENTH = tuple(
+    kind for kind in CLASSES for _ in range(round(kind.share * 10))
+)
 ACCOUNT_COUNT = 8
 
 
@@ -109,6 +111,7 @@
 
     time: float = 0
     _calls: list[Any] = attrs.field(factory=list)
+    _expiries: Any = attrs.field(factory=collections.deque)
     _numbers: Any = attrs.field(factory=itertools.count)
 
     def now(self) -> float:
@@ -129,10 +132,18 @@
             self._calls, (self.time + delay, next(self._numbers), call, args)
         )
 
+    def at_deadline(self, call: Callable[[Any], None], request: Any) -> None:
+        """Call after the deadline, which all requests share."""
+        self._expiries.append((self.time + DEADLINE_S, call, request))
+
     def run_until(self, end: float) -> None:
         """Make all calls that are due until a time."""
-        calls = self._calls
+        calls, expiries = self._calls, self._expiries
         while calls and calls[0][0] <= end:
+            while expiries and expiries[0][0] <= calls[0][0]:
+                self.time, expire, request = expiries.popleft()
+                if not request.is_done:
+                    expire(request)
             self.time, _, call, args = heapq.heappop(calls)
             call(*args)
         self.time = end
@@ -295,18 +306,21 @@
 
     def choose(self, request: Request) -> Instance | None:
         """Choose by two random choices among the instances in use."""
-        rng = self.fleet.random
+        rng, route = self.fleet.random, request.kind.route
+        weight_of = self.policy.weight_of
         found = []
         for instance in self.fleet.service.instances_by_id.values():
-            if instance.instance_id in request.tried:
-                continue
-            weight = self.policy.weight_of(instance, request.kind.route)
-            if rng.random() < weight:
-                found.append(instance)
+            if instance.instance_id not in request.tried:
+                weight = weight_of(instance, route)
+                if weight == 1 or rng.random() < weight:
+                    found.append(instance)
         if not found:
             return None
-        sample = rng.sample(found, min(2, len(found)))
-        return min(sample, key=lambda item: self.in_flight[item.instance_id])
+        one = found[int(rng.random() * len(found))]
+        other = found[int(rng.random() * len(found))]
+        load = self.in_flight
+        is_less = load[other.instance_id] < load[one.instance_id]
+        return other if is_less else one
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -316,6 +330,7 @@
     vm: FakeVm
     ejections: Ejections = attrs.field(init=False)
     suspicions: Suspicions = attrs.field(init=False)
+    weight_of: Any = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         """Build the parts as the daemon does."""
@@ -326,6 +341,7 @@
             on_eject=self._on_eject,
             capacity_of=fleet.capacity_of,
         )
+        self.weight_of = self.ejections.weight_of
         vm.evidence.is_cold = self.ejections.is_cold
         self.suspicions = Suspicions(
             vm_id=vm.vm_id,
@@ -337,10 +353,6 @@
             on_suspects=self.ejections.judge,
         )
 
-    def weight_of(self, instance: Instance, route: Route) -> float:
-        """Return the weight."""
-        return self.ejections.weight_of(instance, route)
-
     def tick(self) -> None:
         """Share and decide, then check the floor."""
         self.suspicions.tick()
@@ -428,6 +440,7 @@
     bad_class: RequestClass = CLASSES[1]
     leaving: set[InstanceId] = attrs.field(factory=set)
     vms_by_id: dict[VmId, FakeVm] = attrs.field(factory=dict)
+    vms: list[FakeVm] = attrs.field(factory=list)
     instances_by_id: dict[InstanceId, FakeInstance] = attrs.field(factory=dict)
     service: Service = attrs.field(init=False)
     members: Members = attrs.field(init=False)
@@ -459,6 +472,7 @@
                 fleet=self,
             )
             self.vms_by_id[vm.vm_id] = vm
+            self.vms.append(vm)
         self.members.update(
             tuple(
                 VmRecord(
@@ -541,9 +555,9 @@
     def _arrive(self) -> None:
         rng = self.random
         self.timeline.after(rng.expovariate(self.rate), self._arrive)
-        vm = self.vms_by_id[VmId(f'vm-{rng.randrange(VM_COUNT)}')]
-        kind = rng.choices(CLASSES, _CLASS_SHARES)[0]
-        account = rng.randrange(ACCOUNT_COUNT)
+        vm = self.vms[int(rng.random() * VM_COUNT)]
+        kind = _CLASS_BY_TENTH[int(rng.random() * 10)]
+        account = int(rng.random() * ACCOUNT_COUNT)
         request = Request(
             number=next(self._numbers),
             vm=vm,
@@ -552,7 +566,7 @@
             started=self.timeline.time,
             work=kind.median * self.work_scale * self._factor(account),
         )
-        self.timeline.after(DEADLINE_S, self._expire, request)
+        self.timeline.at_deadline(self._expire, request)
         self._send(request)
 
     def _factor(self, account: int) -> float:
@@ -616,8 +630,6 @@
             self._close(request, outcome.value)
 
     def _expire(self, request: Request) -> None:
-        if request.is_done:
-            return
         self._close(request, 'deadline')
         self._end(request.current, Outcome.TIMED_OUT)
 
--- a/src/bronzewall/ejection.py
+++ b/src/bronzewall/ejection.py
@@ -9,8 +9,8 @@
 import structlog
 
 from bronzewall.config_model import Instance, Route, Service
-from bronzewall.pool_state import EVERYWHERE
-from bronzewall.pooled_evidence import ANY_CLASS, Suspect
+from bronzewall.pool_state import ANY_CLASS, EVERYWHERE
+from bronzewall.pooled_evidence import Suspect
 from bronzewall.ports import Clock
 from bronzewall.suspicions import OWN_PATH
 from bronzewall.types import InstanceId, RouteId, ServiceName
--- a/src/bronzewall/evidence.py
+++ b/src/bronzewall/evidence.py
@@ -201,8 +201,7 @@
         elif outcome in _TIMED and not attempt.is_cold:
             seconds = now - attempt.started
             cell.ok += 1
-            cell.surprise += min(cell.shape.surprise(seconds), _MAX_SURPRISE)
-            cell.shape.learn(seconds)
+            cell.surprise += min(cell.shape.learn(seconds), _MAX_SURPRISE)
 
     def fail(self, attempt: Attempt) -> None:
         """Record a failure, also one after the start of the answer."""
--- a/src/bronzewall/latency_shape.py
+++ b/src/bronzewall/latency_shape.py
@@ -36,21 +36,26 @@
     top: float = 0
     count: int = 0
 
-    def learn(self, seconds: float) -> None:
-        """Take one measured latency into account."""
+    def learn(self, seconds: float) -> float:
+        """Take a measured latency into account.
+
+        :returns: its surprise by what was known before.
+        """
         logarithm = math.log(max(seconds, _SHORTEST_S))
+        surprise = self._surprise_of(logarithm)
         self.count += 1
         if self.count == 1:
             self.median = logarithm
             self.high = logarithm + math.log(_PRIOR_RATIO)
             self.top = self.high + math.log(_PRIOR_RATIO)
-            return
+            return surprise
         step = max(_LAST_STEP, _FIRST_STEP / self.count)
         self.median += _move(logarithm > self.median, _MEDIAN_TAIL, step)
         self.high += _move(logarithm > self.high, _HIGH_TAIL, step)
         self.top += _move(logarithm > self.top, _TOP_TAIL, step)
         self.high = max(self.high, self.median + _LEAST_SPREAD)
         self.top = max(self.top, self.high + _LEAST_SPREAD)
+        return surprise
 
     def surprise(self, seconds: float) -> float:
         """Return ``-ln`` of the share of requests that take longer.
@@ -58,9 +63,11 @@
         The value of a usual request is exponentially distributed with
         mean 1, whatever the distribution of the latencies.
         """
+        return self._surprise_of(math.log(max(seconds, _SHORTEST_S)))
+
+    def _surprise_of(self, logarithm: float) -> float:
         if not self.count:
             return 0
-        logarithm = math.log(max(seconds, _SHORTEST_S))
         if logarithm <= self.median:
             return _BELOW_MEDIAN
         if logarithm <= self.high:
@@ -69,13 +76,6 @@
         slope = (_AT_TOP - _AT_HIGH) / (self.top - self.high)
         return _AT_HIGH + slope * (logarithm - self.high)
 
-    def latency_at(self, surprise: float) -> float:
-        """Return the latency in seconds above ``high`` with a surprise."""
-        if not self.count:
-            return math.inf
-        slope = (_AT_TOP - _AT_HIGH) / (self.top - self.high)
-        return math.exp(self.high + (surprise - _AT_HIGH) / slope)
-
 
 def _move(is_above: bool, tail: float, step: float) -> float:
     return step * (1 - tail) if is_above else -step * tail
--- a/src/bronzewall/pool_state.py
+++ b/src/bronzewall/pool_state.py
@@ -12,6 +12,8 @@
 _MOMENT_S = 0.7
 # A higher score would only delay the return.
 _MAX_SCORE = 24.0
+# Much less than any memory of scores.
+_DECAY_STEP_S = 0.1
 # Overdue attempts are reported at every tick; a VM that is silent for
 # longer has stopped.
 _STALE_OVERDUE_S = 0.6
@@ -19,6 +21,7 @@
 REPORT_SCORE = 6.0
 
 EVERYWHERE = ''
+ANY_CLASS = RouteId('')
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -39,9 +42,8 @@
             self.failed *= kept
             self.surprise *= kept
 
-    def add(self, row: EvidenceRow, now: float) -> None:
-        """Add the finished attempts of a row."""
-        self.decay(now)
+    def add(self, row: EvidenceRow) -> None:
+        """Add the finished attempts of a row at the present time."""
         self.ok += row.ok
         self.failed += row.failed
         self.surprise += row.surprise
@@ -52,22 +54,29 @@
     """Scores of one (instance, route class, zone), empty for any."""
 
     at: float
-    moment: Moment
     slow: float = 0
     failing: float = 0
     good_run: int = 0
     good_at: float = -math.inf
     answered_at: float = -math.inf
 
-    def add(self, *, slow: float, failing: float, kept: float) -> None:
-        """Add new scores after the earlier ones have decayed."""
-        self.slow = _bounded(self.slow * kept + slow)
-        self.failing = _bounded(self.failing * kept + failing)
+    def add(
+        self, slow: float, failing: float, now: float, memory: float
+    ) -> None:
+        """Add new scores to the earlier ones, which decay."""
+        if now - self.at >= _DECAY_STEP_S:
+            if self.slow or self.failing:
+                kept = math.exp((self.at - now) / memory)
+                self.slow *= kept
+                self.failing *= kept
+            self.at = now
+        self.slow = bounded(self.slow + slow)
+        self.failing = bounded(self.failing + failing)
         if slow > 0 or failing > 0:
             self.good_run = 0
         elif slow or failing:
             self.good_run += 1
-            self.good_at = self.at
+            self.good_at = now
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -89,6 +98,10 @@
     """
 
     places: dict[tuple[RouteId, str], Place] = attrs.field(factory=dict)
+    places_by_source: dict[tuple[RouteId, str], tuple[Place, ...]] = (
+        attrs.field(factory=dict)
+    )
+    moments_by_class: dict[RouteId, Moment] = attrs.field(factory=dict)
     overdue: dict[tuple[RouteId, VmId], Overdue] = attrs.field(factory=dict)
     words_by_vm: dict[tuple[RouteId, VmId], float] = attrs.field(factory=dict)
     is_doubtful: bool = False
@@ -100,19 +113,33 @@
             for place in self.places.values()
         )
 
-    def place(self, route_class: RouteId, zone: str, now: float) -> Place:
-        """Return the scores of a route class and zone."""
-        found = self.places.get((route_class, zone))
+    def places_of(
+        self, route_class: RouteId, zone: str, now: float
+    ) -> tuple[Place, ...]:
+        """Return the places that evidence from a zone counts for."""
+        found = self.places_by_source.get((route_class, zone))
         if found is None:
-            found = Place(at=now, moment=Moment(at=now))
-            self.places[route_class, zone] = found
+            keys = {
+                (its, scope)
+                for its in (route_class, ANY_CLASS)
+                for scope in (zone, EVERYWHERE)
+            }
+            found = tuple(
+                self.places.setdefault(key, Place(at=now))
+                for key in sorted(keys)
+            )
+            self.places_by_source[route_class, zone] = found
         return found
 
     def hear(self, route_class: RouteId, vm_id: VmId, score: float) -> None:
         """Add to what one VM says."""
         key = (route_class, vm_id)
         earlier = self.words_by_vm.get(key, 0)
-        self.words_by_vm[key] = _bounded(earlier + score)
+        self.words_by_vm[key] = bounded(earlier + score)
+
+    def moment(self, route_class: RouteId, now: float) -> Moment:
+        """Return the sums of a route class at a time."""
+        return moment_of(self.moments_by_class, route_class, now)
 
     def drop_stale(self, now: float) -> None:
         """Drop the overdue attempts of VMs that are silent."""
@@ -131,5 +158,20 @@
         return total
 
 
-def _bounded(score: float) -> float:
-    return min(max(score, 0), _MAX_SCORE)
+def moment_of(
+    moments_by_class: dict[RouteId, Moment], route_class: RouteId, now: float
+) -> Moment:
+    """Return the sums of a route class at a time, made if missing."""
+    moment = moments_by_class.get(route_class)
+    if moment is None:
+        moment = Moment(at=now)
+        moments_by_class[route_class] = moment
+    moment.decay(now)
+    return moment
+
+
+def bounded(score: float) -> float:
+    """Return a score within its bounds."""
+    if score <= 0:
+        return 0
+    return score if score < _MAX_SCORE else _MAX_SCORE
--- a/src/bronzewall/pooled_evidence.py
+++ b/src/bronzewall/pooled_evidence.py
@@ -8,11 +8,13 @@
 
 from bronzewall.evidence import EvidenceRow
 from bronzewall.pool_state import (
+    ANY_CLASS,
     EVERYWHERE,
     REPORT_SCORE,
     InstanceState,
     Moment,
     Overdue,
+    moment_of,
 )
 from bronzewall.types import InstanceId, RouteId, VmId
 
@@ -24,7 +26,7 @@
 # Failure test: share of failures of a sick instance, and the least share
 # assumed of a healthy one.
 _SICK_FAILURES = 0.5
-_USUAL_FAILURES = 0.01
+_USUAL_FAILURES = 0.005
 # Peers that fail this often show a shared cause, not a sick instance.
 _SHARED_FAILURES = 0.25
 # Peers' figures are raised by the margin, because they are estimates; the
@@ -48,8 +50,6 @@
 # A VM is a witness when its own evidence has this score.
 _WITNESS_SCORE = 1.0
 
-ANY_CLASS = RouteId('')
-
 
 @attrs.frozen(kw_only=True)
 class Suspect:
@@ -112,6 +112,7 @@
     least_witnesses: int
     _states_by_id: dict[InstanceId, InstanceState] = attrs.field(factory=dict)
     _moments_by_class: dict[RouteId, Moment] = attrs.field(factory=dict)
+    _overdue_ids: set[InstanceId] = attrs.field(factory=set)
     _zones_by_vm: dict[VmId, str] = attrs.field(factory=dict)
 
     def add(
@@ -129,6 +130,8 @@
             if not state.is_doubtful:
                 continue
             state.drop_stale(now)
+            if not state.overdue:
+                self._overdue_ids.discard(instance_id)
             state.is_doubtful = bool(state.overdue) or state.has_score()
             if state.is_doubtful:
                 found.extend(self._suspects_of(instance_id, state, now))
@@ -137,6 +140,7 @@
     def forget(self, instance_id: InstanceId) -> None:
         """Drop the evidence about an instance that was removed."""
         self._states_by_id.pop(instance_id, None)
+        self._overdue_ids.discard(instance_id)
 
     def _add_row(
         self, vm_id: VmId, zone: str, row: EvidenceRow, now: float
@@ -146,44 +150,52 @@
             state = InstanceState()
             self._states_by_id[row.instance_id] = state
         usual = self._usual(row.instance_id, row.route_class, now)
-        self._class_moment(row.route_class, now).add(row, now)
-        _set_overdue(state, vm_id, zone, row, now)
+        # Both are at the present time after the look at the peers.
+        self._moments_by_class[row.route_class].add(row)
+        state.moments_by_class[row.route_class].add(row)
+        self._set_overdue(state, vm_id, zone, row, now)
         slow = _slow_score(row.ok, row.surprise, usual)
         failing = _failing_score(row, usual)
         state.hear(row.route_class, vm_id, max(slow, failing))
-        state.is_doubtful |= row.overdue > 0 or slow > 0 or failing > 0
-        for route_class in (row.route_class, ANY_CLASS):
-            for scope in (zone, EVERYWHERE):
-                place = state.place(route_class, scope, now)
-                kept = math.exp((place.at - now) / self.memory)
-                place.at = now
-                place.add(slow=slow, failing=failing, kept=kept)
-                place.moment.add(row, now)
-                if row.ok:
-                    place.answered_at = now
-
-    def _class_moment(self, route_class: RouteId, now: float) -> Moment:
-        moment = self._moments_by_class.get(route_class)
-        if moment is None:
-            moment = Moment(at=now)
-            self._moments_by_class[route_class] = moment
-        return moment
+        if row.overdue or slow > 0 or failing > 0:
+            state.is_doubtful = True
+        for place in state.places_of(row.route_class, zone, now):
+            place.add(slow, failing, now, self.memory)
+            if row.ok:
+                place.answered_at = now
+
+    def _set_overdue(
+        self,
+        state: InstanceState,
+        vm_id: VmId,
+        zone: str,
+        row: EvidenceRow,
+        now: float,
+    ) -> None:
+        key = (row.route_class, vm_id)
+        if row.overdue:
+            state.overdue[key] = Overdue(
+                zone=zone,
+                count=row.overdue,
+                surprise=row.overdue_surprise,
+                at=now,
+            )
+            self._overdue_ids.add(row.instance_id)
+        elif state.overdue.pop(key, None) and not state.overdue:
+            self._overdue_ids.discard(row.instance_id)
 
     def _usual(
         self, instance_id: InstanceId, route_class: RouteId, now: float
     ) -> _Usual:
-        total = self._class_moment(route_class, now)
-        total.decay(now)
-        own = self._states_by_id[instance_id].place(
-            route_class, EVERYWHERE, now
-        )
-        own.moment.decay(now)
-        ok = total.ok - own.moment.ok
-        failed = total.failed - own.moment.failed
-        count, surprise = ok, total.surprise - own.moment.surprise
-        for other_id, state in self._states_by_id.items():
-            if state.overdue and other_id != instance_id:
-                overdue = state.overdue_of(route_class)
+        state = self._states_by_id[instance_id]
+        total = moment_of(self._moments_by_class, route_class, now)
+        own = state.moment(route_class, now)
+        ok = total.ok - own.ok
+        failed = total.failed - own.failed
+        count, surprise = ok, total.surprise - own.surprise
+        for other_id in self._overdue_ids:
+            if other_id != instance_id:
+                overdue = self._states_by_id[other_id].overdue_of(route_class)
                 count += overdue.count
                 surprise += overdue.surprise
         mean = (surprise + _PRIOR_WEIGHT) / (count + _PRIOR_WEIGHT)
@@ -281,7 +293,8 @@
             for zone in zones
             if zone not in bad and self._is_good(route_class, zone)
         ]
-        if len(bad) > len(good) and len(bad) >= min(2, len(zones)):
+        is_common = len(bad) > len(good) and len(bad) >= min(2, len(zones))
+        if is_common or not zones:
             bad = [EVERYWHERE]
         return [
             zone
@@ -297,15 +310,18 @@
         zone: str,
         score: float,
     ) -> Suspect:
-        place = self.state.places[route_class, zone]
-        place.moment.decay(self.now)
+        moments = [
+            self.state.moment(its, self.now)
+            for its in self.usual_by_class
+            if route_class in {ANY_CLASS, its}
+        ]
         return Suspect(
             instance_id=instance_id,
             route_class=route_class,
             zone=zone,
             score=round(score, 1),
-            failed=round(place.moment.failed, 1),
-            ok=round(place.moment.ok, 1),
+            failed=round(sum(item.failed for item in moments), 1),
+            ok=round(sum(item.ok for item in moments), 1),
             overdue=sum(
                 seen.count for _, _, seen in self._overdue(route_class, zone)
             ),
@@ -361,21 +377,6 @@
         return total
 
 
-def _set_overdue(
-    state: InstanceState, vm_id: VmId, zone: str, row: EvidenceRow, now: float
-) -> None:
-    key = (row.route_class, vm_id)
-    if row.overdue:
-        state.overdue[key] = Overdue(
-            zone=zone,
-            count=row.overdue,
-            surprise=row.overdue_surprise,
-            at=now,
-        )
-    else:
-        state.overdue.pop(key, None)
-
-
 def _slow_score(count: int, surprise: float, usual: _Usual) -> float:
     return count * _SLOW_BASE + _SLOW_GAIN * surprise / usual.surprise
 
--- a/src/bronzewall/suspicions.py
+++ b/src/bronzewall/suspicions.py
@@ -10,6 +10,7 @@
 from bronzewall.membership import Members
 from bronzewall.messages import Envelope, message
 from bronzewall.peer_calls import PeerEndpoint
+from bronzewall.pool_state import EVERYWHERE
 from bronzewall.pooled_evidence import EvidencePool, Suspect
 from bronzewall.ports import Clock
 from bronzewall.types import Placement, ServiceName, VmId
@@ -132,7 +133,7 @@
         if own is None:
             own = EvidencePool(memory=_OWN_MEMORY_S, least_witnesses=1)
             self._own_by_service[service] = own
-        own.add(vm_id=self.vm_id, zone=OWN_PATH, rows=rows, now=now)
+        own.add(vm_id=self.vm_id, zone=EVERYWHERE, rows=rows, now=now)
         report = EvidenceReport(
             service=service, zone=self.placement.zone, rows=rows
         )
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -10,7 +10,8 @@
 
 from bronzewall.config_model import Service
 from bronzewall.ejection import EJECT_SCORE, Ejections
-from bronzewall.pooled_evidence import ANY_CLASS, Suspect
+from bronzewall.pool_state import ANY_CLASS
+from bronzewall.pooled_evidence import Suspect
 from bronzewall.types import InstanceId, RouteId
 
 SEARCH = a_route('search')
