Hold a verdict until every VM has heard it, and weigh silence more

The first VMs to eject end the attempts that were the evidence, and all slots held by one route class left the other classes with sheds only. Ruled out: pushing verdicts to all VMs, which breaks the constant rate. Change: observers hold a score that ejects for 0.5 s; a class that holds a silent instance ejects all of it; overdue attempts count 0.6 in place of 0.5 of their surprise while the instance answers nobody; a zone counts as good after 3 good reports in place of 2.

--- a/src/bronzewall/ejection.py
+++ b/src/bronzewall/ejection.py
@@ -9,16 +9,19 @@
 import structlog
 
 from bronzewall.config_model import Instance, Route, Service
-from bronzewall.pool_state import ANY_CLASS, EVERYWHERE
+from bronzewall.pool_state import (
+    ANY_CLASS,
+    EJECT_SCORE,
+    EVERYWHERE,
+    REPORT_SCORE,
+)
 from bronzewall.pooled_evidence import Suspect
 from bronzewall.ports import Clock
 from bronzewall.suspicions import OWN_PATH
 from bronzewall.types import InstanceId, RouteId, ServiceName
 
-# Log likelihood ratio at which an instance is ejected, and the lower one
-# at which the trickle to a returning instance stops.
-EJECT_SCORE = 18.0
-RELAPSE_SCORE = 6.0
+# Score at which the trickle to a returning instance stops.
+RELAPSE_SCORE = REPORT_SCORE
 # Wait before the first return; doubled after each relapse.
 _FIRST_WAIT_S = 5.0
 _MOST_DOUBLINGS = 5
--- a/src/bronzewall/pool_state.py
+++ b/src/bronzewall/pool_state.py
@@ -19,6 +19,8 @@
 _STALE_OVERDUE_S = 0.6
 # Score at which an instance is reported at all.
 REPORT_SCORE = 6.0
+# Log likelihood ratio of sick to healthy at which it is ejected.
+EJECT_SCORE = 18.0
 
 EVERYWHERE = ''
 ANY_CLASS = RouteId('')
--- a/src/bronzewall/pooled_evidence.py
+++ b/src/bronzewall/pooled_evidence.py
@@ -34,10 +34,10 @@
 _PEER_MARGIN = 1.1
 _PRIOR_WEIGHT = 5.0
 # Score of a zone or class above which it takes part in a common failure.
-_PART_SCORE = 2.5
+_PART_SCORE = 3.0
 # A zone without a score counts as good after this many good reports in a
 # row, the last of them at most so long ago.
-_LEAST_GOOD = 2
+_LEAST_GOOD = 3
 _GOOD_LIFE_S = 0.5
 # A score counts only above this multiple of the median of the peers'.
 _SHARED_MARGIN = 2.0
@@ -46,7 +46,7 @@
 _SILENCE_S = 0.15
 # Requests that wait in the queue of a silent instance are overdue
 # together, so that an open attempt is half an independent observation.
-_SILENT_GAIN = 0.5
+_SILENT_GAIN = 0.6
 # A VM is a witness when its own evidence has this score.
 _WITNESS_SCORE = 1.0
 
@@ -211,8 +211,10 @@
         sheet = self._sheet(instance_id, state, now)
         classes = tuple(sheet.usual_by_class)
         bad = [its for its in classes if sheet.score(its, '') >= _PART_SCORE]
-        # One failing class is not a failing instance.
+        # One failing class is not a failing instance, unless it holds all
+        # slots, so that the other classes get no answers either.
         is_common = len(bad) >= min(2, len(classes))
+        is_common |= bool(bad) and sheet.is_silent(ANY_CLASS, EVERYWHERE)
         wanted = [ANY_CLASS, *bad] if is_common else bad
         found = []
         for route_class in wanted:
@@ -277,6 +279,11 @@
         failing = place.failing * kept * usual.failure_worth
         return max(slow + self._overdue_score(route_class, zone), failing)
 
+    def is_silent(self, route_class: RouteId, zone: str) -> bool:
+        """Return whether nobody got an answer lately."""
+        answered_at = self.state.places[route_class, zone].answered_at
+        return self.now - answered_at >= _SILENCE_S
+
     def failing_zones(self, route_class: RouteId, least: int) -> list[str]:
         """Return the zones to report, or ``EVERYWHERE`` alone.
 
@@ -366,8 +373,7 @@
 
     def _overdue_score(self, route_class: RouteId, zone: str) -> float:
         total = float(0)
-        answered_at = self.state.places[route_class, zone].answered_at
-        is_silent = self.now - answered_at >= _SILENCE_S
+        is_silent = self.is_silent(route_class, zone)
         for its, _, seen in self._overdue(route_class, zone):
             usual = self.usual_by_class[its]
             if is_silent:
--- a/src/bronzewall/suspicions.py
+++ b/src/bronzewall/suspicions.py
@@ -1,6 +1,7 @@
 """Shares evidence about instances between VMs at a constant rate."""
 
 import collections
+import math
 from collections.abc import Callable
 
 import attrs
@@ -10,7 +11,7 @@
 from bronzewall.membership import Members
 from bronzewall.messages import Envelope, message
 from bronzewall.peer_calls import PeerEndpoint
-from bronzewall.pool_state import EVERYWHERE
+from bronzewall.pool_state import EJECT_SCORE, EVERYWHERE
 from bronzewall.pooled_evidence import EvidencePool, Suspect
 from bronzewall.ports import Clock
 from bronzewall.types import Placement, ServiceName, VmId
@@ -27,6 +28,9 @@
 # One VM's word is not enough: only its own path may be bad.
 _WITNESSES = 2
 _SUSPECTS_LIFE_S = 0.02
+# The first VMs to eject an instance also end the attempts that were the
+# evidence. Its score is held until every VM has heard of it.
+_HOLD_S = 0.5
 _MEMBERS_EVERY_TICKS = 5
 # Zone of suspects that this VM found on its own evidence alone.
 OWN_PATH = 'own path'
@@ -54,13 +58,37 @@
 SuspectsHandler = Callable[[ServiceName, list[Suspect]], None]
 
 
+_Scope = tuple[str, str, str]
+
+
+def _scope_of(suspect: Suspect) -> _Scope:
+    return suspect.instance_id, suspect.route_class, suspect.zone
+
+
 @attrs.define(kw_only=True, eq=False)
 class _Observed:
     """Evidence on one service that this VM observes for others."""
 
     pool: EvidencePool
-    at: float = 0
+    at: float = -math.inf
     suspects: tuple[Suspect, ...] = ()
+    _held: dict[_Scope, tuple[float, Suspect]] = attrs.field(factory=dict)
+
+    def refresh(self, now: float) -> None:
+        """Bring the suspects to a time."""
+        if now - self.at < _SUSPECTS_LIFE_S:
+            return
+        self.at = now
+        found = {_scope_of(seen): seen for seen in self.pool.suspects(now)}
+        for scope, suspect in found.items():
+            if suspect.score >= EJECT_SCORE:
+                self._held[scope] = (now + _HOLD_S, suspect)
+        for scope, (until, suspect) in tuple(self._held.items()):
+            if until < now:
+                self._held.pop(scope)
+            else:
+                found[scope] = suspect
+        self.suspects = tuple(found.values())
 
 
 _ByObserver = dict[VmId, tuple[float, SuspicionSummary]]
@@ -199,9 +227,7 @@
         observed.pool.add(
             vm_id=vm_id, zone=report.zone, rows=report.rows, now=now
         )
-        if now - observed.at >= _SUSPECTS_LIFE_S:
-            observed.at = now
-            observed.suspects = tuple(observed.pool.suspects(now))
+        observed.refresh(now)
         return SuspicionSummary(
             service=report.service, suspects=observed.suspects
         )
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -9,8 +9,8 @@
 from structlog.testing import capture_logs
 
 from bronzewall.config_model import Service
-from bronzewall.ejection import EJECT_SCORE, Ejections
-from bronzewall.pool_state import ANY_CLASS
+from bronzewall.ejection import Ejections
+from bronzewall.pool_state import ANY_CLASS, EJECT_SCORE
 from bronzewall.pooled_evidence import Suspect
 from bronzewall.types import InstanceId, RouteId
 
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -6,8 +6,8 @@
 import pytest
 from builders import a_route, an_instance
 
-from bronzewall.ejection import EJECT_SCORE
 from bronzewall.evidence import Attempt, Evidence, Outcome
+from bronzewall.pool_state import EJECT_SCORE
 from bronzewall.pooled_evidence import EvidencePool
 from bronzewall.types import VmId
 
