--- a/src/bronzewall/composition.py
+++ b/src/bronzewall/composition.py
@@ -13,6 +13,7 @@
 from bronzewall.control_plane import ControlPlane
 from bronzewall.crash_setup import open_crash_guard
 from bronzewall.daemon import Daemon
+from bronzewall.detection_setup import open_detection
 from bronzewall.dispatch import Dispatcher
 from bronzewall.journal import Journal
 from bronzewall.membership import Members
@@ -63,6 +64,13 @@
         refuses_connections=refuses_connections,
         rng=rng,
     )
+    detection = open_detection(
+        clock=clock,
+        feed=control.feed,
+        members=members,
+        endpoint=endpoint,
+        crash_guard=crash_guard,
+    )
     run_gate = open_run_gate(
         endpoint=endpoint, clock=clock, table=store, members=members, rng=rng
     )
@@ -72,9 +80,12 @@
         random=rng,
         feed=control.feed,
         quota=quota,
-        dispatcher=Dispatcher(random=rng),
+        dispatcher=Dispatcher(
+            random=rng, weight_of=detection.ejections.weight_of
+        ),
         upstreams=AiohttpUpstreams(session=upstream_session),
         crash_guard=crash_guard,
+        evidence=detection.evidence,
         run_gate=run_gate,
         metrics=metrics,
         journal=journal,
@@ -90,6 +101,8 @@
         control=control,
         path=path,
         quota=quota,
+        ejections=detection.ejections,
+        suspicions=detection.suspicions,
         once_sweep=once_sweep(gate=run_gate, members=members),
         metrics=metrics,
         journal=journal,
--- a/src/bronzewall/config_feed.py
+++ b/src/bronzewall/config_feed.py
@@ -7,7 +7,7 @@
 
 from bronzewall import publication_rows as rows
 from bronzewall.config_codec import PartEntry
-from bronzewall.config_model import Account, Configuration
+from bronzewall.config_model import Account, Configuration, Service
 from bronzewall.config_state import (
     ConfigState,
     InForce,
@@ -20,7 +20,7 @@
     SnapshotError,
 )
 from bronzewall.ports import Clock, ObjectStore, TableService
-from bronzewall.types import AccountId
+from bronzewall.types import AccountId, ServiceName
 
 # A VM that is further behind reads the manifest, which costs two scans.
 _MAX_HISTORY_READS = 20
@@ -62,6 +62,12 @@
             return {}
         return self._in_force.configuration.accounts_by_id
 
+    def service_of(self, name: ServiceName) -> Service | None:
+        """Return a service in force, ``None`` if there is none."""
+        if self._in_force is None:
+            return None
+        return self._in_force.configuration.services_by_name.get(name)
+
     def offer(self, configuration: Configuration) -> bool:
         """Take a whole configuration if its generation is higher."""
         if configuration.generation <= self.generation:
--- a/src/bronzewall/daemon.py
+++ b/src/bronzewall/daemon.py
@@ -13,6 +13,7 @@
 from bronzewall.adapters.websocket_link import WebSocketLink
 from bronzewall.admin import AdminView
 from bronzewall.control_plane import ControlPlane
+from bronzewall.ejection import Ejections
 from bronzewall.journal import Journal
 from bronzewall.membership import Members
 from bronzewall.metrics import Metrics
@@ -22,6 +23,7 @@
 from bronzewall.proxy import RequestPath
 from bronzewall.quota import PooledQuota, quota_status
 from bronzewall.settings import Origin, Settings
+from bronzewall.suspicions import Suspicions
 from bronzewall.types import RequestId, VmState
 
 _DRAIN_CHECK_S = 0.05
@@ -45,6 +47,8 @@
     metrics: Metrics
     journal: Journal
     sessions: tuple[aiohttp.ClientSession, ...]
+    ejections: Ejections
+    suspicions: Suspicions
     is_stopping: bool = False
     _tasks: list[asyncio.Task[None]] = attrs.field(factory=list)
 
@@ -92,6 +96,7 @@
             asyncio.create_task(self.path.crash_guard.catch_up()),
             asyncio.create_task(self.once_sweep.run()),
             asyncio.create_task(self.quota.run()),
+            asyncio.create_task(self.suspicions.run()),
         ]
 
     async def _stop_background(self) -> None:
@@ -146,6 +151,7 @@
             'in_flight': len(self.path.in_flight_by_request),
             'refusals': dict(self.metrics.refusals),
             'retries': dict(self.metrics.retries),
+            'ejections': self.ejections.report(),
             'rights': quota_status(self.quota),
         }
 
--- /dev/null
+++ b/src/bronzewall/detection_setup.py
@@ -0,0 +1,58 @@
+"""Builds the parts of one VM that detect failing instances."""
+
+import attrs
+
+from bronzewall.config_feed import ConfigFeed
+from bronzewall.crash_guard import CrashGuard
+from bronzewall.ejection import Ejections
+from bronzewall.evidence import Evidence
+from bronzewall.membership import Members
+from bronzewall.peer_calls import PeerEndpoint
+from bronzewall.ports import Clock
+from bronzewall.suspicions import Suspicions
+from bronzewall.types import InstanceId, RouteId
+
+
+@attrs.frozen(kw_only=True)
+class Detection:
+    """Evidence, verdicts and their exchange with other VMs."""
+
+    evidence: Evidence
+    ejections: Ejections
+    suspicions: Suspicions
+
+
+def open_detection(
+    *,
+    clock: Clock,
+    feed: ConfigFeed,
+    members: Members,
+    endpoint: PeerEndpoint,
+    crash_guard: CrashGuard,
+) -> Detection:
+    """Return the detection of one VM."""
+
+    def is_excused(fingerprint: bytes) -> bool:
+        # What a request does that crashes instances is not their fault.
+        return crash_guard.table.find(fingerprint) is not None
+
+    def abandon(instance_id: InstanceId, route_class: RouteId) -> None:
+        evidence.abandon_overdue(instance_id, route_class, clock.now())
+
+    evidence = Evidence(is_excused=is_excused)
+    ejections = Ejections(
+        clock=clock, service_of=feed.service_of, on_eject=abandon
+    )
+    evidence.is_cold = ejections.is_cold
+    suspicions = Suspicions(
+        vm_id=members.own_id,
+        placement=members.own_placement,
+        clock=clock,
+        members=members,
+        endpoint=endpoint,
+        evidence=evidence,
+        on_suspects=ejections.judge,
+    )
+    return Detection(
+        evidence=evidence, ejections=ejections, suspicions=suspicions
+    )
--- a/src/bronzewall/errors.py
+++ b/src/bronzewall/errors.py
@@ -41,6 +41,10 @@
     """Communication with another VM failed."""
 
 
+class DuplicateKindError(PeerError):
+    """Two message classes were registered with one type tag."""
+
+
 class PeerTimeoutError(PeerError):
     """A peer did not reply in time."""
 
@@ -77,6 +81,10 @@
     """The exchange broke after the request was sent; outcome unknown."""
 
 
+class AttemptAbandonedError(UpstreamError):
+    """The instance became suspect before it answered; outcome unknown."""
+
+
 class CallerError(BronzewallError):
     """The caller's connection or request is unusable."""
 
--- a/src/bronzewall/exchange.py
+++ b/src/bronzewall/exchange.py
@@ -6,6 +6,7 @@
 from bronzewall.config_model import Account, Route, Service
 from bronzewall.crash_suspects import request_fingerprint
 from bronzewall.errors import (
+    AttemptAbandonedError,
     ConnectFailedError,
     UpstreamError,
     UpstreamShedError,
@@ -93,6 +94,6 @@
             reason=Reason.NO_INSTANCE, retry_after=1, detail=detail
         )
     reason = Reason.ANSWER_LOST
-    if isinstance(exc, UpstreamTimeoutError):
+    if isinstance(exc, UpstreamTimeoutError | AttemptAbandonedError):
         reason = Reason.UPSTREAM_TIMEOUT
     return RefusalError(reason=reason, ran=Ran.UNKNOWN, detail=detail)
--- a/src/bronzewall/messages.py
+++ b/src/bronzewall/messages.py
@@ -6,7 +6,12 @@
 import cbor2
 from cattrs.preconf.cbor2 import make_converter
 
-from bronzewall.errors import PeerKindError, PeerMessageError, PeerVersionError
+from bronzewall.errors import (
+    DuplicateKindError,
+    PeerKindError,
+    PeerMessageError,
+    PeerVersionError,
+)
 from bronzewall.types import VmId
 
 PROTOCOL_VERSION = 1
@@ -25,9 +30,14 @@
 
     :param kind: type tag in the envelope; never used again for another
         class, because VMs of two versions may talk to each other.
+    :raises DuplicateKindError: the type tag has a class already.
     """
 
     def register(message_class: _ClassT) -> _ClassT:
+        if kind in _classes_by_kind:
+            raise DuplicateKindError(
+                f'{kind!r} is used by {_classes_by_kind[kind].__name__}'
+            )
         _classes_by_kind[kind] = message_class
         _kinds_by_class[message_class] = kind
         return message_class
--- a/src/bronzewall/proxy.py
+++ b/src/bronzewall/proxy.py
@@ -8,6 +8,7 @@
 import structlog
 
 from bronzewall import headers as header_rules
+from bronzewall.attempts import observed_exchange
 from bronzewall.config_feed import ConfigFeed
 from bronzewall.config_model import Account, Instance, Route
 from bronzewall.config_state import InForce
@@ -25,6 +26,7 @@
     UpstreamError,
     UpstreamTimeoutError,
 )
+from bronzewall.evidence import Attempt, Evidence
 from bronzewall.exchange import Exchange, upstream_refusal
 from bronzewall.journal import Journal
 from bronzewall.metrics import Metrics
@@ -85,6 +87,7 @@
     metrics: Metrics
     journal: Journal
     may_serve_keyed: Callable[[], bool]
+    evidence: Evidence = attrs.field(factory=Evidence)
     in_flight_by_request: dict[RequestId, Route] = attrs.field(factory=dict)
 
     async def handle(
@@ -308,22 +311,21 @@
 
     async def _send(self, exchange: Exchange, instance: Instance) -> None:
         self.note(exchange, 'sent', instance=instance.instance_id)
-        upstream, instance = await self._open_upstream(exchange, instance)
+        attempt, upstream = await observed_exchange(
+            upstreams=self.upstreams,
+            evidence=self.evidence,
+            clock=self.clock,
+            instance=instance,
+            route=exchange.route,
+            request=self._upstream_request(exchange, instance),
+            fingerprint=exchange.fingerprint(),
+        )
         self.dispatcher.observe_headers(instance, upstream.answer.headers)
         try:
-            await self._relay(exchange, instance, upstream)
+            await self._relay(exchange, instance, upstream, attempt)
         finally:
             upstream.close()
 
-    async def _open_upstream(
-        self, exchange: Exchange, instance: Instance
-    ) -> tuple[UpstreamExchange, Instance]:
-        """Return the start of an answer and the instance that gave it."""
-        upstream = await self.upstreams.exchange(
-            self._upstream_request(exchange, instance)
-        )
-        return upstream, instance
-
     def _upstream_request(
         self, exchange: Exchange, instance: Instance
     ) -> UpstreamRequest:
@@ -349,6 +351,7 @@
         exchange: Exchange,
         instance: Instance,
         upstream: UpstreamExchange,
+        attempt: Attempt,
     ) -> None:
         answer, writer = upstream.answer, exchange.writer
         own = (header_rules.REQUEST_ID, exchange.request_id)
@@ -369,6 +372,7 @@
             # The status line is out; only a broken connection can tell
             # the caller that the body is incomplete.
             writer.abort()
+            self.evidence.fail(attempt)
             self.metrics.events['answer_truncated'] += 1
             self.note(exchange, 'answer_truncated', error=str(exc))
             return
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -12,6 +12,7 @@
 
 from bronzewall.adapters.websocket_link import WebSocketLink
 from bronzewall.errors import (
+    DuplicateKindError,
     PeerKindError,
     PeerMessageError,
     PeerTimeoutError,
@@ -138,3 +139,13 @@
     await receiving.stop()
     assert endpoint.counters['PeerMessageError'] == 1
     assert endpoint.counters['PeerVersionError'] == 1
+
+
+def test_type_tag_is_used_once() -> None:
+    """Guards against two classes whose messages replace each other.
+
+    Two modules had both registered "suspicion"; which one worked depended
+    on the order of imports.
+    """
+    with pytest.raises(DuplicateKindError, match='Ping'):
+        message('test_ping')(Envelope)
