Hedge slow answers of idempotent routes

Cause: routes could ask for hedge = true, and nothing did it.

Change: hedging.py runs a second attempt when the first has no answer after the 95th percentile of hold times, within hedge_ratio and only on a slot that is free now; the losing attempt is cancelled and closed. Routes without hedge start no task.

--- a/src/bronzewall/choice.py
+++ b/src/bronzewall/choice.py
@@ -16,6 +16,10 @@
 RAMP_S = 10.0
 RAMP_START = 0.1
 FULL_WEIGHT = 1.0
+# A drain header is repeated with each answer and each report, so the mark
+# may end soon after the last one.
+LEAVING_S = 30.0
+REPORTED_LEAVING_S = 2.0
 # Pause after a shed answer or a refused connection; the longest is 1.6 s.
 _FIRST_BLOCK_S = 0.05
 _MAX_BLOCK_DOUBLINGS = 5
@@ -71,6 +75,19 @@
         self.failures += 1
         self.blocked_until = now + _FIRST_BLOCK_S * 2**doublings
 
+    def mark_leaving(self, now: float, *, is_reported: bool) -> None:
+        """Give the instance no new work.
+
+        :param is_reported: another VM saw the sign; this VM must not
+            report it in turn, or the mark would never end.
+        """
+        if is_reported:
+            until = now + REPORTED_LEAVING_S
+        else:
+            until = now + LEAVING_S
+            self.leaving_seen_until = until
+        self.leaving_until = max(self.leaving_until, until)
+
     def ramp(self, now: float) -> float:
         """Return the share of normal traffic for a cold instance."""
         if self.cold_since is None:
@@ -95,6 +112,11 @@
     relative_weight: float = FULL_WEIGHT
 
 
+def full_weight(_instance: Instance, _route: Route) -> float:
+    """Return the weight of an instance that nothing is known against."""
+    return FULL_WEIGHT
+
+
 def nearness_of(own: Placement, other: Placement) -> int:
     """Return how near a placement is to this VM."""
     if own.zone == other.zone:
--- a/src/bronzewall/dispatch.py
+++ b/src/bronzewall/dispatch.py
@@ -15,6 +15,7 @@
     WeightOf,
     candidates_of,
     choose,
+    full_weight,
     nearness_of,
 )
 from bronzewall.config_model import Instance, Route, Service
@@ -28,38 +29,18 @@
 from bronzewall.queueing import Waiter
 from bronzewall.retry import is_not_run
 from bronzewall.service_load import (
+    WAIT_SHARE,
+    Hold,
+    LoopClock,
     ServiceLoad,
     new_service_load,
     update_instances,
 )
 from bronzewall.types import AccountId, InstanceId, Placement, ServiceName
 
-# Longest wait that is useful: beyond it a refusal at once lets the caller
-# turn to something else.
-MAX_WAIT_S = 0.5
-# A service whose requests take longer may wait for this many of them.
-_WAIT_HOLDS = 2.0
-# Share of the remaining deadline that may be spent waiting.
-_WAIT_SHARE = 0.5
 # Blocked instances become usable with time alone, so a queue is looked at
 # again even if no slot of this VM is released.
 _PUMP_INTERVAL_S = 0.025
-# A drain header is repeated with each answer and each report, so the mark
-# may end soon after the last one.
-LEAVING_S = 30.0
-REPORTED_LEAVING_S = 2.0
-
-
-class LoopClock:
-    """Time of the running event loop."""
-
-    def now(self) -> float:
-        """Return monotonic seconds."""
-        return asyncio.get_running_loop().time()
-
-
-def _full_weight(_instance: Instance, _route: Route) -> float:
-    return FULL_WEIGHT
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -80,7 +61,7 @@
     random: random.Random
     clock: Clock | LoopClock = attrs.field(factory=LoopClock)
     placement: Placement | None = None
-    weight_of: WeightOf = _full_weight
+    weight_of: WeightOf = full_weight
     fleet_size: Callable[[], int] = lambda: 1
     on_starved: Callable[[ServiceLoad], None] = lambda _state: None
     on_release: Callable[[ServiceLoad, InstanceLoad], None] = (
@@ -89,9 +70,7 @@
     states_by_service: dict[ServiceName, ServiceLoad] = attrs.field(
         factory=dict
     )
-    _holds_by_instance: dict[Instance, list['_Hold']] = attrs.field(
-        factory=dict
-    )
+    _holds_by_instance: dict[Instance, list[Hold]] = attrs.field(factory=dict)
 
     async def acquire(
         self,
@@ -113,28 +92,38 @@
         if not excluded:
             state.count_arrival(account_id)
         if not state.queue.length:
-            instance = self._take(state, route, account_id, excluded)
+            instance = self._take(state, route, excluded)
             if instance is not None:
                 state.admit(account_id, self.clock.now())
                 return instance
         return await self._wait(state, route, account_id, deadline, excluded)
 
-    def try_acquire(
+    def try_hedge(
         self,
         *,
         service: Service,
         route: Route,
-        account_id: AccountId | None,
         excluded: frozenset[InstanceId],
     ) -> Instance | None:
-        """Return a free instance without waiting, or ``None``."""
+        """Return an instance for a second attempt, or ``None``.
+
+        The attempt uses the service's hedge allowance and a slot that is
+        free now; it never waits and never delays a first attempt.
+        """
         state = self.state_of(service)
-        if state.queue.length:
+        if state.queue.length or not state.hedge.has_one():
             return None
         try:
-            return self._take(state, route, account_id, excluded)
+            instance = self._take(state, route, excluded)
         except NoInstanceError:
             return None
+        if instance is not None:
+            state.hedge.take()
+        return instance
+
+    def hedge_delay(self, service: Service) -> float:
+        """Return the seconds after which an answer is late enough."""
+        return self.state_of(service).slow_hold
 
     def release(
         self,
@@ -200,14 +189,11 @@
         :param is_reported: another VM saw the sign. It ends with the
             reports, which this VM must then not prolong.
         """
-        pause = REPORTED_LEAVING_S if is_reported else LEAVING_S
-        until = self.clock.now() + pause
+        now = self.clock.now()
         for state in self.states_by_service.values():
             load = state.loads_by_id.get(instance_id)
             if load is not None and service in {None, state.service.name}:
-                load.leaving_until = max(load.leaving_until, until)
-                if not is_reported:
-                    load.leaving_seen_until = until
+                load.mark_leaving(now, is_reported=is_reported)
 
     def is_remote(self, instance: Instance) -> bool:
         """Return whether traffic with an instance crosses regions."""
@@ -239,9 +225,7 @@
 
     def _serve(self, state: ServiceLoad, waiter: Waiter) -> bool:
         try:
-            instance = self._take(
-                state, waiter.route, waiter.account_id, waiter.excluded
-            )
+            instance = self._take(state, waiter.route, waiter.excluded)
         except NoInstanceError as exc:
             waiter.future.set_exception(exc)
         else:
@@ -269,7 +253,6 @@
         self,
         state: ServiceLoad,
         route: Route,
-        account_id: AccountId | None,
         excluded: frozenset[InstanceId],
     ) -> Instance | None:
         now = self.clock.now()
@@ -295,7 +278,7 @@
             state.hedge.earn()
             state.borrow.earn()
         self._holds_by_instance.setdefault(load.instance, []).append(
-            _Hold(state=state, load=load, started=now)
+            Hold(state=state, load=load, started=now)
         )
         return load.instance
 
@@ -351,7 +334,8 @@
         deadline: float,
         excluded: frozenset[InstanceId],
     ) -> Instance:
-        useful = min(MAX_WAIT_S, (deadline - self.clock.now()) * _WAIT_SHARE)
+        remaining = deadline - self.clock.now()
+        useful = state.useful_wait(remaining)
         rate = state.served_per_second()
         limit = useful * rate
         # A retry has waited before, and the allowance bounds their number.
@@ -374,9 +358,7 @@
         state.queue.push(waiter)
         self._set_pump(state)
         self.on_starved(state)
-        longest = (deadline - self.clock.now()) * _WAIT_SHARE
-        if is_retry:
-            longest = min(longest, useful)
+        longest = useful if is_retry else remaining * WAIT_SHARE
         return await self._await_turn(state, waiter, longest)
 
     async def _await_turn(
@@ -398,17 +380,17 @@
             timer.cancel()
 
     def _give_up(self, state: ServiceLoad, waiter: Waiter) -> None:
-        if state.queue.remove(waiter) or waiter.future.cancelled():
-            return
-        # The slot was handed over in the step in which the caller left.
-        if waiter.future.exception() is None:
-            self.release(waiter.future.result())
+        is_served = not state.queue.remove(waiter)
+        # The slot may be handed over in the step in which the caller left.
+        if is_served and not waiter.future.cancelled():
+            if waiter.future.exception() is None:
+                self.release(waiter.future.result())
 
     def _retry_after(self, wait: float) -> float:
         # Spread, so that refused callers do not come back together.
         return max(1, wait) * (1 + self.random.random())
 
-    def _pop_hold(self, instance: Instance) -> '_Hold':
+    def _pop_hold(self, instance: Instance) -> Hold:
         holds = self._holds_by_instance[instance]
         # Which of several holds is released does not matter: the sum of
         # the hold times, and so their mean, is the same.
@@ -416,12 +398,3 @@
         if not holds:
             del self._holds_by_instance[instance]
         return hold
-
-
-@attrs.frozen(kw_only=True, eq=False)
-class _Hold:
-    """One slot taken by this VM."""
-
-    state: ServiceLoad
-    load: InstanceLoad
-    started: float
--- /dev/null
+++ b/src/bronzewall/hedging.py
@@ -0,0 +1,161 @@
+"""A second attempt beside a slow first one, for idempotent routes."""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any
+
+import attrs
+
+from bronzewall.config_model import Instance, Route, Service
+from bronzewall.dispatch import Dispatcher
+from bronzewall.errors import UpstreamError
+from bronzewall.ports import (
+    UpstreamAnswer,
+    UpstreamExchange,
+    UpstreamHttp,
+    UpstreamRequest,
+)
+from bronzewall.retry import is_not_run
+
+
+@attrs.frozen(kw_only=True)
+class Opened:
+    """The start of an answer and the instance that gave it."""
+
+    exchange: UpstreamExchange
+    instance: Instance
+
+
+@attrs.define(kw_only=True, eq=False)
+class HeldExchange:
+    """An exchange that gives back its slot when it is closed."""
+
+    answer: UpstreamAnswer
+    exchange: UpstreamExchange
+    release: Callable[[], None]
+
+    def close(self) -> None:
+        """Close the exchange and release its slot."""
+        try:
+            self.exchange.close()
+        finally:
+            self.release()
+
+
+Opening = Coroutine[Any, Any, Opened]
+
+
+async def first_answer(
+    *,
+    first: Opening,
+    open_second: Callable[[], Opening | None],
+    delay: float,
+) -> Opened:
+    """Return the first answer of one or two attempts.
+
+    The other attempt is cancelled, also when the caller cancels both.
+
+    :param open_second: called if there is no answer after the delay;
+        ``None`` if no second attempt is allowed.
+    :param delay: seconds.
+    :raises UpstreamError: all attempts failed; an error with an unknown
+        outcome takes precedence over one that proves "not run".
+    """
+    tasks = [asyncio.create_task(first)]
+    winner: Opened | None = None
+    try:
+        await asyncio.wait(tasks, timeout=delay)
+        second = None if tasks[0].done() else open_second()
+        if second is not None:
+            tasks.append(asyncio.create_task(second))
+        winner = await _winner(tasks)
+    finally:
+        await _end_losers(tasks, winner)
+    return winner
+
+
+async def open_answer(
+    *,
+    upstreams: UpstreamHttp,
+    dispatcher: Dispatcher,
+    service: Service,
+    route: Route,
+    instance: Instance,
+    request_for: Callable[[Instance], UpstreamRequest],
+    take_second: Callable[[], Instance | None],
+) -> Opened:
+    """Return the start of an answer, by two attempts if the route hedges.
+
+    :param instance: acquired for the first attempt, released by the caller.
+    :param request_for: makes the request to an instance.
+    :param take_second: acquires an instance for the second attempt.
+    """
+
+    async def open_one(target: Instance) -> Opened:
+        exchange = await upstreams.exchange(request_for(target))
+        return Opened(exchange=exchange, instance=target)
+
+    async def open_held(target: Instance) -> Opened:
+        error: UpstreamError | None = None
+        opened: Opened | None = None
+        try:
+            opened = await open_one(target)
+        except UpstreamError as exc:
+            error = exc
+            raise
+        finally:
+            if opened is None:
+                dispatcher.release(target, error=error)
+        held = HeldExchange(
+            answer=opened.exchange.answer,
+            exchange=opened.exchange,
+            release=lambda: dispatcher.release(target),
+        )
+        return Opened(exchange=held, instance=target)
+
+    def open_second() -> Opening | None:
+        target = take_second()
+        return None if target is None else open_held(target)
+
+    if not (route.hedge and route.idempotent):
+        return await open_one(instance)
+    return await first_answer(
+        first=open_one(instance),
+        open_second=open_second,
+        delay=dispatcher.hedge_delay(service),
+    )
+
+
+async def _winner(tasks: Sequence['asyncio.Task[Opened]']) -> Opened:
+    pending = set(tasks)
+    while pending:
+        done, pending = await asyncio.wait(
+            pending, return_when=asyncio.FIRST_COMPLETED
+        )
+        answered = [task for task in done if task.exception() is None]
+        if answered:
+            return answered[0].result()
+    errors = [_error_of(task) for task in tasks]
+    unknown = [error for error in errors if not _is_not_run(error)]
+    raise (unknown or errors)[0]
+
+
+def _error_of(task: 'asyncio.Task[Opened]') -> BaseException:
+    error = task.exception()
+    assert error is not None
+    return error
+
+
+def _is_not_run(error: BaseException) -> bool:
+    return isinstance(error, UpstreamError) and is_not_run(error)
+
+
+async def _end_losers(
+    tasks: Sequence['asyncio.Task[Opened]'], winner: Opened | None
+) -> None:
+    for task in tasks:
+        task.cancel()
+    outcomes = await asyncio.gather(*tasks, return_exceptions=True)
+    for outcome in outcomes:
+        if isinstance(outcome, Opened) and outcome is not winner:
+            outcome.exchange.close()
--- a/src/bronzewall/proxy.py
+++ b/src/bronzewall/proxy.py
@@ -23,6 +23,7 @@
     UpstreamError,
     UpstreamTimeoutError,
 )
+from bronzewall.hedging import open_answer
 from bronzewall.journal import Journal
 from bronzewall.metrics import Metrics
 from bronzewall.ports import (
@@ -261,25 +262,36 @@
 
     async def _send(self, exchange: Exchange, instance: Instance) -> None:
         self.note(exchange, 'sent', instance=instance.instance_id)
-        upstream, instance = await self._open_upstream(exchange, instance)
-        self.dispatcher.observe_headers(instance, upstream.answer.headers)
+        opened = await open_answer(
+            upstreams=self.upstreams,
+            dispatcher=self.dispatcher,
+            service=exchange.service,
+            route=exchange.route,
+            instance=instance,
+            request_for=lambda to: self._upstream_request(exchange, to),
+            take_second=lambda: self._take_second(exchange),
+        )
+        upstream = opened.exchange
         try:
-            await self._relay(
-                exchange,
-                upstream,
-                is_remote=self.dispatcher.is_remote(instance),
+            self.dispatcher.observe_headers(
+                opened.instance, upstream.answer.headers
             )
+            is_remote = self.dispatcher.is_remote(opened.instance)
+            await self._relay(exchange, upstream, is_remote=is_remote)
         finally:
             upstream.close()
 
-    async def _open_upstream(
-        self, exchange: Exchange, instance: Instance
-    ) -> tuple[UpstreamExchange, Instance]:
-        """Return the start of an answer and the instance that gave it."""
-        upstream = await self.upstreams.exchange(
-            self._upstream_request(exchange, instance)
+    def _take_second(self, exchange: Exchange) -> Instance | None:
+        instance = self.dispatcher.try_hedge(
+            service=exchange.service,
+            route=exchange.route,
+            excluded=frozenset(exchange.tried_ids),
         )
-        return upstream, instance
+        if instance is not None:
+            exchange.tried_ids.add(instance.instance_id)
+            self.metrics.events['hedged'] += 1
+            self.note(exchange, 'hedged', instance=instance.instance_id)
+        return instance
 
     def _upstream_request(
         self, exchange: Exchange, instance: Instance
--- a/src/bronzewall/service_load.py
+++ b/src/bronzewall/service_load.py
@@ -1,5 +1,6 @@
 """State of one service on this VM: loads, demand, queue and allowances."""
 
+import asyncio
 from collections import Counter
 from collections.abc import Mapping
 
@@ -14,6 +15,13 @@
 # Sheds that untold use of other VMs' slots may cause per request; the
 # retries that follow use the retry allowance.
 BORROW_RATIO = 0.02
+# Longest wait that is useful: beyond it a refusal at once lets the caller
+# turn to something else.
+MAX_WAIT_S = 0.5
+# A service whose requests take longer may wait for this many of them.
+_WAIT_HOLDS = 2.0
+# Share of the remaining deadline that may be spent waiting.
+WAIT_SHARE = 0.5
 _FIRST_HOLD_S = 0.05
 _HOLD_GAIN = 0.05
 # One request that hangs must not raise the expected wait of all others.
@@ -71,7 +79,8 @@
         """Take over how long a served request held its slot."""
         is_slow = seconds > self.slow_hold
         step = _SLOW_QUANTILE if is_slow else _SLOW_QUANTILE - 1
-        self.slow_hold += _SLOW_GAIN * self.mean_hold * step
+        moved = self.slow_hold + _SLOW_GAIN * self.mean_hold * step
+        self.slow_hold = max(moved, self.mean_hold)
         self.holds += 1
         gain = max(_HOLD_GAIN, 1 / self.holds)
         seconds = min(seconds, self.mean_hold * _MAX_HOLD_STEP)
@@ -118,6 +127,14 @@
         self.has_shares = True
         self.mean_slots += _SHARE_GAIN * (total - self.mean_slots)
 
+    def useful_wait(self, remaining: float) -> float:
+        """Return the seconds for which a request may expect to wait.
+
+        :param remaining: seconds until the caller's deadline.
+        """
+        longest = max(MAX_WAIT_S, self.mean_hold * _WAIT_HOLDS)
+        return min(longest, remaining * WAIT_SHARE)
+
     def served_per_second(self) -> float:
         """Return the rate at which this VM's share serves requests."""
         slots = max(self.mean_slots, 1 / 2)
@@ -126,6 +143,26 @@
         return max(slots, 1 / 2) / self.mean_hold
 
 
+@attrs.frozen(kw_only=True, eq=False)
+class Hold:
+    """One slot taken by this VM.
+
+    :param started: clock time.
+    """
+
+    state: ServiceLoad
+    load: InstanceLoad
+    started: float
+
+
+class LoopClock:
+    """Time of the running event loop."""
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+        return asyncio.get_running_loop().time()
+
+
 def _smooth(
     rates: dict[AccountKey, float],
     counts: Counter[AccountKey],
