Reject upstream answers that cannot be told to be whole

Cause: contract tests against a raw TCP upstream. On the earlier adapter seven cases failed: an answer without a length passed as complete (2), one that names another request id was delivered (2), a timeout of 0 meant no timeout, and an answer that came unasked on an idle connection was kept for the next request (2, stopped by the test timeout).

Ruled out: checking a connection when it enters the pool, as aiohttp does; the unasked answer can come later.

The peer link counts a connection that a stopping peer cuts instead of logging a traceback.

--- a/src/bronzewall/adapters/upstream_http.py
+++ b/src/bronzewall/adapters/upstream_http.py
@@ -8,6 +8,7 @@
 from yarl import URL
 
 from bronzewall import headers as header_rules
+from bronzewall.adapters.quiet_connector import QuietConnector
 from bronzewall.errors import (
     ConnectFailedError,
     UpstreamBrokenError,
@@ -19,6 +20,10 @@
 _STATUS_SHED = 503
 _CONNECT_TIMEOUT_S = 1.0
 _MAX_LINE_BYTES = 16_384
+# aiohttp rounds timeouts above this up to whole seconds; a deadline must
+# not move.
+_NEVER_ROUND_S = 1e9
+_NO_BODY_STATUSES = frozenset((204, 304))
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -44,7 +49,14 @@
 
     async def exchange(self, request: UpstreamRequest) -> AiohttpExchange:
         """Send a request and wait for the start of the answer."""
+        if request.timeout <= 0:
+            # aiohttp takes 0 as "no timeout".
+            raise ConnectFailedError('deadline passed before the send')
         response = await self._request(request)
+        problem = _framing_problem(request, response)
+        if problem is not None:
+            response.close()
+            raise UpstreamBrokenError(f'{request.instance_id}: {problem}')
         answer = UpstreamAnswer(
             status=response.status,
             headers=tuple(response.headers.items()),
@@ -63,6 +75,7 @@
         timeout = aiohttp.ClientTimeout(
             total=request.timeout,
             connect=min(_CONNECT_TIMEOUT_S, request.timeout),
+            ceil_threshold=_NEVER_ROUND_S,
         )
         try:
             return await self.session.request(
@@ -89,7 +102,7 @@
 def open_session() -> aiohttp.ClientSession:
     """Return a client session that never resends a request."""
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, limit_per_host=0),
+        connector=QuietConnector(),
         auto_decompress=False,
         skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -102,6 +115,26 @@
     return session
 
 
+def _framing_problem(
+    request: UpstreamRequest, response: aiohttp.ClientResponse
+) -> str | None:
+    """Return why an answer cannot be told to be whole, or the caller's."""
+    lengths = set(response.headers.getall('Content-Length', ()))
+    is_chunked = 'Transfer-Encoding' in response.headers
+    if len(lengths) + is_chunked > 1:
+        return 'conflicting lengths'
+    has_body = request.method != 'HEAD' and (
+        response.status not in _NO_BODY_STATUSES
+    )
+    if has_body and not lengths and not is_chunked:
+        return 'an answer without a length may be truncated'
+    echoed = response.headers.get(header_rules.REQUEST_ID)
+    sent = header_rules.find(request.headers, header_rules.REQUEST_ID)
+    if echoed is not None and echoed != sent:
+        return 'the answer belongs to another request'
+    return None
+
+
 async def _body(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
     try:
         async for chunk in response.content.iter_any():
--- a/src/bronzewall/adapters/websocket_link.py
+++ b/src/bronzewall/adapters/websocket_link.py
@@ -116,8 +116,15 @@
                 await connection.send(await queue.get())
 
     async def _receive(self, connection: ServerConnection) -> None:
-        async for payload in connection:
-            if isinstance(payload, str):
-                self.counters['text_message'] += 1
-            elif self._handler is not None:
-                self._handler(payload)
+        try:
+            async for payload in connection:
+                self._take(payload)
+        except WebSocketException:
+            # A peer that stops cuts its connections.
+            self.counters['connection_lost'] += 1
+
+    def _take(self, payload: str | bytes) -> None:
+        if isinstance(payload, str):
+            self.counters['text_message'] += 1
+        elif self._handler is not None:
+            self._handler(payload)
--- /dev/null
+++ b/tests/raw_upstream.py
@@ -0,0 +1,98 @@
+"""Raw TCP upstream that answers with given bytes and then misbehaves."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import attrs
+
+from bronzewall.ports import UpstreamRequest
+from bronzewall.types import InstanceId
+
+
+@attrs.define(kw_only=True, eq=False)
+class RawConnection:
+    """One accepted connection with the requests read so far.
+
+    :param closed: set when the client closed the connection.
+    """
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    closed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    async def read_request(self) -> bytes:
+        """Return the head of the next request."""
+        return await self.reader.readuntil(b'\r\n\r\n')
+
+    async def send(self, answer: bytes) -> None:
+        """Send bytes."""
+        self.writer.write(answer)
+        await self.writer.drain()
+
+    def reset(self) -> None:
+        """Break the connection."""
+        self.writer.transport.abort()
+
+
+Script = Callable[[RawConnection, int], Awaitable[None]]
+
+
+@attrs.define(kw_only=True, eq=False)
+class RawUpstream:
+    """Server that runs a script on each connection.
+
+    :param script: called with the connection and its number from 0.
+    """
+
+    script: Script
+    connections: list[RawConnection] = attrs.field(factory=list)
+    heads: list[bytes] = attrs.field(factory=list)
+    address: str = ''
+    _server: asyncio.Server | None = None
+
+    async def __aenter__(self) -> 'RawUpstream':
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._run, '127.0.0.1', 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f'127.0.0.1:{port}'
+        return self
+
+    async def __aexit__(self, *_details: object) -> None:
+        """Break all connections and stop."""
+        assert self._server is not None
+        self._server.close()
+        for connection in self.connections:
+            connection.reset()
+
+    def request(
+        self,
+        *,
+        method: str = 'GET',
+        timeout: float = 2,
+        request_id: str = 'r-1',
+    ) -> UpstreamRequest:
+        """Return a request to this server."""
+        return UpstreamRequest(
+            instance_id=InstanceId('raw'),
+            address=self.address,
+            method=method,
+            target='/x',
+            headers=[('Bronzewall-Request-Id', request_id)],
+            body=b'',
+            timeout=timeout,
+        )
+
+    async def _run(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        connection = RawConnection(reader=reader, writer=writer)
+        self.connections.append(connection)
+        number = len(self.connections) - 1
+        try:
+            await self.script(connection, number)
+            await reader.read()
+        except (OSError, asyncio.IncompleteReadError):
+            connection.reset()
+        finally:
+            connection.closed.set()
+            writer.close()
--- /dev/null
+++ b/tests/test_upstream_http.py
@@ -0,0 +1,293 @@
+"""The aiohttp adapter against a raw TCP upstream that misbehaves."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import pytest
+from raw_upstream import RawConnection, RawUpstream, Script
+
+from bronzewall.adapters.upstream_http import AiohttpUpstreams, open_session
+from bronzewall.errors import (
+    ConnectFailedError,
+    UpstreamBrokenError,
+    UpstreamShedError,
+    UpstreamTimeoutError,
+)
+from bronzewall.ports import UpstreamRequest
+
+
+def _ok(*headers: bytes, body: bytes = b'') -> bytes:
+    """Return an answer with the given framing."""
+    return b'\r\n'.join((b'HTTP/1.1 200 OK', *headers, b'', body))
+
+
+CHUNKED = b'Transfer-Encoding: chunked'
+WHOLE = _ok(b'Content-Length: 4', body=b'good')
+CROSSED = _ok(b'Content-Length: 5', body=b'wrong')
+
+
+@pytest.fixture
+async def upstreams() -> AsyncIterator[AiohttpUpstreams]:
+    """Return the adapter over a session of its own."""
+    session = open_session()
+    yield AiohttpUpstreams(session=session)
+    await session.close()
+
+
+async def _read(upstreams: AiohttpUpstreams, request: UpstreamRequest) -> bytes:
+    exchange = await upstreams.exchange(request)
+    try:
+        return b''.join([chunk async for chunk in exchange.answer.body])
+    finally:
+        exchange.close()
+
+
+def _send_once(answer: bytes, *, is_reset: bool = False) -> Script:
+    """Return a script that answers once, then closes or resets."""
+
+    async def script(connection: RawConnection, _number: int) -> None:
+        await connection.read_request()
+        await connection.send(answer)
+        if is_reset:
+            connection.reset()
+        connection.writer.close()
+
+    return script
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+@pytest.mark.parametrize(
+    'answer',
+    [
+        pytest.param(_ok(b'Content-Length: 9', body=b'half'), id='short'),
+        pytest.param(_ok(CHUNKED, body=b'4\r\nhalf\r\n'), id='no-last-chunk'),
+        pytest.param(_ok(CHUNKED, body=b'9\r\nhalf'), id='half-chunk'),
+        pytest.param(_ok(CHUNKED, body=b'zz\r\nhalf'), id='bad-chunk-size'),
+        pytest.param(_ok(body=b'half'), id='no-length'),
+        pytest.param(b'', id='no-answer'),
+        pytest.param(b'nonsense\r\n\r\n', id='not-http'),
+        pytest.param(
+            _ok(
+                CHUNKED,
+                b'Content-Length: 4',
+                body=b'4\r\ngood\r\n0\r\n\r\n',
+            ),
+            id='chunked-and-length',
+        ),
+        pytest.param(
+            _ok(b'Content-Length: 4', b'Content-Length: 6', body=b'goodxx'),
+            id='two-lengths',
+        ),
+        pytest.param(_ok(b'Content-Length: -4', body=b'good'), id='bad-length'),
+        pytest.param(
+            _ok(
+                b'Bronzewall-Request-Id: r-0',
+                b'Content-Length: 4',
+                body=b'late',
+            ),
+            id='crossed',
+        ),
+    ],
+)
+async def test_answer_that_is_not_whole_breaks(
+    upstreams: AiohttpUpstreams, answer: bytes, is_reset: bool
+) -> None:
+    """Guards against a partial or foreign answer that looks complete."""
+    async with RawUpstream(
+        script=_send_once(answer, is_reset=is_reset)
+    ) as server:
+        with pytest.raises(UpstreamBrokenError):
+            await _read(upstreams, server.request())
+        assert len(server.connections) == 1
+
+
+async def test_shed_answer_is_not_run(upstreams: AiohttpUpstreams) -> None:
+    """Guards against counting an explicit refusal as a run."""
+    shed = b'HTTP/1.1 503 Busy\r\nX-Load-Shed: 1\r\nContent-Length: 0\r\n\r\n'
+    async with RawUpstream(script=_send_once(shed)) as server:
+        with pytest.raises(UpstreamShedError):
+            await _read(upstreams, server.request())
+
+
+async def test_refused_connection_is_not_run(
+    upstreams: AiohttpUpstreams,
+) -> None:
+    """Guards against an unknown outcome where nothing was sent."""
+    async with RawUpstream(script=_send_once(WHOLE)) as server:
+        request = server.request()
+    with pytest.raises(ConnectFailedError):
+        await _read(upstreams, request)
+
+
+async def test_passed_deadline_sends_nothing(
+    upstreams: AiohttpUpstreams,
+) -> None:
+    """Guards against a timeout of 0, which aiohttp takes as "never"."""
+    async with RawUpstream(script=_send_once(WHOLE)) as server:
+        with pytest.raises(ConnectFailedError):
+            await _read(upstreams, server.request(timeout=0))
+        assert not server.connections
+
+
+async def test_late_answer_is_not_given_to_the_next_request(
+    upstreams: AiohttpUpstreams,
+) -> None:
+    """Guards against reuse of a connection after an abandoned exchange."""
+
+    async def script(connection: RawConnection, number: int) -> None:
+        await connection.read_request()
+        if number:
+            await connection.send(WHOLE)
+            return
+        await connection.reader.read()
+        await connection.send(CROSSED)
+
+    async with RawUpstream(script=script) as server:
+        with pytest.raises(UpstreamTimeoutError):
+            await _read(upstreams, server.request(timeout=0.05))
+        assert await _read(upstreams, server.request()) == b'good'
+        assert len(server.connections) == 2
+
+
+async def test_unread_answer_is_not_given_to_the_next_request(
+    upstreams: AiohttpUpstreams,
+) -> None:
+    """Guards against reuse after only a part of the body was read."""
+
+    async def script(connection: RawConnection, number: int) -> None:
+        await connection.read_request()
+        if number:
+            await connection.send(WHOLE)
+            return
+        await connection.send(_ok(b'Content-Length: 9', body=b'half'))
+
+    async with RawUpstream(script=script) as server:
+        exchange = await upstreams.exchange(server.request())
+        exchange.close()
+        assert await _read(upstreams, server.request()) == b'good'
+
+
+async def test_whole_answer_keeps_the_connection(
+    upstreams: AiohttpUpstreams,
+) -> None:
+    """Guards against a new connection, about 1 ms, for each request."""
+
+    async def script(connection: RawConnection, _number: int) -> None:
+        while True:
+            await connection.read_request()
+            await connection.send(WHOLE)
+
+    async with RawUpstream(script=script) as server:
+        for _ in range(3):
+            assert await _read(upstreams, server.request()) == b'good'
+        assert len(server.connections) == 1
+
+
+HALF_HEAD = b'HTTP/1.1 200 OK\r\nConte'
+
+
+@pytest.mark.parametrize(
+    ('with_answer', 'after_answer'),
+    [(CROSSED, b''), (b'', CROSSED), (b'', HALF_HEAD)],
+)
+async def test_second_answer_without_request_is_dropped(
+    upstreams: AiohttpUpstreams, with_answer: bytes, after_answer: bytes
+) -> None:
+    """Guards against taking an unasked answer for the next request's."""
+    may_send = asyncio.Event()
+
+    async def script(connection: RawConnection, number: int) -> None:
+        await connection.read_request()
+        if number:
+            await connection.send(WHOLE)
+            return
+        await connection.send(WHOLE + with_answer)
+        await may_send.wait()
+        await connection.send(after_answer)
+
+    async with RawUpstream(script=script) as server:
+        assert await _read(upstreams, server.request()) == b'good'
+        may_send.set()
+        await server.connections[0].closed.wait()
+        assert await _read(upstreams, server.request()) == b'good'
+        assert len(server.connections) == 2
+
+
+async def test_rest_of_an_unasked_answer_breaks_the_next_exchange(
+    upstreams: AiohttpUpstreams,
+) -> None:
+    """Guards against taking the rest of a half-read answer for a new one."""
+
+    async def script(connection: RawConnection, _number: int) -> None:
+        await connection.read_request()
+        await connection.send(WHOLE + HALF_HEAD)
+        await connection.read_request()
+        await connection.send(CROSSED.removeprefix(HALF_HEAD))
+
+    async with RawUpstream(script=script) as server:
+        assert await _read(upstreams, server.request()) == b'good'
+        with pytest.raises(UpstreamBrokenError):
+            await _read(upstreams, server.request())
+
+
+async def test_endless_body_ends_at_the_deadline(
+    upstreams: AiohttpUpstreams,
+) -> None:
+    """Guards against an answer that never ends."""
+
+    async def script(connection: RawConnection, _number: int) -> None:
+        await connection.read_request()
+        await connection.send(_ok(CHUNKED))
+        while not connection.writer.is_closing():
+            await connection.send(b'4\r\nmore\r\n')
+            await asyncio.sleep(0.01)
+
+    async with RawUpstream(script=script) as server:
+        with pytest.raises(UpstreamTimeoutError):
+            await _read(upstreams, server.request(timeout=0.1))
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+async def test_request_is_not_resent_when_a_kept_connection_breaks(
+    upstreams: AiohttpUpstreams, method: str
+) -> None:
+    """Guards against the client library's own retry."""
+    heads: list[bytes] = []
+
+    async def script(connection: RawConnection, _number: int) -> None:
+        heads.append(await connection.read_request())
+        await connection.send(WHOLE)
+        heads.append(await connection.read_request())
+        connection.reset()
+
+    async with RawUpstream(script=script) as server:
+        await _read(upstreams, server.request(method=method))
+        with pytest.raises(UpstreamBrokenError):
+            await _read(upstreams, server.request(method=method))
+        assert len(heads) == 2
+        assert len(server.connections) == 1
+
+
+async def _cancel(
+    call: Callable[[], Awaitable[object]], started: asyncio.Event
+) -> None:
+    task = asyncio.ensure_future(call())
+    await started.wait()
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+async def test_cancellation_reaches_the_upstream(
+    upstreams: AiohttpUpstreams,
+) -> None:
+    """Guards against work that goes on for a caller that has gone."""
+    started = asyncio.Event()
+
+    async def script(connection: RawConnection, _number: int) -> None:
+        await connection.read_request()
+        started.set()
+
+    async with RawUpstream(script=script) as server:
+        await _cancel(lambda: _read(upstreams, server.request()), started)
+        async with asyncio.timeout(5):
+            await server.connections[0].closed.wait()
