--- a/src/bronzewall/composition.py
+++ b/src/bronzewall/composition.py
@@ -16,6 +16,7 @@
 from bronzewall.detection_setup import open_detection
 from bronzewall.dispatch import Dispatcher
 from bronzewall.journal import Journal
+from bronzewall.load_reports import LoadExchange
 from bronzewall.membership import Members
 from bronzewall.metrics import Metrics
 from bronzewall.peer_calls import PeerEndpoint
@@ -71,6 +72,13 @@
         endpoint=endpoint,
         crash_guard=crash_guard,
     )
+    dispatcher = Dispatcher(
+        random=rng,
+        clock=clock,
+        placement=placement,
+        weight_of=detection.ejections.weight_of,
+        fleet_size=lambda: len(members.usable_ids()),
+    )
     run_gate = open_run_gate(
         endpoint=endpoint, clock=clock, table=store, members=members, rng=rng
     )
@@ -80,9 +88,7 @@
         random=rng,
         feed=control.feed,
         quota=quota,
-        dispatcher=Dispatcher(
-            random=rng, weight_of=detection.ejections.weight_of
-        ),
+        dispatcher=dispatcher,
         upstreams=AiohttpUpstreams(session=upstream_session),
         crash_guard=crash_guard,
         evidence=detection.evidence,
@@ -101,6 +107,15 @@
         control=control,
         path=path,
         quota=quota,
+        loads=LoadExchange(
+            vm_id=vm_id,
+            placement=placement,
+            clock=clock,
+            dispatcher=dispatcher,
+            find_service=control.feed.service_of,
+            members=members,
+            endpoint=endpoint,
+        ),
         ejections=detection.ejections,
         suspicions=detection.suspicions,
         once_sweep=once_sweep(gate=run_gate, members=members),
--- a/src/bronzewall/crash_guard.py
+++ b/src/bronzewall/crash_guard.py
@@ -21,6 +21,7 @@
 from bronzewall.crash_suspects import SuspectTable
 from bronzewall.crash_turns import CrashTurns, busy_refusal, condemned_refusal
 from bronzewall.errors import (
+    AttemptAbandonedError,
     PeerTimeoutError,
     UpstreamBrokenError,
     UpstreamTimeoutError,
@@ -50,6 +51,11 @@
 _ABANDONED_CHECK_S = 0.5
 
 Prober = Callable[[Instance], Awaitable[bool]]
+_ABANDONING = (
+    AttemptAbandonedError,
+    UpstreamTimeoutError,
+    asyncio.CancelledError,
+)
 
 
 @attrs.define(kw_only=True)
@@ -163,9 +169,9 @@
         except UpstreamBrokenError:
             await self.broken(instance, fingerprint)
             raise
-        except (UpstreamTimeoutError, asyncio.CancelledError):
+        except _ABANDONING:
             # Nobody waits for the answer, but the request may still run.
-            self._abandon(instance, fingerprint)
+            self.abandon(instance, fingerprint)
             raise
         finally:
             in_flight[fingerprint] -= 1
@@ -201,6 +207,15 @@
         """Count a run that was never given back as a death."""
         self.tasks.start(self._report(InstanceId(''), {fingerprint}))
 
+    def abandon(self, instance: Instance, fingerprint: bytes) -> None:
+        """Watch an instance that may still run an abandoned request."""
+        instance_id = instance.instance_id
+        is_watched = instance_id in self._abandoned_by_id
+        abandoned = self._abandoned_by_id.setdefault(instance_id, {})
+        abandoned[fingerprint] = self.clock.now()
+        if not is_watched:
+            self.tasks.start(self._watch_abandoned(instance))
+
     async def _ask_history(self, vm_id: VmId) -> bool:
         try:
             history: CrashHistory = await self.endpoint.call(
@@ -212,14 +227,6 @@
             self.table.record(report)
         return True
 
-    def _abandon(self, instance: Instance, fingerprint: bytes) -> None:
-        instance_id = instance.instance_id
-        is_watched = instance_id in self._abandoned_by_id
-        abandoned = self._abandoned_by_id.setdefault(instance_id, {})
-        abandoned[fingerprint] = self.clock.now()
-        if not is_watched:
-            self.tasks.start(self._watch_abandoned(instance))
-
     async def _watch_abandoned(self, instance: Instance) -> None:
         """Check an instance while it may run abandoned requests."""
         abandoned = self._abandoned_by_id[instance.instance_id]
--- a/src/bronzewall/daemon.py
+++ b/src/bronzewall/daemon.py
@@ -15,6 +15,7 @@
 from bronzewall.control_plane import ControlPlane
 from bronzewall.ejection import Ejections
 from bronzewall.journal import Journal
+from bronzewall.load_reports import LoadExchange
 from bronzewall.membership import Members
 from bronzewall.metrics import Metrics
 from bronzewall.once_cleanup import OnceSweep
@@ -43,6 +44,7 @@
     control: ControlPlane
     path: RequestPath
     quota: PooledQuota
+    loads: LoadExchange
     once_sweep: OnceSweep
     metrics: Metrics
     journal: Journal
@@ -96,6 +98,7 @@
             asyncio.create_task(self.path.crash_guard.catch_up()),
             asyncio.create_task(self.once_sweep.run()),
             asyncio.create_task(self.quota.run()),
+            asyncio.create_task(self.loads.run()),
             asyncio.create_task(self.suspicions.run()),
         ]
 
--- a/src/bronzewall/dispatch.py
+++ b/src/bronzewall/dispatch.py
@@ -10,12 +10,12 @@
 from bronzewall.choice import (
     FULL_WEIGHT,
     OTHER_REGION,
-    Candidate,
     Choice,
     InstanceLoad,
     WeightOf,
     candidates_of,
     choose,
+    full_weight,
     nearness_of,
 )
 from bronzewall.config_model import Instance, Route, Service
@@ -29,42 +29,19 @@
 from bronzewall.queueing import Waiter
 from bronzewall.retry import is_not_run
 from bronzewall.service_load import (
+    WAIT_SHARE,
+    Hold,
+    LoopClock,
     ServiceLoad,
+    ignore,
     new_service_load,
     update_instances,
 )
 from bronzewall.types import AccountId, InstanceId, Placement, ServiceName
 
-# Longest wait that is useful: beyond it a refusal at once lets the caller
-# turn to something else.
-MAX_WAIT_S = 0.5
-# A service whose requests take longer may wait for this many of them.
-_WAIT_HOLDS = 2.0
-# Share of the remaining deadline that may be spent waiting.
-_WAIT_SHARE = 0.5
-# A wait that was estimated too short ends here, late but bounded.
-_WAIT_OVERRUN = 2.0
 # Blocked instances become usable with time alone, so a queue is looked at
 # again even if no slot of this VM is released.
 _PUMP_INTERVAL_S = 0.025
-_FIRST_BLOCK_S = 0.05
-_MAX_BLOCK_S = 2.0
-_MAX_BLOCK_DOUBLINGS = 6
-# A drain header is repeated with each answer and each report, so the mark
-# may end soon after the last one.
-LEAVING_S = 30.0
-
-
-class LoopClock:
-    """Time of the running event loop."""
-
-    def now(self) -> float:
-        """Return monotonic seconds."""
-        return asyncio.get_running_loop().time()
-
-
-def _full_weight(_instance: Instance, _route: Route) -> float:
-    return FULL_WEIGHT
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -77,17 +54,24 @@
     :param weight_of: share of normal traffic of an instance, 0 if it is
         ejected.
     :param fleet_size: number of VMs that use the same instances.
+    :param on_update: called when a service is new or has changed.
+    :param on_starved: called when requests wait.
+    :param on_release: called when a slot was released and no request of
+        this VM took it.
     """
 
     random: random.Random
     clock: Clock | LoopClock = attrs.field(factory=LoopClock)
     placement: Placement | None = None
-    weight_of: WeightOf = _full_weight
+    weight_of: WeightOf = full_weight
     fleet_size: Callable[[], int] = lambda: 1
+    on_update: Callable[[ServiceLoad], None] = ignore
+    on_starved: Callable[[ServiceLoad], None] = ignore
+    on_release: Callable[[ServiceLoad, InstanceLoad], None] = ignore
     states_by_service: dict[ServiceName, ServiceLoad] = attrs.field(
         factory=dict
     )
-    _held_by_id: dict[InstanceId, list['_Hold']] = attrs.field(factory=dict)
+    _holds_by_instance: dict[Instance, list[Hold]] = attrs.field(factory=dict)
 
     async def acquire(
         self,
@@ -108,30 +92,39 @@
         state = self.state_of(service)
         if not excluded:
             state.count_arrival(account_id)
-        if state.queue.length:
-            self._candidates(state, route, excluded)
-        else:
-            instance = self._take(state, route, account_id, excluded)
+        if not state.queue.length:
+            instance = self._take(state, route, excluded)
             if instance is not None:
+                state.admit(account_id, self.clock.now())
                 return instance
         return await self._wait(state, route, account_id, deadline, excluded)
 
-    def try_acquire(
+    def try_hedge(
         self,
         *,
         service: Service,
         route: Route,
-        account_id: AccountId | None,
         excluded: frozenset[InstanceId],
     ) -> Instance | None:
-        """Return a free instance without waiting, or ``None``."""
+        """Return an instance for a second attempt, or ``None``.
+
+        The attempt uses the service's hedge allowance and a slot that is
+        free now; it never waits and never delays a first attempt.
+        """
         state = self.state_of(service)
-        if state.queue.length:
+        if state.queue.length or not state.hedge.has_one():
             return None
         try:
-            return self._take(state, route, account_id, excluded)
+            instance = self._take(state, route, excluded)
         except NoInstanceError:
             return None
+        if instance is not None:
+            state.hedge.take()
+        return instance
+
+    def hedge_delay(self, service: Service) -> float:
+        """Return the seconds after which an answer is late enough."""
+        return self.state_of(service).slow_hold
 
     def release(
         self,
@@ -149,13 +142,14 @@
         hold.load.in_flight -= 1
         now = self.clock.now()
         if error is not None and is_not_run(error):
-            _block(hold, now)
+            hold.load.block(now)
             if isinstance(error, UpstreamShedError):
                 hold.state.borrow.saved -= 1
         elif is_served or error is not None:
             hold.load.failures = 0
             hold.state.record_hold(now - hold.started)
         self.pump(hold.state)
+        self.on_release(hold.state, hold.load)
 
     def state_of(self, service: Service) -> ServiceLoad:
         """Return the state of a service, with its current instances."""
@@ -171,6 +165,7 @@
                 fleet_size=max(1, self.fleet_size()),
                 now=self.clock.now(),
             )
+            self.on_update(state)
         return state
 
     def may_retry(self, service: Service) -> bool:
@@ -182,34 +177,57 @@
         if header_rules.find(headers, header_rules.DRAINING) is not None:
             self.mark_leaving(instance.instance_id)
 
-    def mark_leaving(self, instance_id: InstanceId) -> None:
-        """Send no new work to an instance that is leaving."""
-        until = self.clock.now() + LEAVING_S
+    def mark_leaving(
+        self,
+        instance_id: InstanceId,
+        *,
+        service: ServiceName | None = None,
+        is_reported: bool = False,
+    ) -> None:
+        """Send no new work to an instance that is leaving.
+
+        :param service: its service, ``None`` for all with such an id.
+        :param is_reported: another VM saw the sign.
+        """
+        now = self.clock.now()
         for state in self.states_by_service.values():
             load = state.loads_by_id.get(instance_id)
-            if load is not None:
-                load.leaving_until = until
+            if load is not None and service in {None, state.service.name}:
+                load.mark_leaving(now, is_reported=is_reported)
 
     def is_remote(self, instance: Instance) -> bool:
         """Return whether traffic with an instance crosses regions."""
-        if self.placement is None:
-            return False
-        return nearness_of(self.placement, instance.placement) == OTHER_REGION
+        own = self.placement or instance.placement
+        return nearness_of(own, instance.placement) == OTHER_REGION
 
     def pump(self, state: ServiceLoad) -> None:
         """Hand free capacity to the requests that wait."""
         queue = state.queue
         is_moving = queue.length > 0
         while is_moving:
-            is_moving = any(self._serve(state, head) for head in queue.heads())
+            is_moving = self._serve_one(state, queue.heads(self.clock.now()))
         if queue.length:
             self._set_pump(state)
 
+    def _serve_one(self, state: ServiceLoad, heads: list[Waiter]) -> bool:
+        failed_routes = set()
+        for head in heads:
+            # Without exclusions, what fails for one request of a route
+            # fails for all.
+            if not head.excluded and head.route.route_id in failed_routes:
+                continue
+            if self._serve(state, head):
+                return True
+            if not head.excluded:
+                failed_routes.add(head.route.route_id)
+        return False
+
     def _serve(self, state: ServiceLoad, waiter: Waiter) -> bool:
+        if waiter.future.done():
+            # The caller left, and its task has not run since.
+            return state.queue.remove(waiter)
         try:
-            instance = self._take(
-                state, waiter.route, waiter.account_id, waiter.excluded
-            )
+            instance = self._take(state, waiter.route, waiter.excluded)
         except NoInstanceError as exc:
             waiter.future.set_exception(exc)
         else:
@@ -226,6 +244,8 @@
         def on_timer() -> None:
             state.is_pump_set = False
             self.pump(state)
+            if state.queue.length:
+                self.on_starved(state)
 
         state.is_pump_set = True
         loop = asyncio.get_running_loop()
@@ -235,37 +255,66 @@
         self,
         state: ServiceLoad,
         route: Route,
-        account_id: AccountId | None,
         excluded: frozenset[InstanceId],
     ) -> Instance | None:
         now = self.clock.now()
         choice = choose(
             candidates=self._candidates(state, route, excluded),
-            may_borrow=state.borrow.has_one(),
+            # Asking costs no shed answers; untold use is for a VM that
+            # has no grant and so nobody to ask.
+            may_borrow=not state.has_lenders and state.borrow.has_one(),
             rng=self.random,
             now=now,
         )
+        if choice is None and excluded:
+            choice = self._choose_again(state, route, excluded, now)
         if choice is None:
             return None
         load = choice.load
         load.in_flight += 1
-        _pace(state, choice, now)
+        if choice.relative_weight < FULL_WEIGHT:
+            pause = state.mean_hold / choice.relative_weight
+            load.paced_until = now + pause
         if not excluded:
-            state.retry.earn()
-            state.hedge.earn()
-            state.borrow.earn()
-            state.queue.charge(account_id, now)
-        self._held_by_id.setdefault(load.instance.instance_id, []).append(
-            _Hold(state=state, load=load, started=now)
+            state.earn()
+        self._holds_by_instance.setdefault(load.instance, []).append(
+            Hold(state=state, load=load, started=now)
         )
         return load.instance
 
+    def _choose_again(
+        self,
+        state: ServiceLoad,
+        route: Route,
+        excluded: frozenset[InstanceId],
+        now: float,
+    ) -> Choice | None:
+        """Choose an instance that shed the request, after its pause.
+
+        A VM may have slots on one instance only.
+        """
+        shed = [
+            load
+            for load in state.loads_by_id.values()
+            if load.failures and load.instance.instance_id in excluded
+        ]
+        candidates = candidates_of(
+            loads=shed,
+            route=route,
+            excluded=frozenset(),
+            weight_of=self.weight_of,
+            now=now,
+        )
+        return choose(
+            candidates=candidates, may_borrow=False, rng=self.random, now=now
+        )
+
     def _candidates(
         self,
         state: ServiceLoad,
         route: Route,
         excluded: frozenset[InstanceId],
-    ) -> list[Candidate]:
+    ) -> list[InstanceLoad]:
         found = candidates_of(
             loads=state.loads_by_id.values(),
             route=route,
@@ -285,21 +334,32 @@
         deadline: float,
         excluded: frozenset[InstanceId],
     ) -> Instance:
-        useful = min(MAX_WAIT_S, (deadline - self.clock.now()) * _WAIT_SHARE)
-        ahead = state.queue.ahead_of(account_id)
-        expected = ahead / state.served_per_second()
+        remaining = deadline - self.clock.now()
+        useful = state.useful_wait(remaining)
+        rate = state.served_per_second()
+        limit = useful * rate
+        # A retry has waited before, and the allowance bounds their number.
+        is_retry = bool(excluded)
         is_full = state.queue.length >= state.service.queue_limit
-        if is_full or expected > useful:
-            raise QueueFullError(retry_after=self._retry_after(expected))
+        is_admitted = not is_full and (
+            is_retry or state.has_place(account_id, limit=limit)
+        )
+        if not is_admitted:
+            wait = state.queue.length / rate
+            raise QueueFullError(retry_after=self._retry_after(wait))
+        state.admit(account_id, self.clock.now())
         waiter = Waiter(
             account_id=account_id,
             route=route,
             excluded=excluded,
+            due=self.clock.now() + useful,
             future=asyncio.get_running_loop().create_future(),
         )
         state.queue.push(waiter)
         self._set_pump(state)
-        return await self._await_turn(state, waiter, useful * _WAIT_OVERRUN)
+        self.on_starved(state)
+        longest = useful if is_retry else remaining * WAIT_SHARE
+        return await self._await_turn(state, waiter, longest)
 
     async def _await_turn(
         self, state: ServiceLoad, waiter: Waiter, limit: float
@@ -320,44 +380,21 @@
             timer.cancel()
 
     def _give_up(self, state: ServiceLoad, waiter: Waiter) -> None:
-        if state.queue.remove(waiter) or waiter.future.cancelled():
-            return
-        # The slot was handed over in the step in which the caller left.
-        if waiter.future.exception() is None:
-            self.release(waiter.future.result())
+        is_served = not state.queue.remove(waiter)
+        # The slot may be handed over in the step in which the caller left.
+        if is_served and not waiter.future.cancelled():
+            if waiter.future.exception() is None:
+                self.release(waiter.future.result())
 
     def _retry_after(self, wait: float) -> float:
         # Spread, so that refused callers do not come back together.
         return max(1, wait) * (1 + self.random.random())
 
-    def _pop_hold(self, instance: Instance) -> '_Hold':
-        holds = self._held_by_id[instance.instance_id]
+    def _pop_hold(self, instance: Instance) -> Hold:
+        holds = self._holds_by_instance[instance]
         # Which of several holds is released does not matter: the sum of
         # the hold times, and so their mean, is the same.
         hold = holds.pop(0)
         if not holds:
-            del self._held_by_id[instance.instance_id]
+            del self._holds_by_instance[instance]
         return hold
-
-
-@attrs.frozen(kw_only=True, eq=False)
-class _Hold:
-    """One slot taken by this VM."""
-
-    state: ServiceLoad
-    load: InstanceLoad
-    started: float
-
-
-def _pace(state: ServiceLoad, choice: Choice, now: float) -> None:
-    if choice.relative_weight < FULL_WEIGHT:
-        pause = state.mean_hold / choice.relative_weight
-        choice.load.paced_until = now + pause
-
-
-def _block(hold: _Hold, now: float) -> None:
-    load = hold.load
-    doublings = min(load.failures, _MAX_BLOCK_DOUBLINGS)
-    pause = min(_FIRST_BLOCK_S * 2**doublings, _MAX_BLOCK_S)
-    load.failures += 1
-    load.blocked_until = now + pause
--- a/src/bronzewall/exchange.py
+++ b/src/bronzewall/exchange.py
@@ -5,15 +5,8 @@
 from bronzewall import headers as header_rules
 from bronzewall.config_model import Account, Route, Service
 from bronzewall.crash_suspects import request_fingerprint
-from bronzewall.errors import (
-    AttemptAbandonedError,
-    ConnectFailedError,
-    UpstreamError,
-    UpstreamShedError,
-    UpstreamTimeoutError,
-)
 from bronzewall.ports import AnswerWriter, CallerRequest
-from bronzewall.problems import Ran, Reason, RefusalError
+from bronzewall.problems import Ran, RefusalError
 from bronzewall.run_outcome import RunDemand, request_digest
 from bronzewall.types import AccountId, InstanceId, RequestId
 
@@ -80,20 +73,3 @@
         if self.may_have_run:
             refusal.ran = Ran.UNKNOWN
         return refusal
-
-
-def upstream_refusal(exc: UpstreamError) -> RefusalError:
-    """Return the refusal after the last failed attempt."""
-    detail = str(exc)
-    if isinstance(exc, UpstreamShedError):
-        return RefusalError(
-            reason=Reason.OVERLOADED, retry_after=1, detail=detail
-        )
-    if isinstance(exc, ConnectFailedError):
-        return RefusalError(
-            reason=Reason.NO_INSTANCE, retry_after=1, detail=detail
-        )
-    reason = Reason.ANSWER_LOST
-    if isinstance(exc, UpstreamTimeoutError | AttemptAbandonedError):
-        reason = Reason.UPSTREAM_TIMEOUT
-    return RefusalError(reason=reason, ran=Ran.UNKNOWN, detail=detail)
--- a/src/bronzewall/proxy.py
+++ b/src/bronzewall/proxy.py
@@ -1,5 +1,6 @@
 """The path of one request from caller to upstream and back."""
 
+import asyncio
 import random
 from collections.abc import Callable
 from typing import Protocol
@@ -26,15 +27,15 @@
     UpstreamError,
     UpstreamTimeoutError,
 )
-from bronzewall.evidence import Attempt, Evidence
-from bronzewall.exchange import Exchange, upstream_refusal
+from bronzewall.evidence import Evidence
+from bronzewall.exchange import Exchange
+from bronzewall.hedging import Opened, open_answer
 from bronzewall.journal import Journal
 from bronzewall.metrics import Metrics
 from bronzewall.ports import (
     AnswerWriter,
     CallerRequest,
     Clock,
-    UpstreamExchange,
     UpstreamHttp,
     UpstreamRequest,
 )
@@ -45,6 +46,7 @@
     RefusalError,
     problem_document,
 )
+from bronzewall.refusals import refusal_of
 from bronzewall.retry import is_not_run, may_retry
 from bronzewall.run_gate import RunGate
 from bronzewall.run_issue import (
@@ -311,6 +313,41 @@
 
     async def _send(self, exchange: Exchange, instance: Instance) -> None:
         self.note(exchange, 'sent', instance=instance.instance_id)
+        opened = await open_answer(
+            dispatcher=self.dispatcher,
+            service=exchange.service,
+            route=exchange.route,
+            first=self._open_first(exchange, instance),
+            take_second=lambda: self._take_second(exchange),
+            open_second=lambda to: self._open_second(exchange, to),
+        )
+        headers = opened.exchange.answer.headers
+        self.dispatcher.observe_headers(opened.instance, headers)
+        try:
+            await self._relay(exchange, opened)
+        finally:
+            opened.exchange.close()
+
+    async def _open_first(
+        self, exchange: Exchange, instance: Instance
+    ) -> Opened:
+        try:
+            return await self._open_one(exchange, instance)
+        except asyncio.CancelledError:
+            # The second attempt won; this one may still run.
+            self.crash_guard.abandon(instance, exchange.fingerprint())
+            raise
+
+    async def _open_second(
+        self, exchange: Exchange, instance: Instance
+    ) -> Opened:
+        guard = self.crash_guard
+        fingerprint, deadline = exchange.fingerprint(), exchange.deadline
+        async with guard.turn(instance, fingerprint, deadline=deadline) as turn:
+            async with guard.running(turn):
+                return await self._open_one(exchange, instance)
+
+    async def _open_one(self, exchange: Exchange, instance: Instance) -> Opened:
         attempt, upstream = await observed_exchange(
             upstreams=self.upstreams,
             evidence=self.evidence,
@@ -320,11 +357,22 @@
             request=self._upstream_request(exchange, instance),
             fingerprint=exchange.fingerprint(),
         )
-        self.dispatcher.observe_headers(instance, upstream.answer.headers)
-        try:
-            await self._relay(exchange, instance, upstream, attempt)
-        finally:
-            upstream.close()
+        return Opened(exchange=upstream, instance=instance, attempt=attempt)
+
+    def _take_second(self, exchange: Exchange) -> Instance | None:
+        if self.crash_guard.table.find(exchange.fingerprint()) is not None:
+            # A request that may crash instances runs on one at a time.
+            return None
+        instance = self.dispatcher.try_hedge(
+            service=exchange.service,
+            route=exchange.route,
+            excluded=frozenset(exchange.tried_ids),
+        )
+        if instance is not None:
+            exchange.tried_ids.add(instance.instance_id)
+            self.metrics.events['hedged'] += 1
+            self.note(exchange, 'hedged', instance=instance.instance_id)
+        return instance
 
     def _upstream_request(
         self, exchange: Exchange, instance: Instance
@@ -349,11 +397,10 @@
     async def _relay(
         self,
         exchange: Exchange,
-        instance: Instance,
-        upstream: UpstreamExchange,
-        attempt: Attempt,
+        opened: Opened,
     ) -> None:
-        answer, writer = upstream.answer, exchange.writer
+        answer, writer = opened.exchange.answer, exchange.writer
+        instance = opened.instance
         own = (header_rules.REQUEST_ID, exchange.request_id)
         is_remote = self.dispatcher.is_remote(instance)
         try:
@@ -372,7 +419,8 @@
             # The status line is out; only a broken connection can tell
             # the caller that the body is incomplete.
             writer.abort()
-            self.evidence.fail(attempt)
+            if opened.attempt is not None:
+                self.evidence.fail(opened.attempt)
             self.metrics.events['answer_truncated'] += 1
             self.note(exchange, 'answer_truncated', error=str(exc))
             return
@@ -397,7 +445,7 @@
         if is_allowed and self.dispatcher.may_retry(exchange.service):
             self.metrics.retries[cause] += 1
             return
-        raise exchange.with_history(upstream_refusal(exc)) from exc
+        raise exchange.with_history(refusal_of(exc)) from exc
 
     async def _fail(self, request_id: RequestId, writer: AnswerWriter) -> None:
         """Answer after an error that no other rule covers."""
--- a/src/bronzewall/service_load.py
+++ b/src/bronzewall/service_load.py
@@ -1,5 +1,9 @@
 """State of one service on this VM: loads, demand, queue and allowances."""
 
+import asyncio
+from collections import Counter
+from collections.abc import Mapping
+
 import attrs
 
 from bronzewall.choice import InstanceLoad, nearness_of
@@ -8,9 +12,16 @@
 from bronzewall.retry import Allowance, retry_allowance
 from bronzewall.types import InstanceId, Placement
 
-# Sheds that borrowing may cause per request; the retries that follow use
-# the retry allowance, which is twice as large by default.
-BORROW_RATIO = 0.05
+# Sheds that untold use of other VMs' slots may cause per request; the
+# retries that follow use the retry allowance.
+BORROW_RATIO = 0.02
+# Longest wait that is useful: beyond it a refusal at once lets the caller
+# turn to something else.
+MAX_WAIT_S = 0.5
+# A service whose requests take longer may wait for this many of them.
+_WAIT_HOLDS = 2.0
+# Share of the remaining deadline that may be spent waiting.
+WAIT_SHARE = 0.5
 _FIRST_HOLD_S = 0.05
 _HOLD_GAIN = 0.05
 # One request that hangs must not raise the expected wait of all others.
@@ -18,8 +29,10 @@
 _SHARE_GAIN = 0.2
 _SLOW_QUANTILE = 0.95
 _SLOW_GAIN = 0.1
-_DEMAND_GAIN = 0.3
+_RATE_GAIN = 0.1
 _NEGLIGIBLE_RATE = 0.01
+# Accounts below an equal part may fill the queue beyond its usual limit.
+_LIGHT_FACTOR = 2.0
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -28,11 +41,18 @@
 
     :param mean_hold: mean seconds for which a request holds its slot.
     :param slow_hold: 95th percentile of the same, a hedge starts then.
+    :param holds: requests that the means are taken from.
     :param mean_slots: mean number of slots in this VM's share.
-    :param arrivals_by_account: requests since the last report.
+    :param arrivals: requests by account since the last report.
+    :param admissions: those of them that were not refused.
     :param rate_by_account: smoothed requests a second.
+    :param admitted_by_account: those of them that were not refused.
+    :param admit_by_account: share to admit of the requests of each account
+        that asks the fleet for more than an equal part; ``None`` if this
+        VM has no grant.
     :param has_shares: shares were assigned; before that each VM may use
         every slot.
+    :param has_lenders: other VMs can be asked for idle slots.
     """
 
     service: Service
@@ -44,37 +64,65 @@
     mean_hold: float = _FIRST_HOLD_S
     slow_hold: float = _FIRST_HOLD_S
     mean_slots: float = 0
-    arrivals_by_account: dict[AccountKey, int] = attrs.field(factory=dict)
+    holds: int = 0
+    arrivals: Counter[AccountKey] = attrs.field(factory=Counter)
+    admissions: Counter[AccountKey] = attrs.field(factory=Counter)
     rate_by_account: dict[AccountKey, float] = attrs.field(factory=dict)
+    admitted_by_account: dict[AccountKey, float] = attrs.field(factory=dict)
+    periods: int = 0
+    admit_by_account: dict[AccountKey, float] | None = None
     has_shares: bool = False
+    has_lenders: bool = False
     is_pump_set: bool = False
 
     def record_hold(self, seconds: float) -> None:
         """Take over how long a served request held its slot."""
         is_slow = seconds > self.slow_hold
         step = _SLOW_QUANTILE if is_slow else _SLOW_QUANTILE - 1
-        self.slow_hold += _SLOW_GAIN * self.mean_hold * step
+        moved = self.slow_hold + _SLOW_GAIN * self.mean_hold * step
+        self.slow_hold = max(moved, self.mean_hold)
+        self.holds += 1
+        gain = max(_HOLD_GAIN, 1 / self.holds)
         seconds = min(seconds, self.mean_hold * _MAX_HOLD_STEP)
-        self.mean_hold += _HOLD_GAIN * (seconds - self.mean_hold)
+        self.mean_hold += gain * (seconds - self.mean_hold)
 
     def count_arrival(self, account_id: AccountKey) -> None:
         """Count one request as demand."""
-        count = self.arrivals_by_account.get(account_id, 0)
-        self.arrivals_by_account[account_id] = count + 1
+        self.arrivals[account_id] += 1
+
+    def earn(self) -> None:
+        """Count one request that was sent."""
+        for allowance in (self.retry, self.hedge, self.borrow):
+            allowance.earn()
+
+    def admit(self, account_id: AccountKey, now: float) -> None:
+        """Count one request that was not refused."""
+        self.admissions[account_id] += 1
+        self.queue.charge(account_id, now)
+
+    def has_place(self, account_id: AccountKey, *, limit: float) -> bool:
+        """Return whether a request of an account may wait.
+
+        :param limit: requests that may wait for accounts of mean usage.
+        """
+        if self.admit_by_account is None:
+            return self.queue.has_place(account_id, limit=limit)
+        share = self.admit_by_account.get(account_id)
+        if share is None:
+            # The fleet serves all that this account asks for.
+            return self.queue.length < limit * _LIGHT_FACTOR
+        return self.queue.thin(account_id, share) and self.queue.has_place(
+            account_id, limit=limit
+        )
 
     def close_period(self, seconds: float) -> None:
-        """Smooth the demand at the end of a report period."""
-        accounts = self.arrivals_by_account.keys() | self.rate_by_account.keys()
-        for account in accounts:
-            seen = self.arrivals_by_account.get(account, 0) / seconds
-            before = self.rate_by_account.get(account, 0)
-            rate = before + _DEMAND_GAIN * (seen - before)
-            self.rate_by_account[account] = rate
-            if rate < _NEGLIGIBLE_RATE:
-                del self.rate_by_account[account]
-        self.arrivals_by_account.clear()
-
-    def set_shares(self, slots_by_instance: dict[InstanceId, int]) -> None:
+        """Smooth the rates at the end of a report period."""
+        self.periods += 1
+        gain = max(_RATE_GAIN, 1 / self.periods)
+        _smooth(self.rate_by_account, self.arrivals, gain, seconds)
+        _smooth(self.admitted_by_account, self.admissions, gain, seconds)
+
+    def set_shares(self, slots_by_instance: Mapping[InstanceId, int]) -> None:
         """Take over this VM's share of each instance's slots."""
         for instance_id, load in self.loads_by_id.items():
             load.share = slots_by_instance.get(instance_id, 0)
@@ -84,6 +132,14 @@
         self.has_shares = True
         self.mean_slots += _SHARE_GAIN * (total - self.mean_slots)
 
+    def useful_wait(self, remaining: float) -> float:
+        """Return the seconds for which a request may expect to wait.
+
+        :param remaining: seconds until the caller's deadline.
+        """
+        longest = max(MAX_WAIT_S, self.mean_hold * _WAIT_HOLDS)
+        return min(longest, remaining * WAIT_SHARE)
+
     def served_per_second(self) -> float:
         """Return the rate at which this VM's share serves requests."""
         slots = max(self.mean_slots, 1 / 2)
@@ -92,6 +148,45 @@
         return max(slots, 1 / 2) / self.mean_hold
 
 
+@attrs.frozen(kw_only=True, eq=False)
+class Hold:
+    """One slot taken by this VM.
+
+    :param started: clock time.
+    """
+
+    state: ServiceLoad
+    load: InstanceLoad
+    started: float
+
+
+def ignore(*_arguments: object) -> None:
+    """Do nothing where nobody follows the dispatcher."""
+
+
+class LoopClock:
+    """Time of the running event loop."""
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+        return asyncio.get_running_loop().time()
+
+
+def _smooth(
+    rates: dict[AccountKey, float],
+    counts: Counter[AccountKey],
+    gain: float,
+    seconds: float,
+) -> None:
+    accounts = (*rates, *(counts.keys() - rates.keys()))
+    for account in accounts:
+        before = rates.get(account, 0)
+        rates[account] = before + gain * (counts[account] / seconds - before)
+        if rates[account] < _NEGLIGIBLE_RATE:
+            del rates[account]
+    counts.clear()
+
+
 def new_service_load(service: Service) -> ServiceLoad:
     """Return the state of a service that was not used yet."""
     return ServiceLoad(
