Bring the report of a death with the end of a suspect's turn

A run that timed out or whose caller left also gave its turn back although the instance still ran it, and a cancelled wait for a turn left turns that were later counted as lost.

Ruled out: waiting for the acknowledgement of the report before the end of the turn; the turn then stays held for as long as the VM is unreachable, and counts as lost.

Change: the end of a turn carries the report; an abandoned run keeps its turn until it is watched no more (10 s); a cancelled wait gives its turns back. The in-memory fleet no longer starts requests on a frozen VM.

Conclusion: with VMs killed or frozen during the first run, a third instance is still possible, because nobody else knows of that run.

--- a/src/bronzewall/crash_guard.py
+++ b/src/bronzewall/crash_guard.py
@@ -19,7 +19,12 @@
     TurnEnd,
 )
 from bronzewall.crash_suspects import SuspectTable
-from bronzewall.crash_turns import CrashTurns, busy_refusal, condemned_refusal
+from bronzewall.crash_turns import (
+    CrashTurns,
+    Turn,
+    busy_refusal,
+    condemned_refusal,
+)
 from bronzewall.errors import (
     PeerTimeoutError,
     UpstreamBrokenError,
@@ -56,13 +61,19 @@
 class RunningTurn:
     """One attempt while it runs.
 
-    :param is_held: whether it has the exclusive turn of a suspect.
+    :param held: the exclusive turn of a suspect.
+    :param at: clock time of the start, or of the end of the wait.
+    :param report: the death in which it ended.
+    :param is_abandoned: nobody waits for its answer.
     """
 
     instance: Instance
     fingerprint: bytes
-    is_held: bool
+    held: Turn | None
+    at: float
+    report: CrashReport | None = None
     has_survived: bool = False
+    is_abandoned: bool = False
 
     def end(self) -> TurnEnd:
         """Return how the attempt ended."""
@@ -90,11 +101,11 @@
     _in_flight_by_id: dict[InstanceId, Counter[bytes]] = attrs.field(
         factory=dict
     )
-    _abandoned_by_id: dict[InstanceId, dict[bytes, float]] = attrs.field(
+    _abandoned_by_id: dict[InstanceId, list['RunningTurn']] = attrs.field(
         factory=dict
     )
-    _probes_by_id: dict[InstanceId, asyncio.Task[None]] = attrs.field(
-        factory=dict
+    _probes_by_id: dict[InstanceId, asyncio.Task[CrashReport | None]] = (
+        attrs.field(factory=dict)
     )
     _suspected_by_id: dict[InstanceId, set[bytes]] = attrs.field(factory=dict)
     _numbers: 'itertools.count[int]' = attrs.field(factory=itertools.count)
@@ -137,13 +148,16 @@
             fingerprint, instance.instance_id, deadline=deadline
         )
         running = RunningTurn(
-            instance=instance, fingerprint=fingerprint, is_held=held is not None
+            instance=instance,
+            fingerprint=fingerprint,
+            held=held,
+            at=self.clock.now(),
         )
         try:
             yield running
         finally:
-            if held is not None:
-                self.turns.give_back(held, running.end())
+            if not running.is_abandoned:
+                self._give_back(running)
 
     @contextlib.asynccontextmanager
     async def running(self, turn: 'RunningTurn') -> AsyncIterator[None]:
@@ -151,42 +165,42 @@
 
         :raises RefusalError: the request became suspect while it waited.
         """
-        instance, fingerprint = turn.instance, turn.fingerprint
-        if not turn.is_held and self.table.find(fingerprint) is not None:
+        fingerprint = turn.fingerprint
+        if turn.held is None and self.table.find(fingerprint) is not None:
             raise busy_refusal()
         in_flight = self._in_flight_by_id.setdefault(
-            instance.instance_id, Counter()
+            turn.instance.instance_id, Counter()
         )
         in_flight[fingerprint] += 1
         try:
             yield
         except UpstreamBrokenError:
-            await self.broken(instance, fingerprint)
+            await self.broken(turn)
             raise
         except (UpstreamTimeoutError, asyncio.CancelledError):
             # Nobody waits for the answer, but the request may still run.
-            self._abandon(instance, fingerprint)
+            self._abandon(turn)
             raise
         finally:
             in_flight[fingerprint] -= 1
             if not in_flight[fingerprint]:
                 del in_flight[fingerprint]
 
-    async def broken(self, instance: Instance, fingerprint: bytes) -> None:
+    async def broken(self, turn: 'RunningTurn') -> None:
         """Find out whether an instance died when a connection broke.
 
         Returns when the death was reported or excluded.
         """
-        instance_id = instance.instance_id
+        instance_id = turn.instance.instance_id
         suspected = self._suspected_by_id.setdefault(instance_id, set())
         suspected.update(self._in_flight_by_id.get(instance_id, ()))
-        suspected.add(fingerprint)
+        suspected.add(turn.fingerprint)
         probe = self._probes_by_id.get(instance_id)
         if probe is None:
-            probe = asyncio.create_task(self._probe(instance))
+            probe = asyncio.create_task(self._probe(turn.instance))
             self._probes_by_id[instance_id] = probe
             self.tasks.keep(probe)
-        await asyncio.shield(probe)
+        turn.report = await asyncio.shield(probe)
 
     async def catch_up(self) -> None:
         """Learn from another VM what was reported before this start."""
@@ -199,7 +213,9 @@
 
     def report_lost_turn(self, fingerprint: bytes) -> None:
         """Count a run that was never given back as a death."""
-        self.tasks.start(self._report(InstanceId(''), {fingerprint}))
+        self.tasks.keep(
+            asyncio.create_task(self._report(InstanceId(''), {fingerprint}))
+        )
 
     async def _ask_history(self, vm_id: VmId) -> bool:
         try:
@@ -212,13 +228,19 @@
             self.table.record(report)
         return True
 
-    def _abandon(self, instance: Instance, fingerprint: bytes) -> None:
-        instance_id = instance.instance_id
+    def _give_back(self, turn: 'RunningTurn') -> None:
+        if turn.held is not None:
+            self.turns.give_back(turn.held, turn.end(), turn.report)
+
+    def _abandon(self, turn: 'RunningTurn') -> None:
+        """Watch a request that nobody waits for; it keeps its turn."""
+        turn.is_abandoned = True
+        turn.at = self.clock.now()
+        instance_id = turn.instance.instance_id
         is_watched = instance_id in self._abandoned_by_id
-        abandoned = self._abandoned_by_id.setdefault(instance_id, {})
-        abandoned[fingerprint] = self.clock.now()
+        self._abandoned_by_id.setdefault(instance_id, []).append(turn)
         if not is_watched:
-            self.tasks.start(self._watch_abandoned(instance))
+            self.tasks.start(self._watch_abandoned(turn.instance))
 
     async def _watch_abandoned(self, instance: Instance) -> None:
         """Check an instance while it may run abandoned requests."""
@@ -228,20 +250,25 @@
             if await self.refuses_connections(instance):
                 await self._report_abandoned(instance.instance_id)
             oldest = self.clock.now() - _ABANDONED_S
-            for known, at in tuple(abandoned.items()):
-                if at < oldest:
-                    del abandoned[known]
+            while abandoned and abandoned[0].at < oldest:
+                self._give_back(abandoned.pop(0))
         del self._abandoned_by_id[instance.instance_id]
 
     async def _report_abandoned(self, instance_id: InstanceId) -> None:
         """Report requests whose end was not seen on a dead instance."""
         abandoned = self._abandoned_by_id.get(instance_id)
-        if abandoned:
-            fingerprints = set(abandoned)
-            abandoned.clear()
-            await self._report(instance_id, fingerprints)
+        if not abandoned:
+            return
+        turns = tuple(abandoned)
+        abandoned.clear()
+        report = await self._report(
+            instance_id, {turn.fingerprint for turn in turns}
+        )
+        for turn in turns:
+            turn.report = report
+            self._give_back(turn)
 
-    async def _probe(self, instance: Instance) -> None:
+    async def _probe(self, instance: Instance) -> CrashReport | None:
         instance_id = instance.instance_id
         try:
             await self.clock.sleep(_PROBE_DELAY_S)
@@ -249,12 +276,13 @@
         finally:
             del self._probes_by_id[instance_id]
             suspected = self._suspected_by_id.pop(instance_id)
-        if is_dead:
-            await self._report(instance_id, suspected)
+        if not is_dead:
+            return None
+        return await self._report(instance_id, suspected)
 
     async def _report(
         self, instance_id: InstanceId, fingerprints: set[bytes]
-    ) -> None:
+    ) -> CrashReport:
         report = CrashReport(
             reporter=self.endpoint.vm_id,
             incarnation=self.endpoint.incarnation,
@@ -273,6 +301,7 @@
             self.tasks.keep(send)
         if sends:
             await asyncio.wait(sends, timeout=_REPORT_WAIT_S)
+        return report
 
     async def _send_report(self, vm_id: VmId, report: CrashReport) -> None:
         started = self.clock.now()
--- a/src/bronzewall/crash_messages.py
+++ b/src/bronzewall/crash_messages.py
@@ -93,12 +93,18 @@
 @message('turn_done')
 @attrs.frozen(kw_only=True)
 class TurnDone:
-    """Gives a turn back."""
+    """Gives a turn back.
+
+    :param report: report of the death in which the run ended. It comes
+        with the end, so that the turn is not free before the death is
+        known.
+    """
 
     fingerprint: bytes
     instance_id: str
     attempt_id: str
     end: TurnEnd
+    report: CrashReport | None = None
 
 
 @message('turn_done_ack')
--- a/src/bronzewall/crash_turns.py
+++ b/src/bronzewall/crash_turns.py
@@ -6,6 +6,7 @@
 off the instance on which the guilty one runs.
 """
 
+import asyncio
 import collections
 import itertools
 from collections.abc import Callable
@@ -14,6 +15,7 @@
 
 from bronzewall.background import BackgroundTasks
 from bronzewall.crash_messages import (
+    CrashReport,
     SuspectCleared,
     TurnAnswer,
     TurnAsk,
@@ -46,8 +48,8 @@
 _DONE_PAUSE_S = 0.5
 # Ended turns that are remembered to recognise duplicates of their asks.
 _MAX_ENDED = 10_000
-# Covers the way of the grant and of the report of the end.
-_TURN_MARGIN_S = 2.0
+# Covers the watch of a run that was given up, and the way of the messages.
+_TURN_MARGIN_S = 15.0
 # A turn of a reporter that is gone cannot be asked for; its last grant has
 # ended after this time, and the home alone decides.
 _GONE_REPORTER_S = 60.0
@@ -129,14 +131,20 @@
             else:
                 await self.clock.sleep(_ASK_PAUSE_S)
 
-    def give_back(self, turn: Turn, end: TurnEnd) -> None:
-        """End the turns of an attempt."""
+    def give_back(
+        self, turn: Turn, end: TurnEnd, report: CrashReport | None = None
+    ) -> None:
+        """End the turns of an attempt.
+
+        :param report: the death in which the run ended, if any.
+        """
         for vm_id, ask in turn.asks:
             done = TurnDone(
                 fingerprint=ask.fingerprint,
                 instance_id=ask.instance_id,
                 attempt_id=ask.attempt_id,
                 end=end,
+                report=report,
             )
             if vm_id == self.endpoint.vm_id:
                 self.done(done)
@@ -155,6 +163,8 @@
 
     def done(self, done: TurnDone) -> None:
         """Take a turn back."""
+        if done.report is not None:
+            self.table.record(done.report)
         resource = _resource(done)
         self._ended[*resource, done.attempt_id] = None
         if len(self._ended) > _MAX_ENDED:
@@ -236,14 +246,18 @@
     async def _ask_all(self, asks: list[tuple[VmId, TurnAsk]]) -> TurnVerdict:
         """Ask one VM after the other; give all back unless all agree."""
         for number, (vm_id, ask) in enumerate(asks):
-            verdict = await self._ask_one(vm_id, ask)
+            # The VM may have granted although its answer was lost.
+            held = Turn(asks=tuple(asks[: number + 1]))
+            try:
+                verdict = await self._ask_one(vm_id, ask)
+            except asyncio.CancelledError:
+                self.give_back(held, TurnEnd.UNDECIDED)
+                raise
             if verdict is TurnVerdict.GONE:
                 self._gone.add(
                     Reporter(vm_id=vm_id, incarnation=ask.incarnation)
                 )
             if verdict is not TurnVerdict.GRANTED:
-                # The last one may have granted although its answer was lost.
-                held = Turn(asks=tuple(asks[: number + 1]))
                 self.give_back(held, TurnEnd.UNDECIDED)
                 return verdict
         return TurnVerdict.GRANTED
--- a/src/bronzewall/proxy.py
+++ b/src/bronzewall/proxy.py
@@ -240,20 +240,20 @@
                 exchange.fingerprint(),
                 deadline=exchange.deadline,
             ) as turn:
-                await self._send_guarded(exchange, instance, turn)
+                await self._send_guarded(exchange, turn)
                 turn.has_survived = exchange.is_answered
         finally:
             self.dispatcher.release(instance)
 
     async def _send_guarded(
-        self, exchange: Exchange, instance: Instance, turn: RunningTurn
+        self, exchange: Exchange, turn: RunningTurn
     ) -> None:
         # The key may have been withdrawn while the request waited.
         self._authenticate(exchange)
         self._check_freshness(exchange)
         self._check_deadline(exchange)
         async with self.crash_guard.running(turn):
-            await self._send(exchange, instance)
+            await self._send(exchange, turn)
 
     async def _acquire(self, exchange: Exchange) -> Instance:
         account = exchange.account
@@ -285,13 +285,14 @@
                 detail='the deadline passed before the request was sent',
             )
 
-    async def _send(self, exchange: Exchange, instance: Instance) -> None:
+    async def _send(self, exchange: Exchange, turn: RunningTurn) -> None:
+        instance = turn.instance
         self.note(exchange, 'sent', instance=instance.instance_id)
         upstream = await self.upstreams.exchange(
             self._upstream_request(exchange, instance)
         )
         try:
-            await self._relay(exchange, instance, upstream)
+            await self._relay(exchange, turn, upstream)
         finally:
             upstream.close()
 
@@ -318,7 +319,7 @@
     async def _relay(
         self,
         exchange: Exchange,
-        instance: Instance,
+        turn: RunningTurn,
         upstream: UpstreamExchange,
     ) -> None:
         answer, writer = upstream.answer, exchange.writer
@@ -333,7 +334,7 @@
             await writer.finish()
         except (UpstreamBrokenError, UpstreamTimeoutError) as exc:
             if isinstance(exc, UpstreamBrokenError):
-                await self.crash_guard.broken(instance, exchange.fingerprint())
+                await self.crash_guard.broken(turn)
             # The status line is out; only a broken connection can tell
             # the caller that the body is incomplete.
             writer.abort()
--- a/src/bronzewall/standins/memory_fleet.py
+++ b/src/bronzewall/standins/memory_fleet.py
@@ -256,7 +256,7 @@
         if vm.is_dead:
             answer.is_broken = True
             return answer
-        call = asyncio.create_task(vm.path.handle(request, answer))
+        call = asyncio.create_task(_handle(vm, request, answer))
         death = asyncio.create_task(vm.died.wait())
         await asyncio.wait(
             {call, death},
@@ -275,6 +275,13 @@
         return seen
 
 
+async def _handle(
+    vm: MemoryVm, request: CallerRequest, answer: MemoryAnswer
+) -> None:
+    await vm.pause.passed()
+    await vm.path.handle(request, answer)
+
+
 def caller_request(
     *,
     method: str,
--- a/src/bronzewall/standins/memory_upstreams.py
+++ b/src/bronzewall/standins/memory_upstreams.py
@@ -88,6 +88,10 @@
         except TimeoutError:
             raise UpstreamTimeoutError('no answer in time') from None
 
+    def stop(self, instance_id: InstanceId) -> None:
+        """Let an instance refuse connections from now on."""
+        self._down_until_by_id[instance_id] = float('inf')
+
     async def refuses_connections(self, instance: Instance) -> bool:
         """Return whether an instance is down."""
         await asyncio.sleep(self.latency)
