--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -14,6 +14,7 @@
 )
 from bronzewall.crash_suspects import REMEMBERED_S, SuspectTable
 from bronzewall.errors import UpstreamTimeoutError
+from bronzewall.homes import ranked_homes
 from bronzewall.problems import RefusalError
 from bronzewall.standins.memory_fleet import (
     MemoryAnswer,
@@ -229,6 +230,40 @@
     run_virtual(main())
 
 
+@pytest.mark.parametrize('patience', [0.15, 0.35])
+def test_cancelled_wait_gives_its_turns_back(patience: float) -> None:
+    """Guards against a caller that leaves and so condemns its request.
+
+    The caller leaves after the home, or the reporter, has granted the turn
+    and before the answer has arrived.
+    """
+
+    async def main() -> None:
+        fleet = _fleet()
+        fleet.network.delay = lambda _sender, _receiver: 0.1
+        fleet.network.jitter = 0
+        guards = [vm.guard for vm in fleet.vms_by_id.values()]
+        incarnation = fleet.vms_by_id[VmId('vm-1')].incarnation
+        for guard in guards:
+            guard.table.record(_report(incarnation=incarnation))
+        instance_id = InstanceId('drafts-9')
+        home = ranked_homes(
+            duty=f'crash/{instance_id}', vm_ids=fleet.vms_by_id
+        )[0]
+        other = next(
+            vm.guard.turns
+            for vm in fleet.vms_by_id.values()
+            if vm.vm_id not in {home, VmId('vm-1')}
+        )
+        wait = other.obtain(FINGERPRINT, instance_id, deadline=1e6)
+        with pytest.raises(TimeoutError):
+            await asyncio.wait_for(wait, timeout=patience)
+        await asyncio.sleep(1)
+        assert await other.obtain(FINGERPRINT, instance_id, deadline=1e6)
+
+    run_virtual(main())
+
+
 def test_request_that_became_suspect_while_it_waited_is_not_sent() -> None:
     """Guards against a run beside the turn of another VM."""
 
