--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -3,13 +3,9 @@
 import asyncio
 import os
 import pathlib
-import signal
 import statistics
-import subprocess
 import sys
-import tempfile
 import time
-import uuid
 from typing import Any
 
 import aiohttp
@@ -17,22 +13,20 @@
 from harness import Target, run_bench
 from hdrh.histogram import HdrHistogram
 
-from bronzewall.adapters.platform_http import PlatformClient
-from bronzewall.config_files import load_directory
 from bronzewall.key_table import key_digest
-from bronzewall.publication import publish
-
-_HOST = '127.0.0.1'
-_BASE_PORT = 18400
-_UPSTREAM = f'{_HOST}:{_BASE_PORT + 1}'
-_PLATFORM = f'{_HOST}:{_BASE_PORT}'
-_DAEMON = f'{_HOST}:{_BASE_PORT + 2}'
-_ADMIN = f'{_HOST}:{_BASE_PORT + 4}'
-_PASS_THROUGH = f'{_HOST}:{_BASE_PORT + 5}'
+from bronzewall.standins.fleet import ProcessFleet, free_base_port
+from bronzewall.types import VmId
+
+_FIRST_PORT = 18400
+_PORTS = 50
+_VM_ID = VmId('vm-1')
+_UPSTREAM = 'drafts-1'
 _RATE = 480
 _ROUND_S = 3.0
 _ROUNDS = 3
 _CONNECTIONS = 32
+_UPSTREAM_DELAY_S = 0.002
+_SETTLE_S = 3.0
 _KEY = 'overhead-key'
 _TICKS_PER_S = os.sysconf('SC_CLK_TCK')
 
@@ -54,54 +48,26 @@
         return float(self.latency.get_value_at_percentile(percentile)) / 1000
 
 
-def _spawn(*arguments: str, **environment: str) -> subprocess.Popen[bytes]:
-    return subprocess.Popen(
-        [sys.executable, *arguments], env={**os.environ, **environment}
-    )
-
-
 def _cpu_seconds(pid: int) -> float:
     fields = pathlib.Path(f'/proc/{pid}/stat').read_text().split()
     return (int(fields[13]) + int(fields[14])) / _TICKS_PER_S
 
 
-def _write_files(path: pathlib.Path) -> None:
-    (path / 'accounts.toml').write_text(
-        '[[accounts]]\nid = "load"\nrate = 1000000\nburst = 100000\n'
-        f'key_digests = ["{key_digest(_KEY).hex()}"]\n'
-    )
-    (path / 'drafts.toml').write_text(
-        '[service]\nname = "drafts"\nfloor = 0\n'
-        '[[instances]]\nid = "drafts-1"\n'
-        f'address = "{_UPSTREAM}"\nregion = "muscat"\nzone = "muscat-a"\n'
-        'slots = 1000\nconnections = 100000\n'
-        '[[routes]]\nname = "read"\npath = "/drafts/*"\n'
-        'methods = ["GET"]\nidempotent = true\ndeadline = 5\n'
-    )
-
-
-async def _publish(session: aiohttp.ClientSession) -> None:
-    client = PlatformClient(base_url=f'http://{_PLATFORM}', session=session)
-    with tempfile.TemporaryDirectory() as folder:
-        _write_files(pathlib.Path(folder))
-        await publish(
-            configuration=load_directory(pathlib.Path(folder)),
-            publication_id=uuid.uuid4().hex,
-            table=client,
-            objects=client,
-        )
-
-
-async def _wait_for(session: aiohttp.ClientSession, url: str) -> None:
-    async with asyncio.timeout(20):
-        while True:
-            try:
-                async with session.get(url) as response:
-                    if response.status < 500:
-                        return
-            except aiohttp.ClientError:
-                pass
-            await asyncio.sleep(0.05)
+def _files(upstream: str) -> dict[str, str]:
+    return {
+        'accounts.toml': (
+            '[[accounts]]\nid = "load"\nrate = 100000\nburst = 100000\n'
+            f'key_digests = ["{key_digest(_KEY).hex()}"]\n'
+        ),
+        'drafts.toml': (
+            '[service]\nname = "drafts"\nfloor = 0\n'
+            f'[[instances]]\nid = "{_UPSTREAM}"\naddress = "{upstream}"\n'
+            'region = "muscat"\nzone = "muscat-a"\n'
+            'slots = 1000\nconnections = 100000\n'
+            '[[routes]]\nname = "read"\npath = "/drafts/*"\n'
+            'methods = ["GET"]\nidempotent = true\ndeadline = 5\n'
+        ),
+    }
 
 
 async def _send(
@@ -150,20 +116,13 @@
     return sample.requests / 2
 
 
-async def _measure(pids: dict[str, int]) -> dict[str, Any]:
-    connector = aiohttp.TCPConnector(limit=_CONNECTIONS)
-    addresses = {
-        'direct': _UPSTREAM,
-        'passthrough': _PASS_THROUGH,
-        'bronzewall': _DAEMON,
-    }
+async def _measure_ways(
+    addresses: dict[str, str], pids: dict[str, int]
+) -> dict[str, Any]:
+    """Send through all ways in turn, so that all see the same noise."""
     samples = {name: Sample() for name in addresses}
+    connector = aiohttp.TCPConnector(limit=_CONNECTIONS)
     async with aiohttp.ClientSession(connector=connector) as session:
-        await _wait_for(session, f'http://{_PLATFORM}/vms')
-        await _publish(session)
-        await _wait_for(session, f'http://{_ADMIN}/check')
-        for address in addresses.values():
-            await _wait_for(session, f'http://{address}/drafts/1')
         for _ in range(_ROUNDS):
             for name, address in addresses.items():
                 await _round(session, address, pids[name], samples[name])
@@ -203,41 +162,51 @@
     }
 
 
+async def _measure() -> dict[str, Any]:
+    base_port = free_base_port(_FIRST_PORT, count=_PORTS)
+    pass_through = f'127.0.0.1:{base_port + _PORTS - 1}'
+    async with aiohttp.ClientSession() as session:
+        fleet = ProcessFleet(base_port=base_port, session=session)
+        process = None
+        try:
+            await fleet.start_platform()
+            await fleet.start_upstream(_UPSTREAM, delay=_UPSTREAM_DELAY_S)
+            upstream = fleet.upstreams_by_name[_UPSTREAM]
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(pathlib.Path(__file__).with_name('pass_through.py')),
+                pass_through,
+                upstream,
+            )
+            await fleet.start_vm(_VM_ID, 'muscat-a')
+            await fleet.list_vms()
+            await fleet.publish_files(_files(upstream))
+            await fleet.wait_until_ready()
+            await fleet.wait_for(f'http://{pass_through}/drafts/1')
+            # The VM takes its share of the rights after it is ready.
+            await asyncio.sleep(_SETTLE_S)
+            return await _measure_ways(
+                {
+                    'direct': upstream,
+                    'passthrough': pass_through,
+                    'bronzewall': fleet.entry_points_by_id[_VM_ID].listen,
+                },
+                {
+                    'direct': fleet.processes_by_name[_UPSTREAM].pid,
+                    'passthrough': process.pid,
+                    'bronzewall': fleet.processes_by_name[_VM_ID].pid,
+                },
+            )
+        finally:
+            await fleet.stop()
+            if process is not None:
+                process.terminate()
+                await process.wait()
+
+
 def measure(_seed: int) -> dict[str, Any]:
     """Start the processes, measure all ways in turn and stop them."""
-    standins = ('-m', 'bronzewall.standins')
-    here = pathlib.Path(__file__).parent
-    processes = {
-        'platform': _spawn(*standins, 'platform', '--listen', _PLATFORM),
-        'direct': _spawn(
-            *standins, 'upstream', '--listen', _UPSTREAM, '--delay', '0.002'
-        ),
-        'passthrough': _spawn(
-            str(here / 'pass_through.py'), _PASS_THROUGH, _UPSTREAM
-        ),
-        'bronzewall': _spawn(
-            '-m',
-            'bronzewall',
-            'serve',
-            BRONZEWALL_VM_ID='vm-1',
-            BRONZEWALL_REGION='muscat',
-            BRONZEWALL_ZONE='muscat-a',
-            BRONZEWALL_LISTEN=_DAEMON,
-            BRONZEWALL_PEER_LISTEN=f'{_HOST}:{_BASE_PORT + 3}',
-            BRONZEWALL_ADMIN_LISTEN=_ADMIN,
-            BRONZEWALL_PLATFORM=f'http://{_PLATFORM}',
-            BRONZEWALL_NOTICE_S='0',
-            BRONZEWALL_LOG_LEVEL='warning',
-        ),
-    }
-    try:
-        pids = {name: process.pid for name, process in processes.items()}
-        return asyncio.run(_measure(pids))
-    finally:
-        for process in processes.values():
-            process.send_signal(signal.SIGTERM)
-        for process in processes.values():
-            process.wait()
+    return asyncio.run(_measure())
 
 
 if __name__ == '__main__':
--- a/src/bronzewall/hedging.py
+++ b/src/bronzewall/hedging.py
@@ -7,6 +7,7 @@
 import attrs
 
 from bronzewall.config_model import Instance, Route, Service
+from bronzewall.crash_guard import RunningTurn
 from bronzewall.dispatch import Dispatcher
 from bronzewall.errors import UpstreamError
 from bronzewall.evidence import Attempt
@@ -24,6 +25,7 @@
     exchange: UpstreamExchange
     instance: Instance
     attempt: Attempt | None = None
+    turn: RunningTurn | None = None
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/src/bronzewall/proxy.py
+++ b/src/bronzewall/proxy.py
@@ -262,7 +262,7 @@
                 exchange.fingerprint(),
                 deadline=exchange.deadline,
             ) as turn:
-                await self._send_guarded(exchange, instance, turn)
+                await self._send_guarded(exchange, turn)
                 turn.has_survived = exchange.is_answered
             is_served = True
         except UpstreamError as exc:
@@ -272,11 +272,11 @@
             self.dispatcher.release(instance, is_served=is_served, error=error)
 
     async def _send_guarded(
-        self, exchange: Exchange, instance: Instance, turn: RunningTurn
+        self, exchange: Exchange, turn: RunningTurn
     ) -> None:
         self._check_before_send(exchange)
         async with self.crash_guard.running(turn):
-            await self._send(exchange, instance)
+            await self._send(exchange, turn)
 
     async def _acquire(self, exchange: Exchange) -> Instance:
         account = exchange.account
@@ -311,13 +311,14 @@
                 detail='the deadline passed before the request was sent',
             )
 
-    async def _send(self, exchange: Exchange, instance: Instance) -> None:
+    async def _send(self, exchange: Exchange, turn: RunningTurn) -> None:
+        instance = turn.instance
         self.note(exchange, 'sent', instance=instance.instance_id)
         opened = await open_answer(
             dispatcher=self.dispatcher,
             service=exchange.service,
             route=exchange.route,
-            first=self._open_first(exchange, instance),
+            first=self._open_first(exchange, turn),
             take_second=lambda: self._take_second(exchange),
             open_second=lambda to: self._open_second(exchange, to),
         )
@@ -329,13 +330,13 @@
             opened.exchange.close()
 
     async def _open_first(
-        self, exchange: Exchange, instance: Instance
+        self, exchange: Exchange, turn: RunningTurn
     ) -> Opened:
         try:
-            return await self._open_one(exchange, instance)
+            return await self._open_one(exchange, turn)
         except asyncio.CancelledError:
             # The second attempt won; this one may still run.
-            self.crash_guard.abandon(instance, exchange.fingerprint())
+            self.crash_guard.abandon(turn)
             raise
 
     async def _open_second(
@@ -345,9 +346,10 @@
         fingerprint, deadline = exchange.fingerprint(), exchange.deadline
         async with guard.turn(instance, fingerprint, deadline=deadline) as turn:
             async with guard.running(turn):
-                return await self._open_one(exchange, instance)
+                return await self._open_one(exchange, turn)
 
-    async def _open_one(self, exchange: Exchange, instance: Instance) -> Opened:
+    async def _open_one(self, exchange: Exchange, turn: RunningTurn) -> Opened:
+        instance = turn.instance
         attempt, upstream = await observed_exchange(
             upstreams=self.upstreams,
             evidence=self.evidence,
@@ -357,7 +359,9 @@
             request=self._upstream_request(exchange, instance),
             fingerprint=exchange.fingerprint(),
         )
-        return Opened(exchange=upstream, instance=instance, attempt=attempt)
+        return Opened(
+            exchange=upstream, instance=instance, attempt=attempt, turn=turn
+        )
 
     def _take_second(self, exchange: Exchange) -> Instance | None:
         if self.crash_guard.table.find(exchange.fingerprint()) is not None:
@@ -414,8 +418,8 @@
                 await writer.write(chunk)
             await writer.finish()
         except (UpstreamBrokenError, UpstreamTimeoutError) as exc:
-            if isinstance(exc, UpstreamBrokenError):
-                await self.crash_guard.broken(instance, exchange.fingerprint())
+            if opened.turn and isinstance(exc, UpstreamBrokenError):
+                await self.crash_guard.broken(opened.turn)
             # The status line is out; only a broken connection can tell
             # the caller that the body is incomplete.
             writer.abort()
