--- a/src/bronzewall/pools.py
+++ b/src/bronzewall/pools.py
@@ -18,7 +18,14 @@
 from bronzewall.peer_calls import PeerEndpoint
 from bronzewall.pool_homes import SILENCE_S, PoolHomes
 from bronzewall.ports import Clock
-from bronzewall.quota_messages import Ask, Grant, Lend, Renew, ReturnLoans
+from bronzewall.quota_messages import (
+    Ask,
+    Grant,
+    Lend,
+    Renew,
+    ReturnLoans,
+    SlotsGiven,
+)
 from bronzewall.rights import CLOCK_DRIFT, Loan, Pool, Right
 from bronzewall.types import AccountId, VmId, VmState
 
@@ -108,6 +115,11 @@
             self.endpoint.send(to=vm_id, message=message)
         self.lender.on_return(self.own_id, self.epoch)
 
+    def announce_stop(self) -> None:
+        """Tell all VMs that this one takes no slots any more."""
+        for vm_id in self._lenders():
+            self.endpoint.send(to=vm_id, message=SlotsGiven(is_stopping=True))
+
     def on_lend(self, lender: VmId, lend: Lend) -> None:
         """Adopt a lender's statement unless a newer one is in force."""
         adopted = self._adopted_by_lender.setdefault(lender, _Adopted())
--- a/src/bronzewall/quota.py
+++ b/src/bronzewall/quota.py
@@ -120,6 +120,7 @@
         self.lender.is_retiring = True
         self.pool_home.is_stopping = True
         await self.pool_home.close()
+        self.pool_home.announce_stop()
         limit = self.clock.now() + LOAN_LENGTH_S
         while self.clock.now() < limit and not self.lender.is_all_returned():
             await self.clock.sleep(_RETURN_CHECK_S)
@@ -251,6 +252,12 @@
         if lend is not None:
             endpoint.send(to=envelope.sender, message=lend)
 
+    def on_slots_given(envelope: Envelope) -> None:
+        if envelope.body.is_stopping:
+            quota.slots.note_stopping(envelope.sender)
+        else:
+            quota.slots.wake()
+
     def on_lend(envelope: Envelope) -> None:
         quota.pool_home.on_lend(envelope.sender, envelope.body)
 
@@ -263,7 +270,7 @@
     endpoint.serve(Renew, on_renew)
     endpoint.serve(Lend, on_lend)
     endpoint.serve(ReturnLoans, on_return)
-    endpoint.serve(SlotsGiven, lambda _envelope: quota.slots.wake())
+    endpoint.serve(SlotsGiven, on_slots_given)
 
 
 def quota_status(quota: PooledQuota) -> dict[str, Any]:
--- a/src/bronzewall/quota_messages.py
+++ b/src/bronzewall/quota_messages.py
@@ -97,4 +97,9 @@
 @message('slots_given')
 @attrs.frozen(kw_only=True)
 class SlotsGiven:
-    """The sender handed slots over to the receiver in the table."""
+    """The sender handed slots over to the receiver in the table.
+
+    :param is_stopping: the sender stops and takes no slots.
+    """
+
+    is_stopping: bool = False
--- a/src/bronzewall/slots.py
+++ b/src/bronzewall/slots.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import attrs
-import cbor2
 import structlog
 
 from bronzewall.errors import (
@@ -13,9 +12,15 @@
 )
 from bronzewall.membership import Members
 from bronzewall.ports import Clock, TableService
-from bronzewall.rights import CLOCK_DRIFT
 from bronzewall.slot_plan import Move, assign_vacant, balancing_moves
-from bronzewall.types import Row, RowCheck, RowWrite, VmId, VmState
+from bronzewall.slot_rows import (
+    Reading,
+    SlotRow,
+    decode_row,
+    encode_row,
+    row_key,
+)
+from bronzewall.types import RowCheck, RowWrite, VmId, VmState
 
 # Three times the fleet of 40 VMs, so that equal shares differ by one slot.
 SLOT_COUNT = 128
@@ -30,43 +35,13 @@
 # Of the lease term, so that short leases are renewed in time.
 _SCAN_SHARE = 1 / 8
 _RETRY_INTERVAL_S = 1.0
+# Longer than the lag of the VM list and a planned stop.
+_STOP_NOTICE_S = 60.0
 # Incarnation in a row whose new holder has not accepted it yet.
 _NOT_ACCEPTED = 0
 _LOG = structlog.get_logger()
 
 
-@attrs.frozen(kw_only=True)
-class SlotRow:
-    """Content of a slot's row.
-
-    :param incarnation: of the holder; 0 until it has accepted the slot.
-    :param lease_end: in the table service's clock.
-    """
-
-    holder: VmId
-    incarnation: int
-    lease_end: float
-
-
-@attrs.frozen(kw_only=True)
-class Reading:
-    """The slot rows as read at one time.
-
-    :param started: own clock before the request was sent.
-    :param table_time: the table service's clock after ``started``.
-    """
-
-    started: float
-    table_time: float
-    rows_by_slot: Mapping[int, SlotRow]
-    versions_by_slot: Mapping[int, int]
-
-    def local_end(self, lease_end: float) -> float:
-        """Return a lease's end on the own clock, with a drift margin."""
-        remaining = lease_end - self.table_time
-        return self.started + remaining * (1 - CLOCK_DRIFT)
-
-
 @attrs.define(kw_only=True)
 class Giving:
     """A slot that is leaving this VM.
@@ -104,6 +79,7 @@
     _validated_pauses: int = 0
     _doubtful_slots: set[int] = attrs.field(factory=set)
     _destroyed_seen_by_id: dict[VmId, float] = attrs.field(factory=dict)
+    _stopping_until_by_id: dict[VmId, float] = attrs.field(factory=dict)
     _holders: frozenset[VmId] = frozenset()
     _ready_ids: set[VmId] = attrs.field(factory=set)
     _started_at: float = 0
@@ -130,6 +106,10 @@
             if end > until and slot not in self.givings_by_slot
         ]
 
+    def note_stopping(self, vm_id: VmId) -> None:
+        """Give nothing to a VM that stops but is still listed as live."""
+        self._stopping_until_by_id[vm_id] = self.clock.now() + _STOP_NOTICE_S
+
     def wake(self) -> None:
         """Read the table at the next tick."""
         self._next_scan = 0
@@ -226,7 +206,9 @@
         return Reading(
             started=started,
             table_time=table_time,
-            rows_by_slot={int(key): _decode(row) for key, row in rows.items()},
+            rows_by_slot={
+                int(key): decode_row(row) for key, row in rows.items()
+            },
             versions_by_slot={
                 int(key): row.version for key, row in rows.items()
             },
@@ -322,10 +304,12 @@
             self.ends_by_slot[slot] = reading.local_end(lease_end)
 
     def _counts(self, reading: Reading) -> dict[VmId, int]:
+        now = self.clock.now()
         counts = {
             record.vm_id: 0
             for record in self.members.records_by_id.values()
             if record.state is VmState.LIVE
+            and self._stopping_until_by_id.get(record.vm_id, now) <= now
         }
         counts.setdefault(self.own_id, 0)
         for row in reading.rows_by_slot.values():
@@ -394,26 +378,13 @@
         checks = [
             RowCheck(
                 table=TABLE,
-                key=_key(slot),
+                key=row_key(slot),
                 version=reading.versions_by_slot.get(slot, 0),
             )
             for slot in rows_by_slot
         ]
         writes = [
-            RowWrite(table=TABLE, key=_key(slot), value=_encode(row))
+            RowWrite(table=TABLE, key=row_key(slot), value=encode_row(row))
             for slot, row in rows_by_slot.items()
         ]
         await self.table.transact(checks=checks, writes=writes)
-
-
-def _key(slot: int) -> str:
-    return f'{slot:04d}'
-
-
-def _encode(row: SlotRow) -> bytes:
-    return cbor2.dumps(attrs.astuple(row))
-
-
-def _decode(row: Row) -> SlotRow:
-    holder, incarnation, lease_end = cbor2.loads(row.value)
-    return SlotRow(holder=holder, incarnation=incarnation, lease_end=lease_end)
