Share connections by fleet size and measure an outage of all instances

Cause: the connection cap was taken once, when a VM may not know the fleet yet; amplification was measured only where instances shed what exceeds their slots.

Change: the cap follows the member view each report round; the bench adds a run in which every instance sheds, and the cost of one decision; tests of the request path cover unknown outcomes, the retry budget, hedges and bytes from other regions; debug lists slots, queue and allowance by service.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -13,6 +13,7 @@
     ACCOUNTS,
     INSTANCES,
     MEAN_SERVICE_S,
+    SERVICE,
     SLOTS,
     VMS,
     FakeWriter,
@@ -24,8 +25,10 @@
 
 from bronzewall.choice import OTHER_REGION, nearness_of
 from bronzewall.config_model import Instance, Service
+from bronzewall.dispatch import Dispatcher
 from bronzewall.errors import NoInstanceError
 from bronzewall.standins.virtual_time import run_virtual
+from bronzewall.types import ServiceName
 
 # Service times of 100 ms keep the request rate at 480 a second, so that
 # the real decision code runs all levels within the wall time.
@@ -37,6 +40,9 @@
 MEASURED_S = (6.0, 8.0, 16.0, 6.0)
 BASELINE_WARM_UP_S = 0.5
 BASELINE_MEASURED_S = 1.5
+SHEDDING_S = 6.0
+DECISIONS = 5000
+MANY_SERVICES = 1000
 GREEDY_FACTOR = 5
 _MS_PER_S = 1000
 _OK = 200
@@ -181,6 +187,49 @@
     return run_virtual(main())
 
 
+def _measure_shedding(seed: int) -> dict[str, Any]:
+    """Return the figures while every instance sheds every request."""
+    rng = random.Random(seed)
+
+    async def main() -> dict[str, Any]:
+        fleet = build_fleet(
+            rng=rng, in_force=configuration(retries=1), is_shedding=True
+        )
+        await _load(fleet, rng=rng, rate=CAPACITY, seconds=SHEDDING_S)
+        firsts = sum(1 for name in fleet.counts if name.startswith('first '))
+        return {
+            'sends': fleet.counts['sends'],
+            'amplification': round(fleet.counts['sends'] / firsts, 4),
+        }
+
+    return run_virtual(main())
+
+
+def _decision_us(services: int) -> float:
+    """Return the time of one ``acquire`` and ``release``, microseconds."""
+    service = configuration(retries=1).services_by_name[SERVICE]
+    route = next(iter(service.routes_by_id.values()))
+
+    async def main() -> float:
+        dispatcher = Dispatcher(random=random.Random(1))
+        for number in range(services):
+            other = attrs.evolve(service, name=ServiceName(str(number)))
+            dispatcher.state_of(other)
+        started = time.perf_counter()
+        for _ in range(DECISIONS):
+            instance = await dispatcher.acquire(
+                service=service,
+                route=route,
+                account_id=None,
+                deadline=10,
+                excluded=frozenset(),
+            )
+            dispatcher.release(instance, is_served=True)
+        return time.perf_counter() - started
+
+    return round(asyncio.run(main()) / DECISIONS * 1e6, 1)
+
+
 def _summary(
     fleet: Fleet, outcomes: Outcomes, seconds: float, warm_up: float
 ) -> dict[str, Any]:
@@ -238,6 +287,7 @@
         f'{level}x': _measure_level(seed=seed, level=level, is_baseline=True)
         for level in LEVELS
     }
+    shedding = _measure_shedding(seed)
     found = levels.values()
     peak = max(level['goodput_per_s'] for level in found)
     return {
@@ -251,6 +301,9 @@
         'cross_region_share': max(
             level['cross_region_share'] for level in found
         ),
+        'decision_us': _decision_us(0),
+        'decision_us_1000_services': _decision_us(MANY_SERVICES),
+        'all_shed': shedding,
         'wall_s': round(time.monotonic() - started, 1),
         'levels': levels,
         'baseline': baseline,
@@ -266,5 +319,6 @@
             Target(figure='worst_account_share', at_least=0.95),
             Target(figure='refusal_p99_ms', at_most=50),
             Target(figure='amplification', at_most=1.1),
+            Target(figure='all_shed.amplification', at_most=1.1),
         ),
     )
--- a/bench/overload_fleet.py
+++ b/bench/overload_fleet.py
@@ -76,13 +76,14 @@
 
     instance: Instance
     random: random.Random
+    is_shedding: bool = False
     in_use: int = 0
     runs: int = 0
     sheds: int = 0
 
     async def run(self) -> None:
         """Run one request or shed it."""
-        if self.in_use >= self.instance.slots:
+        if self.is_shedding or self.in_use >= self.instance.slots:
             self.sheds += 1
             raise UpstreamShedError('no free slot')
         self.runs += 1
@@ -159,10 +160,6 @@
         """Leave the answer incomplete."""
 
 
-def _fleet_size() -> int:
-    return VMS
-
-
 class AdmitAll:
     """Quota that never refuses, so that only capacity limits."""
 
@@ -226,10 +223,12 @@
     *,
     rng: random.Random,
     in_force: Configuration,
+    is_shedding: bool = False,
     dispatcher_for: Callable[..., Any] = Dispatcher,
 ) -> Fleet:
     """Return 40 VMs spread over the zones.
 
+    :param is_shedding: the instances shed every request.
     :param dispatcher_for: makes a VM's dispatcher.
     """
     placements = {
@@ -241,7 +240,9 @@
         paths=[],
         exchanges=[],
         instances_by_id={
-            instance_id: FakeInstance(instance=instance, random=rng)
+            instance_id: FakeInstance(
+                instance=instance, random=rng, is_shedding=is_shedding
+            )
             for instance_id, instance in service.instances_by_id.items()
         },
         network=MemoryNetwork(
@@ -267,7 +268,6 @@
             random=rng,
             clock=clock,
             placement=placement,
-            fleet_size=_fleet_size,
         )
         path = RequestPath(
             vm_id=vm_id,
--- a/src/bronzewall/daemon.py
+++ b/src/bronzewall/daemon.py
@@ -159,6 +159,7 @@
             'suspected': sorted(self.members.suspected_ids),
             'peer_counters': dict(self.endpoint.counters),
             'link_counters': dict(self.link.counters),
+            'services': self.loads.debug(),
         }
 
     def _explain(self, request_id: RequestId) -> list[dict[str, Any]]:
@@ -179,12 +180,7 @@
     placement = Placement(region=settings.region, zone=settings.zone)
     members = Members(own_id=vm_id, own_placement=placement)
     endpoint = PeerEndpoint(vm_id=vm_id, incarnation=time.time_ns(), link=link)
-    dispatcher = Dispatcher(
-        random=rng,
-        clock=clock,
-        placement=placement,
-        fleet_size=lambda: len(members.usable_ids()),
-    )
+    dispatcher = Dispatcher(random=rng, clock=clock, placement=placement)
     daemon = Daemon(
         settings=settings,
         origins=origins,
--- a/src/bronzewall/dispatch.py
+++ b/src/bronzewall/dispatch.py
@@ -53,7 +53,6 @@
         as near.
     :param weight_of: share of normal traffic of an instance, 0 if it is
         ejected.
-    :param fleet_size: number of VMs that use the same instances.
     :param on_update: called when a service is new or has changed.
     :param on_starved: called when requests wait.
     :param on_release: called when a slot was released and no request of
@@ -64,7 +63,6 @@
     clock: Clock | LoopClock = attrs.field(factory=LoopClock)
     placement: Placement | None = None
     weight_of: WeightOf = full_weight
-    fleet_size: Callable[[], int] = lambda: 1
     on_update: Callable[[ServiceLoad], None] = ignore
     on_starved: Callable[[ServiceLoad], None] = ignore
     on_release: Callable[[ServiceLoad, InstanceLoad], None] = ignore
@@ -162,7 +160,6 @@
                 state,
                 service=service,
                 placement=self.placement,
-                fleet_size=max(1, self.fleet_size()),
                 now=self.clock.now(),
             )
             self.on_update(state)
--- a/src/bronzewall/load_reports.py
+++ b/src/bronzewall/load_reports.py
@@ -5,6 +5,7 @@
 import attrs
 
 from bronzewall import messages
+from bronzewall.choice import InstanceLoad
 from bronzewall.config_model import Service
 from bronzewall.dispatch import Dispatcher
 from bronzewall.homes import ranked_homes
@@ -83,19 +84,34 @@
     def step(self) -> None:
         """Send one round of reports and grants."""
         states = list(self.dispatcher.states_by_service.values())
+        placements = self._placements()
         for state in states:
             state.close_period(REPORT_INTERVAL_S)
             self._check_grant(state)
+            state.share_connections(len(placements))
         active = [used for used in states if used.rate_by_account]
         for reported in self._in_turn(active):
             self._report(reported)
         now = self.clock.now()
-        for receiver, grant in self.home.grants(self._placements(), now):
+        for receiver, grant in self.home.grants(placements, now):
             if receiver == self.vm_id:
                 self._apply(grant)
             else:
                 self.endpoint.send(to=receiver, message=grant)
 
+    def debug(self) -> dict[str, dict[str, float]]:
+        """Return the load by service, for operators."""
+        return {
+            name: {
+                'slots': sum(load.usable() for load in _loads(state)),
+                'in_flight': sum(load.in_flight for load in _loads(state)),
+                'waiting': state.queue.length,
+                'mean_hold_s': state.mean_hold,
+                'retries_saved': state.retry.saved,
+            }
+            for name, state in self.dispatcher.states_by_service.items()
+        }
+
     def _in_turn(self, active: list[ServiceLoad]) -> list[ServiceLoad]:
         if len(active) <= MAX_REPORTS:
             return active
@@ -186,6 +202,10 @@
             load.others = 0
 
 
+def _loads(state: ServiceLoad) -> list[InstanceLoad]:
+    return list(state.loads_by_id.values())
+
+
 def _named(rate_by_account: dict[AccountKey, float]) -> dict[str, float]:
     """Return the rates of the largest accounts and of the others as one."""
     ranked = sorted(
--- a/src/bronzewall/service_load.py
+++ b/src/bronzewall/service_load.py
@@ -122,6 +122,15 @@
         _smooth(self.rate_by_account, self.arrivals, gain, seconds)
         _smooth(self.admitted_by_account, self.admissions, gain, seconds)
 
+    def share_connections(self, fleet_size: int) -> None:
+        """Keep this VM's connections to each instance within its part.
+
+        :param fleet_size: VMs that share the connections of an instance.
+        """
+        for load in self.loads_by_id.values():
+            part = max(1, load.instance.connections // fleet_size)
+            load.connection_cap = min(load.instance.slots, part)
+
     def set_shares(self, slots_by_instance: Mapping[InstanceId, int]) -> None:
         """Take over this VM's share of each instance's slots."""
         for instance_id, load in self.loads_by_id.items():
@@ -204,15 +213,12 @@
     *,
     service: Service,
     placement: Placement | None,
-    fleet_size: int,
     now: float,
 ) -> None:
     """Take over the instances of a new configuration.
 
     An instance that was not there before is cold, except on a VM that
     has just started.
-
-    :param fleet_size: VMs that share the connections of an instance.
     """
     is_first = not state.loads_by_id
     found = {}
@@ -228,9 +234,7 @@
                 cold_since=None if is_first else now,
             )
         load.instance = instance
-        load.connection_cap = min(
-            instance.slots, max(1, instance.connections // fleet_size)
-        )
+        load.connection_cap = instance.slots
         found[instance_id] = load
     state.loads_by_id = found
     state.service = service
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -227,6 +227,21 @@
     _run(main)
 
 
+def test_connections_are_shared_by_the_fleet() -> None:
+    """Guards against more connections than an instance accepts."""
+
+    async def main() -> None:
+        dispatcher, service = _dispatcher(), _service(slots=4)
+        state = dispatcher.state_of(service)
+        caps = []
+        for fleet_size in (1, 40, 120, 7700):
+            state.share_connections(fleet_size)
+            caps.append(state.loads_by_id['i-0'].connection_cap)
+        assert caps == [4, 4, 3, 1]
+
+    _run(main)
+
+
 def test_hedge_never_takes_a_slot_from_a_waiting_request() -> None:
     """Guards against second attempts that add to a queue."""
 
--- /dev/null
+++ b/tests/test_proxy_overload.py
@@ -0,0 +1,175 @@
+"""The request path with retries, budgets, hedges and a full fleet."""
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+import attrs
+import pytest
+from builders import (
+    ACCOUNT_KEY,
+    a_configuration,
+    a_placement,
+    a_route,
+    a_service,
+    an_account,
+    an_instance,
+)
+from test_proxy import FakeExchange, FakeUpstreams, FakeWriter
+
+from bronzewall.config_feed import ConfigFeed
+from bronzewall.config_model import Route
+from bronzewall.dispatch import Dispatcher
+from bronzewall.errors import (
+    BronzewallError,
+    UpstreamBrokenError,
+    UpstreamShedError,
+)
+from bronzewall.journal import Journal
+from bronzewall.metrics import Metrics
+from bronzewall.ports import CallerRequest, UpstreamRequest
+from bronzewall.proxy import RequestPath
+from bronzewall.quota import StaticSplitQuota
+from bronzewall.standins.memory import MemoryPlatform
+from bronzewall.standins.virtual_time import VirtualClock, run_virtual
+from bronzewall.types import VmId
+
+TWO = ('muscat-a', 'muscat-a')
+BROKEN, SHED = UpstreamBrokenError('x'), UpstreamShedError('x')
+
+
+@attrs.define(kw_only=True)
+class SlowUpstreams(FakeUpstreams):
+    """Answers after the given delays, one for each attempt.
+
+    :param cancelled: instances whose attempt was cancelled.
+    """
+
+    delays: list[float] = attrs.field(factory=list)
+    cancelled: list[str] = attrs.field(factory=list)
+
+    async def exchange(self, request: UpstreamRequest) -> FakeExchange:
+        """Wait, then answer."""
+        try:
+            await asyncio.sleep(self.delays.pop(0) if self.delays else 0)
+        except asyncio.CancelledError:
+            self.cancelled.append(request.instance_id)
+            raise
+        return await super().exchange(request)
+
+
+async def _no_body() -> bytes:
+    return b''
+
+
+GET = CallerRequest(
+    method='GET',
+    target='/drafts/7',
+    path='/drafts/7',
+    headers=[('Authorization', f'Bearer {ACCOUNT_KEY}')],
+    read_body=_no_body,
+)
+
+
+def _path(
+    upstreams: FakeUpstreams, *, route: Route, zones: Sequence[str]
+) -> RequestPath:
+    clock = VirtualClock()
+    platform = MemoryPlatform(clock=clock)
+    feed = ConfigFeed(clock=clock, table=platform, objects=platform)
+    instances = [
+        an_instance(f'i-{number}', placement=a_placement(zone))
+        for number, zone in enumerate(zones)
+    ]
+    feed.offer(
+        a_configuration(
+            services=[a_service(instances=instances, routes=[route])],
+            accounts=[an_account(rate=1e6, burst=100000)],
+        )
+    )
+    return RequestPath(
+        vm_id=VmId('vm-1'),
+        clock=clock,
+        random=random.Random(1),
+        feed=feed,
+        quota=StaticSplitQuota(clock=clock, share=1),
+        dispatcher=Dispatcher(
+            random=random.Random(1), clock=clock, placement=a_placement()
+        ),
+        upstreams=upstreams,
+        metrics=Metrics(),
+        journal=Journal(),
+        may_serve_keyed=lambda: True,
+    )
+
+
+@pytest.mark.parametrize(
+    ('failures', 'zones', 'ran', 'sends'),
+    [
+        ([BROKEN, SHED], TWO, b'"ran": "unknown"', 2),
+        ([BROKEN], ('muscat-a',), b'"ran": "unknown"', 1),
+        ([SHED, SHED], TWO, b'"ran": "no"', 2),
+    ],
+)
+def test_later_refusal_remembers_an_unknown_outcome(
+    failures: list[BronzewallError],
+    zones: Sequence[str],
+    ran: bytes,
+    sends: int,
+) -> None:
+    """Guards against "not run" after an attempt that may have run."""
+    upstreams = FakeUpstreams(failures=failures)
+    writer = FakeWriter()
+
+    async def main() -> None:
+        path = _path(upstreams, route=a_route(), zones=zones)
+        await path.handle(GET, writer)
+
+    run_virtual(main())
+    assert ran in writer.body
+    assert len(upstreams.sent) == sends
+
+
+def test_retries_keep_to_the_budget_when_everything_breaks() -> None:
+    """Guards against amplification of an outage."""
+    upstreams = FakeUpstreams(failures=[BROKEN for _ in range(1000)])
+
+    async def main() -> None:
+        path = _path(upstreams, route=a_route(), zones=TWO)
+        for _ in range(100):
+            await path.handle(GET, FakeWriter())
+
+    run_virtual(main())
+    assert len(upstreams.sent) <= 100 * 1.1 + 3
+
+
+def test_bytes_from_other_regions_are_counted() -> None:
+    """Guards against billed traffic that no metric shows."""
+
+    async def main() -> None:
+        for zone, counted in (('muscat-b', 0), ('dhofar-a', 2)):
+            path = _path(FakeUpstreams(), route=a_route(), zones=[zone])
+            await path.handle(GET, FakeWriter())
+            assert path.metrics.cross_region_bytes == counted
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize('hedge', [False, True])
+def test_slow_answer_is_hedged_only_on_demand(hedge: bool) -> None:
+    """Guards against hedges of routes that did not ask for them, and
+    against slots that the losing attempt keeps.
+    """
+    upstreams = SlowUpstreams(delays=[5])
+
+    async def main() -> None:
+        path = _path(upstreams, route=a_route(hedge=hedge), zones=TWO)
+        writer = FakeWriter()
+        await path.handle(GET, writer)
+        assert writer.body == b'ok'
+        assert path.metrics.events['hedged'] == hedge
+        assert len(upstreams.cancelled) == hedge
+        state = path.dispatcher.states_by_service['drafts']
+        assert not any(load.in_flight for load in state.loads_by_id.values())
+
+    run_virtual(main())
