--- a/src/bronzewall/composition.py
+++ b/src/bronzewall/composition.py
@@ -77,7 +77,6 @@
         clock=clock,
         placement=placement,
         weight_of=detection.ejections.weight_of,
-        fleet_size=lambda: len(members.usable_ids()),
     )
     run_gate = open_run_gate(
         endpoint=endpoint, clock=clock, table=store, members=members, rng=rng
--- a/src/bronzewall/daemon.py
+++ b/src/bronzewall/daemon.py
@@ -169,6 +169,7 @@
             'suspected': sorted(self.members.suspected_ids),
             'peer_counters': dict(self.endpoint.counters),
             'link_counters': dict(self.link.counters),
+            'services': self.loads.debug(),
         }
 
     def _explain(self, request_id: RequestId) -> list[dict[str, Any]]:
