Start the demand of a region at its part of the rate

Cause: the first quarter of a second of requests decided how rights were divided among the pools, and rights that move leave their tokens behind; small accounts were refused in the first seconds of load. Change: the average starts at an equal part of the account's rate.

--- a/src/bronzewall/pools.py
+++ b/src/bronzewall/pools.py
@@ -321,12 +321,20 @@
             asked = self._asked_by_account.get(account_id, 0)
             self._asked_by_account[account_id] = asked + count
 
+    def _expected_demand(self, account_id: AccountId) -> float:
+        # The first few requests say little about the regions, and rights
+        # that move leave their tokens behind.
+        account = self.lender.accounts().get(account_id)
+        return account.rate / len(self.homes.regions()) if account else 0
+
     def _average_demand(self) -> None:
         weight = RENEW_INTERVAL_S / _DEMAND_WINDOW_S
         asked, self._asked_by_account = self._asked_by_account, {}
         for account_id in dict.fromkeys((*asked, *self._demands_by_account)):
             recent = asked.get(account_id, 0) / RENEW_INTERVAL_S
-            before = self._demands_by_account.get(account_id, recent)
+            before = self._demands_by_account.get(
+                account_id, self._expected_demand(account_id)
+            )
             self._demands_by_account[account_id] = before + weight * (
                 recent - before
             )
