--- a/bench/overload_fleet.py
+++ b/bench/overload_fleet.py
@@ -17,6 +17,7 @@
     Route,
     Service,
 )
+from bronzewall.crash_setup import open_crash_guard
 from bronzewall.dispatch import Dispatcher
 from bronzewall.errors import UpstreamShedError
 from bronzewall.journal import Journal
@@ -32,6 +33,7 @@
     UpstreamRequest,
 )
 from bronzewall.proxy import RequestPath
+from bronzewall.run_setup import open_run_gate
 from bronzewall.standins.memory import MemoryPlatform
 from bronzewall.standins.memory_link import MemoryLink, MemoryNetwork
 from bronzewall.standins.virtual_time import VirtualClock
@@ -269,11 +271,30 @@
             clock=clock,
             placement=placement,
         )
+        endpoint = PeerEndpoint(
+            vm_id=vm_id,
+            incarnation=1,
+            link=MemoryLink(vm_id=vm_id, network=fleet.network),
+        )
         path = RequestPath(
             vm_id=vm_id,
             clock=clock,
             random=rng,
             feed=feed,
+            run_gate=open_run_gate(
+                endpoint=endpoint,
+                clock=clock,
+                table=platform,
+                members=members,
+                rng=rng,
+            ),
+            crash_guard=open_crash_guard(
+                endpoint=endpoint,
+                clock=clock,
+                members=members,
+                refuses_connections=_accepts_connections,
+                rng=rng,
+            ),
             quota=AdmitAll(),
             dispatcher=dispatcher,
             upstreams=FakeUpstreams(
@@ -294,16 +315,17 @@
                 dispatcher=dispatcher,
                 find_service=feed.find_service,
                 members=members,
-                endpoint=PeerEndpoint(
-                    vm_id=vm_id,
-                    incarnation=1,
-                    link=MemoryLink(vm_id=vm_id, network=fleet.network),
-                ),
+                endpoint=endpoint,
             )
         )
     return fleet
 
 
+async def _accepts_connections(_instance: Instance) -> bool:
+    """Say that no instance refuses connections; none dies here."""
+    return False
+
+
 def caller_request(account: str) -> CallerRequest:
     """Return one request of an account."""
 
--- a/src/bronzewall/adapters/admin_client.py
+++ b/src/bronzewall/adapters/admin_client.py
@@ -6,6 +6,9 @@
 import attrs
 
 from bronzewall.errors import AdminUnavailableError
+from bronzewall.publication_check import VmAnswer
+from bronzewall.published_change import PublishedChange, encode_change
+from bronzewall.types import VmRecord
 
 _TIMEOUT_S = 2.0
 
@@ -16,6 +19,21 @@
 
     session: aiohttp.ClientSession
 
+    async def hand_over(
+        self, record: VmRecord, change: PublishedChange
+    ) -> VmAnswer | None:
+        """Hand a stored change to one VM; ``None`` if it does not answer."""
+        timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+        url = f'http://{record.admin_address}/change'
+        try:
+            async with self.session.post(
+                url, data=encode_change(change), timeout=timeout
+            ) as response:
+                response.raise_for_status()
+                return VmAnswer(**await response.json())
+        except (aiohttp.ClientError, TimeoutError):
+            return None
+
     async def fetch(self, address: str, path: str) -> Any:
         """Return the decoded JSON report.
 
--- a/src/bronzewall/adapters/admin_http.py
+++ b/src/bronzewall/adapters/admin_http.py
@@ -4,9 +4,12 @@
 from aiohttp import web
 
 from bronzewall.admin import AdminView
+from bronzewall.errors import SnapshotError
+from bronzewall.published_change import decode_change
 from bronzewall.types import RequestId
 
 _STATUS_STOPPING = 503
+_STATUS_BAD_CHANGE = 400
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -30,6 +33,7 @@
                 web.get('/debug', self._debug),
                 web.get('/explain/{request_id}', self._explain),
                 web.get('/metrics', self._metrics),
+                web.post('/change', self._change),
             ]
         )
         self._runner = web.AppRunner(app, access_log=None)
@@ -57,6 +61,13 @@
         request_id = RequestId(request.match_info['request_id'])
         return web.json_response(self.view.explain(request_id))
 
+    async def _change(self, request: web.Request) -> web.Response:
+        try:
+            change = decode_change(await request.read())
+        except SnapshotError as exc:
+            return web.Response(status=_STATUS_BAD_CHANGE, text=str(exc))
+        return web.json_response(attrs.asdict(self.view.answer(change)))
+
     async def _metrics(self, _request: web.Request) -> web.Response:
         return web.Response(
             body=self.view.metrics(),
--- a/src/bronzewall/admin.py
+++ b/src/bronzewall/admin.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from bronzewall.publication_check import VmAnswer
+from bronzewall.published_change import PublishedChange
 from bronzewall.types import RequestId
 
 Report = dict[str, Any]
@@ -21,6 +23,8 @@
     :param debug: report for ``bronzewall debug``.
     :param explain: steps of one request.
     :param metrics: Prometheus text.
+    :param answer: takes a stored change from an operator's tool and says
+        what is in force here.
     """
 
     is_ready: Callable[[], bool]
@@ -28,3 +32,4 @@
     debug: ReportBuilder
     explain: StepsFinder
     metrics: Callable[[], bytes]
+    answer: Callable[[PublishedChange], VmAnswer]
--- a/src/bronzewall/daemon.py
+++ b/src/bronzewall/daemon.py
@@ -88,6 +88,7 @@
             debug=self._debug,
             explain=self._explain,
             metrics=self.metrics.exposition,
+            answer=self.control.answer,
         )
 
     async def _start_background(self) -> None:
--- a/src/bronzewall/publish_command.py
+++ b/src/bronzewall/publish_command.py
@@ -13,7 +13,7 @@
 from cleo.helpers import argument, option
 
 from bronzewall.adapters.admin_client import AdminClient
-from bronzewall.adapters.platform_http import PlatformClient
+from bronzewall.adapters.platform_http import PlatformClient, PlatformVmList
 from bronzewall.adapters.system_clock import SystemClock
 from bronzewall.command_support import (
     EXIT_FAILED,
@@ -21,13 +21,11 @@
     EXIT_UNKNOWN,
     JSON_OPTION,
     PLATFORM_OPTION,
-    list_vms,
     platform_url,
     with_session,
 )
 from bronzewall.config_files import load_directory
 from bronzewall.config_model import Configuration
-from bronzewall.confirmation import Confirmation, wait_in_force
 from bronzewall.errors import (
     PublishConflictError,
     SettingsError,
@@ -35,14 +33,23 @@
 )
 from bronzewall.publication import (
     Publication,
-    PublishOutcome,
     publish,
     read_base,
 )
+from bronzewall.publication_check import (
+    Acceptance,
+    InForceReport,
+    wait_in_force,
+)
 from bronzewall.publication_rows import read_generation_row
-from bronzewall.types import ServiceName
+from bronzewall.types import ServiceName, VmId
 
 _DEFAULT_WAIT_S = '15'
+_DETAILS_BY_RESULT = {
+    Acceptance.ACCEPTED: '',
+    Acceptance.STORED: 'stored, but not yet in force everywhere',
+    Acceptance.UNKNOWN: 'publish again with this id to find out',
+}
 
 
 class PublishCommand(Command):
@@ -135,7 +142,7 @@
     exit_code: int
     generation: int | None = None
     detail: str = ''
-    confirmation: Confirmation = attrs.field(factory=Confirmation)
+    report: InForceReport | None = None
     base: Mapping[str, int] | None = None
 
     def to_json(self) -> dict[str, Any]:
@@ -145,9 +152,7 @@
             'generation': self.generation,
             'publication_id': self.publication_id,
             'detail': self.detail,
-            'confirmed': sorted(self.confirmation.confirmed),
-            'fenced': sorted(self.confirmation.fenced),
-            'unconfirmed': sorted(self.confirmation.unconfirmed),
+            **self._vm_ids(),
         }
 
     def to_text(self) -> str:
@@ -157,19 +162,28 @@
             lines.append(f'generation {self.generation}')
         if self.detail:
             lines.append(self.detail)
-        for kind in ('confirmed', 'fenced', 'unconfirmed'):
-            names = sorted(getattr(self.confirmation, kind))
+        for kind, names in self._vm_ids().items():
             if names:
                 lines.append(f'{kind}: {", ".join(names)}')
         return '\n'.join(lines)
 
+    def _vm_ids(self) -> dict[str, list[VmId]]:
+        report = self.report or InForceReport(result=Acceptance.UNKNOWN)
+        return {
+            'confirmed': list(report.confirmed_ids),
+            'fenced': list(report.fenced_ids),
+            'unconfirmed': list(report.unconfirmed_ids),
+        }
+
 
 async def _publish(
     request: _Request, url: str, session: aiohttp.ClientSession
 ) -> _Result:
     store = PlatformClient(base_url=url, session=session)
+    vms = PlatformVmList(client=store)
     accounts = tuple(request.configuration.accounts_by_id.values())
     try:
+        known = await vms.read()
         stored = await publish(
             services=tuple(request.configuration.services_by_name.values()),
             accounts=accounts or None,
@@ -184,39 +198,23 @@
         return _refused('conflict', request, str(exc))
     except StoreUnavailableError as exc:
         return _refused('unavailable', request, f'nothing published: {exc}')
-    if stored.outcome is PublishOutcome.UNKNOWN or stored.generation is None:
-        return _Result(
-            result='unknown',
-            publication_id=request.publication_id,
-            exit_code=EXIT_UNKNOWN,
-            detail='publish again with this id to find out',
-        )
-    return await _confirm(request, stored, url, session)
-
-
-async def _confirm(
-    request: _Request,
-    stored: Publication,
-    url: str,
-    session: aiohttp.ClientSession,
-) -> _Result:
-    store = PlatformClient(base_url=url, session=session)
-    base = await _versions_of(store, request, stored)
-    confirmation = await wait_in_force(
-        generation=stored.generation or 0,
-        read_vms=lambda: list_vms(url, session),
-        fetch=AdminClient(session=session).fetch,
+    report = await wait_in_force(
+        publication=stored,
+        vms=vms,
+        ask=AdminClient(session=session).hand_over,
         clock=SystemClock(),
+        known=known,
         timeout=request.wait,
     )
-    is_accepted = confirmation.is_accepted
+    is_accepted = report.result is Acceptance.ACCEPTED
     return _Result(
-        result='accepted' if is_accepted else 'stored',
+        result=report.result.value,
         publication_id=request.publication_id,
         exit_code=EXIT_OK if is_accepted else EXIT_UNKNOWN,
         generation=stored.generation,
-        confirmation=confirmation,
-        base=base,
+        detail=_DETAILS_BY_RESULT[report.result],
+        report=report,
+        base=await _versions_of(store, request, stored),
     )
 
 
