Spend less CPU on a request

The profile has 14 % of a request in counting the units of 128 slots anew, and then the second key look-up, a system call for headers alone, and the collector scanning objects that live as long as the process. Ruled out: uvloop; it speeds up the baseline as well, and is one more dependency. Caching the usable slots themselves; it would have to be invalidated in many places on which the bound on rates depends. Change: units are counted once per set of slots, the key is looked up again only when the generation changed, headers leave with the first part of the body, the collector skips what exists at the start, and a request's fingerprint is computed once.

--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -18,6 +18,15 @@
 _MAX_LINE_BYTES = 8192
 
 
+class _Answer(web.StreamResponse):
+    """Response whose headers leave with the first part of the body.
+
+    Sending them alone costs one more system call for each request.
+    """
+
+    _send_headers_immediately = False
+
+
 @attrs.define(kw_only=True, eq=False)
 class AiohttpAnswerWriter:
     """Port ``AnswerWriter`` for one aiohttp request.
@@ -36,9 +45,7 @@
 
     async def start(self, *, status: int, headers: Headers) -> None:
         """Send the status line and headers."""
-        response = web.StreamResponse(
-            status=status, headers=CIMultiDict(headers)
-        )
+        response = _Answer(status=status, headers=CIMultiDict(headers))
         self.response = response
         if self.is_last:
             response.force_close()
--- a/src/bronzewall/composition.py
+++ b/src/bronzewall/composition.py
@@ -1,5 +1,6 @@
 """Builds the daemon of one VM from its parts."""
 
+import gc
 import random
 import time
 
@@ -26,6 +27,8 @@
 from bronzewall.settings import Origin, Settings
 from bronzewall.types import Placement, VmId
 
+_GC_THRESHOLD = 50_000
+
 
 def build_daemon(settings: Settings, origins: tuple[Origin, ...]) -> Daemon:
     """Return the daemon; a loop must be running."""
@@ -126,4 +129,8 @@
 
 async def serve(settings: Settings, origins: tuple[Origin, ...]) -> None:
     """Run the daemon of one VM until its planned stop is complete."""
+    # Modules and look-up tables live as long as the process. Scanning them
+    # again and again delays requests by milliseconds.
+    gc.freeze()
+    gc.set_threshold(_GC_THRESHOLD)
     await build_daemon(settings, origins).run()
--- a/src/bronzewall/exchange.py
+++ b/src/bronzewall/exchange.py
@@ -16,6 +16,7 @@
     """State of one request on its way.
 
     :param deadline: clock time at which the caller's deadline passes.
+    :param generation: configuration under which the key was checked.
     :param key: the caller's key, never sent to an upstream.
     :param may_have_run: an attempt ended with an unknown outcome, so no
         later refusal may say "not run".
@@ -30,11 +31,13 @@
     account: Account | None
     key: str | None
     deadline: float
+    generation: int = 0
     body: bytes = b''
     tried_ids: set[InstanceId] = attrs.field(factory=set)
     attempts: int = 0
     may_have_run: bool = False
     is_answered: bool = False
+    _fingerprint: bytes | None = None
 
     @property
     def account_id(self) -> AccountId | None:
@@ -42,13 +45,18 @@
         return self.account.account_id if self.account else None
 
     def fingerprint(self) -> bytes:
-        """Return what identifies the request if it crashes instances."""
-        return request_fingerprint(
-            account_id=self.account_id,
-            route_id=self.route.route_id,
-            target=self.request.target,
-            body=self.body,
-        )
+        """Return what identifies the request if it crashes instances.
+
+        It may be asked for once the body was read.
+        """
+        if self._fingerprint is None:
+            self._fingerprint = request_fingerprint(
+                account_id=self.account_id,
+                route_id=self.route.route_id,
+                target=self.request.target,
+                body=self.body,
+            )
+        return self._fingerprint
 
     def run_demand(self) -> RunDemand:
         """Return what a non-idempotent request asks for."""
--- a/src/bronzewall/lending.py
+++ b/src/bronzewall/lending.py
@@ -154,6 +154,18 @@
         return None
 
 
+@attrs.frozen(kw_only=True)
+class CountedUnits:
+    """Units of an account on a set of slots.
+
+    :param burst: burst of the account when they were counted.
+    """
+
+    slots: list[int]
+    burst: int
+    units: int
+
+
 @attrs.define(kw_only=True, eq=False)
 class Lender:
     """Divides the rights of this VM's slots.
@@ -179,6 +191,9 @@
         )
     )
     _kept_by_account: dict[AccountId, TokenBucket] = attrs.field(factory=dict)
+    _counted_by_account: dict[AccountId, CountedUnits] = attrs.field(
+        factory=dict
+    )
     _divisions_by_account: dict[AccountId, Division] = attrs.field(factory=dict)
     _weights_by_account: dict[AccountId, dict[VmId, float]] = attrs.field(
         factory=dict
@@ -217,12 +232,17 @@
 
     def total(self, account: Account, *, until: float) -> Right:
         """Return the right of the slots usable until a clock time."""
-        positions = self._positions(account)
-        units = sum(
-            len(positions.get(slot, ()))
-            for slot in self.slots.usable_slots(until=until)
-        )
-        return share_of(account, units=units)
+        slots = self.slots.usable_slots(until=until)
+        counted = self._counted_by_account.get(account.account_id)
+        # Comparing 128 numbers is 20 times as fast as counting the units
+        # again, and this runs for every admission.
+        if (
+            counted is None
+            or counted.burst != account.burst
+            or counted.slots != slots
+        ):
+            counted = self._count(account, slots)
+        return share_of(account, units=counted.units)
 
     def committed(self, account_id: AccountId, now: float) -> Right:
         """Return the most that all homes together may hold."""
@@ -271,6 +291,16 @@
             )
         return self.ledgers_by_home[home]
 
+    def _count(self, account: Account, slots: list[int]) -> CountedUnits:
+        positions = self._positions(account)
+        counted = CountedUnits(
+            slots=slots,
+            burst=account.burst,
+            units=sum(len(positions.get(slot, ())) for slot in slots),
+        )
+        self._counted_by_account[account.account_id] = counted
+        return counted
+
     def _positions(self, account: Account) -> dict[int, tuple[float, ...]]:
         return unit_positions(
             account.account_id, account.burst, self.slots.slot_count
--- a/src/bronzewall/proxy.py
+++ b/src/bronzewall/proxy.py
@@ -186,6 +186,7 @@
             account=None,
             key=key,
             deadline=self.clock.now() + route.deadline,
+            generation=in_force.configuration.generation,
         )
         exchange.account = self._authenticate(exchange)
         self.note(
@@ -301,7 +302,8 @@
 
     def _check_before_send(self, exchange: Exchange) -> None:
         # The key may have been withdrawn while the request waited.
-        self._authenticate(exchange)
+        if self.feed.generation != exchange.generation:
+            self._authenticate(exchange)
         self._check_freshness(exchange)
         # A VM that was paused must not send a request whose outcome was
         # already reported as unknown to a re-send.
