--- a/bench/detection_model.py
+++ b/bench/detection_model.py
@@ -17,7 +17,6 @@
 from bronzewall.membership import Members
 from bronzewall.suspicions import TICK_S, Suspicions
 from bronzewall.types import (
-    AccountId,
     InstanceId,
     Placement,
     RouteId,
@@ -604,7 +603,6 @@
             instance=instance,
             route=request.kind.route,
             now=self.timeline.time,
-            account=AccountId(f'account-{request.account}'),
             abandon=(
                 (lambda: self._end(sending, Outcome.TIMED_OUT))
                 if request.kind.route.idempotent
--- a/src/bronzewall/evidence.py
+++ b/src/bronzewall/evidence.py
@@ -9,8 +9,7 @@
 
 from bronzewall.config_model import Instance, Route
 from bronzewall.latency_shape import LatencyShape
-from bronzewall.predictions import Predictions
-from bronzewall.types import AccountId, InstanceId, RouteId, ServiceName
+from bronzewall.types import InstanceId, RouteId, ServiceName
 
 # An open attempt counts as overdue once only one of 10 requests of its
 # class takes longer.
@@ -78,8 +77,6 @@
     fingerprint: bytes | None
     abandon: Callable[[], None] | None
     is_cold: bool
-    account: AccountId | None
-    predicted: float
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -121,10 +118,10 @@
         count, total = 0, float(0)
         # Attempts are kept in the order of their start.
         for attempt in self.open_by_number.values():
-            surprise = self.shape.surprise(
-                (now - attempt.started) / attempt.predicted
-            )
-            if surprise < OVERDUE_SURPRISE or attempt.is_cold:
+            surprise = self.shape.surprise(now - attempt.started)
+            if surprise < OVERDUE_SURPRISE:
+                break
+            if attempt.is_cold:
                 continue
             count += 1
             total += min(surprise, _MAX_SURPRISE)
@@ -158,7 +155,6 @@
     # Cells that may have news; a drain costs nothing for the others.
     _cells_by_service: dict[ServiceName, _Cells] = attrs.field(factory=dict)
     _shapes_by_class: dict[RouteId, LatencyShape] = attrs.field(factory=dict)
-    _predictions: Predictions = attrs.field(factory=Predictions)
     _numbers: 'itertools.count[int]' = attrs.field(factory=itertools.count)
 
     @property
@@ -173,7 +169,6 @@
         route: Route,
         now: float,
         fingerprint: bytes | None = None,
-        account: AccountId | None = None,
         abandon: Callable[[], None] | None = None,
     ) -> Attempt:
         """Record that an attempt begins; ``finish`` it afterwards.
@@ -189,8 +184,6 @@
             fingerprint=fingerprint,
             abandon=abandon,
             is_cold=self.is_cold(instance.instance_id),
-            account=account,
-            predicted=self._predictions.predict(account, route.route_id),
         )
         cell.open_by_number[attempt.number] = attempt
         return attempt
@@ -208,10 +201,7 @@
         elif outcome in _TIMED and not attempt.is_cold:
             seconds = now - attempt.started
             cell.ok += 1
-            cell.surprise += min(
-                cell.shape.learn(seconds / attempt.predicted), _MAX_SURPRISE
-            )
-            self._predictions.learn(attempt.account, cell.route_class, seconds)
+            cell.surprise += min(cell.shape.learn(seconds), _MAX_SURPRISE)
 
     def fail(self, attempt: Attempt) -> None:
         """Record a failure, also one after the start of the answer."""
@@ -248,8 +238,7 @@
             and route_class in {'', cell.route_class}
             for attempt in cell.open_by_number.values()
             if attempt.abandon is not None
-            and cell.shape.surprise((now - attempt.started) / attempt.predicted)
-            >= OVERDUE_SURPRISE
+            and cell.shape.surprise(now - attempt.started) >= OVERDUE_SURPRISE
         ]
         for attempt in found:
             assert attempt.abandon is not None
