--- a/src/bronzewall/pooled_evidence.py
+++ b/src/bronzewall/pooled_evidence.py
@@ -27,8 +27,6 @@
 # assumed of a healthy one.
 _SICK_FAILURES = 0.5
 _USUAL_FAILURES = 0.005
-# A single failure among all peers is chance and shows no shared cause.
-_CHANCE_FAILURES = 1.0
 # Peers that fail this often show a shared cause, not a sick instance.
 _SHARED_FAILURES = 0.25
 # Peers' figures are raised by the margin, because they are estimates; the
@@ -205,8 +203,7 @@
                 count += overdue.count
                 surprise += overdue.surprise
         mean = (surprise + _PRIOR_WEIGHT) / (count + _PRIOR_WEIGHT)
-        repeated = max(0, failed - _CHANCE_FAILURES)
-        share = repeated / (ok + failed + _PRIOR_WEIGHT)
+        share = failed / (ok + failed + _PRIOR_WEIGHT)
         return _Usual(
             surprise=max(1, _PEER_MARGIN * mean),
             failed=max(_USUAL_FAILURES, _PEER_MARGIN * share),
