--- a/src/bronzewall/publication.py
+++ b/src/bronzewall/publication.py
@@ -31,9 +31,6 @@
 # Bodies up to this size travel inside the generation row, which each
 # reader reads three times a second: at most 7 KB/s of its 18 KB/s.
 _INLINE_BYTES = 2048
-# At 12,000 changes a day this keeps history and publication ids for four
-# days, longer than any reader is behind and any operator repeats.
-_HISTORY_GENERATIONS = 48_000
 # The first accounts file may have thousands of parts.
 _PARALLEL_PUTS = 16
 _ABSENT = PartEntry(generation=0, digest=b'')
@@ -239,7 +236,7 @@
         checks=_checks(wanted, progress, current.version),
         writes=[
             *_writes(wanted, row, changes),
-            *await _forgotten(table, generation),
+            *await rows.forgotten(table, generation),
         ],
     )
     return change
@@ -349,22 +346,6 @@
     ]
 
 
-async def _forgotten(table: TableService, generation: int) -> list[RowWrite]:
-    """Return the deletions of a generation's history that is too old."""
-    old = generation - _HISTORY_GENERATIONS
-    history = await rows.read_history(table, old) if old > 0 else None
-    if history is None:
-        return []
-    forgotten = (
-        rows.history_key(old),
-        rows.publication_key(history.publication_id),
-    )
-    return [
-        RowWrite(table=rows.CONFIG_TABLE, key=key, value=None)
-        for key in forgotten
-    ]
-
-
 async def _version(table: TableService, key: str) -> int:
     found = await table.read(table=rows.CONFIG_TABLE, key=key)
     return found.version if found else 0
--- a/src/bronzewall/publication_rows.py
+++ b/src/bronzewall/publication_rows.py
@@ -14,11 +14,14 @@
 )
 from bronzewall.errors import SnapshotError
 from bronzewall.ports import TableService
-from bronzewall.types import Row
+from bronzewall.types import Row, RowWrite
 
 CONFIG_TABLE = 'config'
 GENERATION_KEY = 'generation'
 ACCOUNTS_KEY = 'accounts'
+# At 12,000 changes a day this keeps history and publication ids for four
+# days, longer than any reader is behind and any operator repeats.
+_HISTORY_GENERATIONS = 48_000
 # Fields of a newer version are ignored, so that VMs of two versions can
 # read the same rows.
 _converter = make_converter()
@@ -156,6 +159,22 @@
     return entries
 
 
+async def forgotten(table: TableService, generation: int) -> list[RowWrite]:
+    """Return the deletions of a history row that is too old.
+
+    :raises StoreUnavailableError: the service did not answer.
+    """
+    old = generation - _HISTORY_GENERATIONS
+    history = await read_history(table, old) if old > 0 else None
+    if history is None:
+        return []
+    keys = (
+        history_key(old),
+        publication_key(history.publication_id),
+    )
+    return [RowWrite(table=CONFIG_TABLE, key=key, value=None) for key in keys]
+
+
 def object_name(digest: bytes) -> str:
     """Return the name of the object that holds a part's body."""
     return f'config/{digest.hex()}'
