--- a/src/bronzewall/publication.py
+++ b/src/bronzewall/publication.py
@@ -31,9 +31,6 @@
 # Bodies up to this size travel inside the generation row, which each
 # reader reads three times a second: at most 7 KB/s of its 18 KB/s.
 _INLINE_BYTES = 2048
-# At 12,000 changes a day this keeps history and publication ids for four
-# days, longer than any reader is behind and any operator repeats.
-_HISTORY_GENERATIONS = 48_000
 # The first accounts file may have thousands of parts.
 _PARALLEL_PUTS = 16
 _ABSENT = PartEntry(generation=0, digest=b'')
@@ -91,14 +88,14 @@
     """What is known about the attempts of one publish.
 
     :param base: row versions that the publish is based on, by row key.
-    :param is_sent: a transaction was begun.
+    :param sent_by_generation: what the transactions begun would store.
     :param is_lost: an attempt's answer was lost.
     """
 
     base: dict[str, int]
-    is_sent: bool = False
     is_lost: bool = False
     stored_digests: set[bytes] = attrs.field(factory=set)
+    sent_by_generation: dict[int, PublishedChange] = attrs.field(factory=dict)
 
 
 async def read_base(
@@ -158,7 +155,7 @@
                 wanted, progress, table, objects
             )
     except TimeoutError:
-        if not progress.is_sent:
+        if not progress.sent_by_generation:
             raise StoreUnavailableError('no answer in time') from None
         return _unknown(wanted)
     except StoreUnavailableError:
@@ -208,7 +205,9 @@
     current = await rows.read_generation_row(table)
     known = await rows.read_publication(table, wanted.publication_id)
     if known is not None:
-        return _change(wanted, known)
+        # With an attempt of this call the content is known as well; its
+        # answer was lost, but the VMs need not wait for their readers.
+        return progress.sent_by_generation.get(known, _change(wanted, known))
     await _check_base(wanted, progress, table)
     entries = await rows.read_manifest(table)
     generation = current.row.generation + 1
@@ -226,20 +225,21 @@
         publisher=wanted.publisher,
         bodies_by_part=_inline(bodies),
     )
-    progress.is_sent = True
+    change = attrs.evolve(
+        _change(wanted, generation),
+        digest=row.digest,
+        changes=changes,
+        bodies_by_part=bodies,
+    )
+    progress.sent_by_generation[generation] = change
     await table.transact(
         checks=_checks(wanted, progress, current.version),
         writes=[
             *_writes(wanted, row, changes),
-            *await _forgotten(table, generation),
+            *await rows.forgotten(table, generation),
         ],
     )
-    return attrs.evolve(
-        _change(wanted, generation),
-        digest=row.digest,
-        changes=changes,
-        bodies_by_part=bodies,
-    )
+    return change
 
 
 async def _put_all(
@@ -346,22 +346,6 @@
     ]
 
 
-async def _forgotten(table: TableService, generation: int) -> list[RowWrite]:
-    """Return the deletions of a generation's history that is too old."""
-    old = generation - _HISTORY_GENERATIONS
-    history = await rows.read_history(table, old) if old > 0 else None
-    if history is None:
-        return []
-    forgotten = (
-        rows.history_key(old),
-        rows.publication_key(history.publication_id),
-    )
-    return [
-        RowWrite(table=rows.CONFIG_TABLE, key=key, value=None)
-        for key in forgotten
-    ]
-
-
 async def _version(table: TableService, key: str) -> int:
     found = await table.read(table=rows.CONFIG_TABLE, key=key)
     return found.version if found else 0
