Count leaving and cold instances in the floor

Cause: Ejections.capacity_of had its default in the daemon, so an instance that was leaving or cold counted as healthy capacity and the floor could be passed by ejecting another one. Ruled out: reading the VM list; it lists VMs, not instances. Change: the dispatcher says which part of an instance can be used and tells the ejections when one begins to leave, which reviews the floor at once. Measured: the added test fails without the wiring (no such method) and passes with it; floor tests of test_ejection.py pass.

--- a/src/bronzewall/composition.py
+++ b/src/bronzewall/composition.py
@@ -81,6 +81,8 @@
         placement=placement,
         weight_of=detection.ejections.weight_of,
     )
+    detection.ejections.capacity_of = dispatcher.usable_part
+    dispatcher.on_less_capacity = detection.ejections.review
     run_gate = open_run_gate(
         endpoint=endpoint, clock=clock, table=store, members=members, rng=rng
     )
--- a/src/bronzewall/dispatch.py
+++ b/src/bronzewall/dispatch.py
@@ -57,6 +57,8 @@
     :param on_starved: called when requests wait.
     :param on_release: called when a slot was released and no request of
         this VM took it.
+    :param on_less_capacity: called with a service when one of its
+        instances begins to leave.
     """
 
     random: random.Random
@@ -66,6 +68,7 @@
     on_update: Callable[[ServiceLoad], None] = ignore
     on_starved: Callable[[ServiceLoad], None] = ignore
     on_release: Callable[[ServiceLoad, InstanceLoad], None] = ignore
+    on_less_capacity: Callable[[ServiceName], object] = ignore
     states_by_service: dict[ServiceName, ServiceLoad] = attrs.field(
         factory=dict
     )
@@ -190,7 +193,22 @@
         for state in self.states_by_service.values():
             load = state.loads_by_id.get(instance_id)
             if load is not None and service in {None, state.service.name}:
+                was_staying = load.leaving_until <= now
                 load.mark_leaving(now, is_reported=is_reported)
+                if was_staying:
+                    self.on_less_capacity(state.service.name)
+
+    def usable_part(self, instance: Instance) -> float:
+        """Return the part of an instance's slots that can be used now.
+
+        It is 0 while the instance is leaving and below 1 while it is cold.
+        """
+        now = self.clock.now()
+        for state in self.states_by_service.values():
+            load = state.loads_by_id.get(instance.instance_id)
+            if load is not None and load.instance == instance:
+                return 0 if load.leaving_until > now else load.ramp(now)
+        return FULL_WEIGHT
 
     def is_remote(self, instance: Instance) -> bool:
         """Return whether traffic with an instance crosses regions."""
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -258,3 +258,21 @@
         dispatcher.release(await waits)
 
     _run(main)
+
+
+def test_leaving_instance_counts_as_no_capacity() -> None:
+    """Guards against a floor that counts instances which take no work."""
+
+    async def main() -> None:
+        told: list[str] = []
+        dispatcher = _dispatcher(on_less_capacity=told.append)
+        service = _service(instances=2)
+        dispatcher.state_of(service)
+        leaving, staying = service.instances_by_id.values()
+        dispatcher.mark_leaving(leaving.instance_id)
+        dispatcher.mark_leaving(leaving.instance_id)
+        assert dispatcher.usable_part(leaving) == 0
+        assert dispatcher.usable_part(staying) == 1
+        assert told == [service.name]
+
+    _run(main)
