--- a/bench/detection_model.py
+++ b/bench/detection_model.py
@@ -14,8 +14,8 @@
 from bronzewall.config_model import Instance, Route, Service
 from bronzewall.ejection import Ejections
 from bronzewall.evidence import Attempt, Evidence, Outcome
+from bronzewall.instance_suspicions import TICK_S, Suspicions
 from bronzewall.membership import Members
-from bronzewall.suspicions import TICK_S, Suspicions
 from bronzewall.types import (
     InstanceId,
     Placement,
--- a/bench/overload_fleet.py
+++ b/bench/overload_fleet.py
@@ -313,7 +313,7 @@
                 placement=placement,
                 clock=clock,
                 dispatcher=dispatcher,
-                find_service=feed.find_service,
+                find_service=feed.service_of,
                 members=members,
                 endpoint=endpoint,
             )
--- a/src/bronzewall/control_plane.py
+++ b/src/bronzewall/control_plane.py
@@ -11,12 +11,12 @@
 from bronzewall.errors import SnapshotError
 from bronzewall.freshness import Freshness
 from bronzewall.heartbeats import Heartbeats
+from bronzewall.member_suspicion import SuspicionVotes
 from bronzewall.membership import Members
 from bronzewall.peer_calls import PeerEndpoint
 from bronzewall.ports import Clock, ObjectStore, TableService, VmList
 from bronzewall.publication_check import VmAnswer
 from bronzewall.published_change import PublishedChange
-from bronzewall.suspicion import SuspicionVotes
 from bronzewall.topology import Topology
 from bronzewall.vm_list_feed import VmListFeed
 
--- a/src/bronzewall/daemon.py
+++ b/src/bronzewall/daemon.py
@@ -14,6 +14,7 @@
 from bronzewall.admin import AdminView
 from bronzewall.control_plane import ControlPlane
 from bronzewall.ejection import Ejections
+from bronzewall.instance_suspicions import Suspicions
 from bronzewall.journal import Journal
 from bronzewall.load_reports import LoadExchange
 from bronzewall.membership import Members
@@ -24,7 +25,6 @@
 from bronzewall.proxy import RequestPath
 from bronzewall.quota import PooledQuota, quota_status
 from bronzewall.settings import Origin, Settings
-from bronzewall.suspicions import Suspicions
 from bronzewall.types import RequestId, VmState
 
 _DRAIN_CHECK_S = 0.05
--- a/src/bronzewall/detection_setup.py
+++ b/src/bronzewall/detection_setup.py
@@ -6,10 +6,10 @@
 from bronzewall.crash_guard import CrashGuard
 from bronzewall.ejection import Ejections
 from bronzewall.evidence import Evidence
+from bronzewall.instance_suspicions import Suspicions
 from bronzewall.membership import Members
 from bronzewall.peer_calls import PeerEndpoint
 from bronzewall.ports import Clock
-from bronzewall.suspicions import Suspicions
 from bronzewall.types import InstanceId, RouteId
 
 
--- a/src/bronzewall/ejection.py
+++ b/src/bronzewall/ejection.py
@@ -9,6 +9,7 @@
 import structlog
 
 from bronzewall.config_model import Instance, Route, Service
+from bronzewall.instance_suspicions import OWN_PATH
 from bronzewall.pool_state import (
     ANY_CLASS,
     EJECT_SCORE,
@@ -17,7 +18,6 @@
 )
 from bronzewall.pooled_evidence import Suspect
 from bronzewall.ports import Clock
-from bronzewall.suspicions import OWN_PATH
 from bronzewall.types import InstanceId, RouteId, ServiceName
 
 # Score at which the trickle to a returning instance stops.
--- a/src/bronzewall/heartbeats.py
+++ b/src/bronzewall/heartbeats.py
@@ -12,11 +12,11 @@
     NoticeReport,
     Stopping,
 )
+from bronzewall.member_suspicion import SuspicionVotes
 from bronzewall.membership import Members, MemberState, Notice
 from bronzewall.messages import Envelope
 from bronzewall.peer_calls import PeerEndpoint
 from bronzewall.ports import Clock
-from bronzewall.suspicion import SuspicionVotes
 from bronzewall.topology import Topology
 from bronzewall.types import VmId
 from bronzewall.vm_list_feed import VmListFeed
--- a/tests/test_suspicions.py
+++ b/tests/test_instance_suspicions.py
@@ -8,6 +8,12 @@
 from builders import a_route, a_vm_record, an_instance
 
 from bronzewall.evidence import Evidence, Outcome
+from bronzewall.instance_suspicions import (
+    TICK_S,
+    EvidenceReport,
+    Suspicions,
+    SuspicionSummary,
+)
 from bronzewall.membership import Members
 from bronzewall.messages import Envelope, decode, encode
 from bronzewall.peer_calls import PeerEndpoint
@@ -15,12 +21,6 @@
 from bronzewall.pooled_evidence import Suspect
 from bronzewall.standins.memory_link import MemoryLink, MemoryNetwork
 from bronzewall.standins.virtual_time import VirtualClock, run_virtual
-from bronzewall.suspicions import (
-    TICK_S,
-    EvidenceReport,
-    Suspicions,
-    SuspicionSummary,
-)
 from bronzewall.types import ServiceName, VmId
 
 INSTANCES = tuple(an_instance(f'drafts-{number}') for number in range(4))
