Give slots again to a VM that was replaced under its old id

Cause: a planned stop marked the VM id for 60 s as one that takes no slots. Ruled out: a shorter mark; slots given to a VM that is gone but still listed are lost until the lease ends. Change: the mark belongs to the incarnation that stops; the members' notices tell when a newer one was heard. The added test fails with the old rule.

--- a/src/bronzewall/quota.py
+++ b/src/bronzewall/quota.py
@@ -254,7 +254,9 @@
 
     def on_slots_given(envelope: Envelope) -> None:
         if envelope.body.is_stopping:
-            quota.slots.note_stopping(envelope.sender)
+            quota.slots.note_stopping(
+                envelope.sender, incarnation=envelope.incarnation
+            )
         else:
             quota.slots.wake()
 
--- a/src/bronzewall/slots.py
+++ b/src/bronzewall/slots.py
@@ -53,6 +53,18 @@
     ready_at: float
 
 
+@attrs.frozen(kw_only=True)
+class Stop:
+    """A planned stop that a VM announced.
+
+    :param incarnation: of the process that stops.
+    :param until: clock time until which the list may show it as live.
+    """
+
+    incarnation: int
+    until: float
+
+
 @attrs.define(kw_only=True, eq=False)
 class SlotKeeper:
     """This VM's leases.
@@ -79,7 +91,7 @@
     _validated_pauses: int = 0
     _doubtful_slots: set[int] = attrs.field(factory=set)
     _destroyed_seen_by_id: dict[VmId, float] = attrs.field(factory=dict)
-    _stopping_until_by_id: dict[VmId, float] = attrs.field(factory=dict)
+    _stops_by_id: dict[VmId, Stop] = attrs.field(factory=dict)
     _holders: frozenset[VmId] = frozenset()
     _ready_ids: set[VmId] = attrs.field(factory=set)
     _started_at: float = 0
@@ -106,9 +118,11 @@
             if end > until and slot not in self.givings_by_slot
         ]
 
-    def note_stopping(self, vm_id: VmId) -> None:
+    def note_stopping(self, vm_id: VmId, *, incarnation: int) -> None:
         """Give nothing to a VM that stops but is still listed as live."""
-        self._stopping_until_by_id[vm_id] = self.clock.now() + _STOP_NOTICE_S
+        self._stops_by_id[vm_id] = Stop(
+            incarnation=incarnation, until=self.clock.now() + _STOP_NOTICE_S
+        )
 
     def wake(self) -> None:
         """Read the table at the next tick."""
@@ -303,13 +317,20 @@
         for slot in slots:
             self.ends_by_slot[slot] = reading.local_end(lease_end)
 
+    def _is_stopped(self, vm_id: VmId) -> bool:
+        stop = self._stops_by_id.get(vm_id)
+        if stop is None or stop.until <= self.clock.now():
+            return False
+        # A VM that was replaced under its old id takes slots again.
+        newest = self.members.incarnations_by_id.get(vm_id, 0)
+        return newest <= stop.incarnation
+
     def _counts(self, reading: Reading) -> dict[VmId, int]:
-        now = self.clock.now()
         counts = {
             record.vm_id: 0
             for record in self.members.records_by_id.values()
             if record.state is VmState.LIVE
-            and self._stopping_until_by_id.get(record.vm_id, now) <= now
+            and not self._is_stopped(record.vm_id)
         }
         counts.setdefault(self.own_id, 0)
         for row in reading.rows_by_slot.values():
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -9,7 +9,8 @@
 from bronzewall.errors import StoreAnswerLostError, StoreError
 from bronzewall.membership import Members
 from bronzewall.slot_plan import assign_vacant, balancing_moves
-from bronzewall.slots import SlotKeeper
+from bronzewall.slot_rows import decode_row
+from bronzewall.slots import TABLE, SlotKeeper
 from bronzewall.standins.memory import MemoryPlatform, StoreData
 from bronzewall.standins.virtual_time import VirtualClock, run_virtual
 from bronzewall.types import VmId, VmRecord, VmState
@@ -174,7 +175,7 @@
     async def scenario() -> None:
         first, second = await both_hold()
         await first.give_all()
-        second.note_stopping(first.own_id)
+        second.note_stopping(first.own_id, incarnation=first.incarnation)
         assert not usable(first)
         await second.refresh()
         assert len(usable(second)) == SLOTS
@@ -182,6 +183,27 @@
     run_virtual(scenario())
 
 
+def test_replaced_vm_gets_slots_again() -> None:
+    """Guards against a fleet in which nobody may hold slots.
+
+    Six VMs replaced one by one under their old ids were all refused slots
+    for a minute, and the fleet refused every request.
+    """
+
+    async def scenario() -> None:
+        first, second = await both_hold()
+        await first.give_all()
+        second.note_stopping(first.own_id, incarnation=first.incarnation)
+        await second.refresh()
+        second.members.incarnations_by_id[first.own_id] = first.incarnation + 1
+        await second.give_all()
+        rows = second.table.store.rows_by_table[TABLE]
+        holders = {decode_row(row).holder for row in rows.values()}
+        assert holders == {first.own_id}
+
+    run_virtual(scenario())
+
+
 def test_store_outage_keeps_slots_until_their_end() -> None:
     """Slots stay usable while the store is away, and no longer."""
 
