--- a/src/bronzewall/crash_guard.py
+++ b/src/bronzewall/crash_guard.py
@@ -23,7 +23,7 @@
     CrashTurns,
     Turn,
     busy_refusal,
-    condemned_refusal,
+    quarantine_refusal,
 )
 from bronzewall.errors import (
     AttemptAbandonedError,
@@ -130,8 +130,8 @@
         :raises RefusalError: it is refused by the whole fleet.
         """
         suspect = self.table.find(fingerprint)
-        if suspect is not None and suspect.is_condemned:
-            raise condemned_refusal(self.clock, suspect)
+        if suspect is not None and suspect.is_quarantined:
+            raise quarantine_refusal(self.clock, suspect)
 
     def is_excused(self, instance_id: InstanceId) -> bool:
         """Return whether a death of the instance is not its own fault."""
--- a/src/bronzewall/crash_messages.py
+++ b/src/bronzewall/crash_messages.py
@@ -12,7 +12,7 @@
 
     GRANTED = 'granted'
     BUSY = 'busy'
-    CONDEMNED = 'condemned'
+    QUARANTINED = 'quarantined'
     CLEARED = 'cleared'
     GONE = 'gone'
 
--- a/src/bronzewall/crash_suspects.py
+++ b/src/bronzewall/crash_suspects.py
@@ -9,7 +9,7 @@
 from bronzewall.types import AccountId, InstanceId, RouteId, VmId
 
 REMEMBERED_S = 600.0
-DEATHS_TO_CONDEMN = 2
+DEATHS_TO_QUARANTINE = 2
 _MAX_SUSPECTS = 20_000
 # About 100 KB with a few fingerprints each.
 _MAX_HISTORY = 500
@@ -69,9 +69,9 @@
     reporters: set[Reporter] = attrs.field(factory=set)
 
     @property
-    def is_condemned(self) -> bool:
+    def is_quarantined(self) -> bool:
         """Whether it is refused everywhere."""
-        return len(self.deaths) >= DEATHS_TO_CONDEMN
+        return len(self.deaths) >= DEATHS_TO_QUARANTINE
 
     @property
     def last_death(self) -> float:
@@ -137,18 +137,18 @@
         )
 
     def clear(self, fingerprint: bytes) -> None:
-        """Forget a suspect that was answered, unless it is condemned."""
+        """Forget a suspect that was answered, unless it is quarantined."""
         suspect = self.suspects_by_fingerprint.get(fingerprint)
-        if suspect is not None and not suspect.is_condemned:
+        if suspect is not None and not suspect.is_quarantined:
             del self.suspects_by_fingerprint[fingerprint]
 
     def is_excused(self, instance_id: InstanceId) -> bool:
-        """Return whether a condemned request killed the instance."""
+        """Return whether a quarantined request killed the instance."""
         oldest = self.clock.now() - REMEMBERED_S
         return any(
             death.instance_id == instance_id and death.at >= oldest
             for suspect in self.suspects_by_fingerprint.values()
-            if suspect.is_condemned
+            if suspect.is_quarantined
             for death in suspect.deaths
         )
 
@@ -161,7 +161,7 @@
         }
         by_age = sorted(
             self.suspects_by_fingerprint.items(),
-            key=lambda item: (item[1].is_condemned, item[1].last_death),
+            key=lambda item: (item[1].is_quarantined, item[1].last_death),
         )
         surplus = max(len(by_age) - _MAX_SUSPECTS, 0)
         for number, (fingerprint, suspect) in enumerate(by_age):
--- a/src/bronzewall/crash_turns.py
+++ b/src/bronzewall/crash_turns.py
@@ -177,8 +177,8 @@
 
     def _verdict(self, ask: TurnAsk) -> TurnVerdict:
         suspect = self.table.find(ask.fingerprint)
-        if suspect is not None and suspect.is_condemned:
-            return TurnVerdict.CONDEMNED
+        if suspect is not None and suspect.is_quarantined:
+            return TurnVerdict.QUARANTINED
         if not ask.instance_id:
             if ask.incarnation != self.endpoint.incarnation:
                 # What an earlier process granted is not known here.
@@ -211,8 +211,8 @@
 
     def _suspect(self, fingerprint: bytes) -> Suspect | None:
         suspect = self.table.find(fingerprint)
-        if suspect is not None and suspect.is_condemned:
-            raise condemned_refusal(self.clock, suspect)
+        if suspect is not None and suspect.is_quarantined:
+            raise quarantine_refusal(self.clock, suspect)
         return suspect
 
     def _asks(
@@ -315,7 +315,7 @@
     )
 
 
-def condemned_refusal(clock: Clock, suspect: Suspect) -> RefusalError:
+def quarantine_refusal(clock: Clock, suspect: Suspect) -> RefusalError:
     """Return the refusal of a request that killed two instances."""
     left = suspect.last_death + REMEMBERED_S - clock.now()
     return RefusalError(
--- a/src/bronzewall/slot_plan.py
+++ b/src/bronzewall/slot_plan.py
@@ -28,7 +28,7 @@
     for slot in sorted(slots):
         if not counts:
             break
-        receiver = _poorest(slot, counts)
+        receiver = _with_fewest(slot, counts)
         receivers[slot] = receiver
         counts[receiver] += 1
     return receivers
@@ -45,19 +45,19 @@
             slots_by_id[holder].append(slot)
     moves = []
     while counts:
-        richest = max(sorted(counts), key=counts.__getitem__)
-        slots = slots_by_id[richest]
-        if not slots or counts[richest] - min(counts.values()) < 2:
+        fullest = max(sorted(counts), key=counts.__getitem__)
+        slots = slots_by_id[fullest]
+        if not slots or counts[fullest] - min(counts.values()) < 2:
             break
         moved = slots.pop()
-        receiver = _poorest(moved, counts)
-        counts[richest] -= 1
+        receiver = _with_fewest(moved, counts)
+        counts[fullest] -= 1
         counts[receiver] += 1
         moves.append(Move(slot=moved, receiver=receiver))
     return moves
 
 
-def _poorest(slot: int, counts: Mapping[VmId, int]) -> VmId:
+def _with_fewest(slot: int, counts: Mapping[VmId, int]) -> VmId:
     fewest = min(counts.values())
     candidates = [vm_id for vm_id, count in counts.items() if count == fewest]
     return ranked_homes(duty=f'slot/{slot}', vm_ids=candidates)[0]
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -1,4 +1,4 @@
-"""Suspects, turns and condemnation of requests that crash instances."""
+"""Suspects, turns and quarantine of requests that crash instances."""
 
 import asyncio
 
@@ -124,7 +124,7 @@
         await asyncio.sleep(1)
         suspects = fleet.vms_by_id[VmId('vm-2')].guard.table
         left = suspects.suspects_by_fingerprint.values()
-        assert [item.is_condemned for item in left] == [True]
+        assert [item.is_quarantined for item in left] == [True]
 
     run_virtual(main())
 
@@ -173,7 +173,7 @@
         await asyncio.sleep(20)
         assert ask('d/2') is TurnVerdict.BUSY
         await asyncio.sleep(1)
-        assert ask('d/3') is TurnVerdict.CONDEMNED
+        assert ask('d/3') is TurnVerdict.QUARANTINED
 
     run_virtual(main())
 
@@ -225,14 +225,14 @@
         await asyncio.sleep(15)
         suspect = guard.table.find(FINGERPRINT)
         assert suspect is not None
-        assert suspect.is_condemned is is_dead
+        assert suspect.is_quarantined is is_dead
 
     run_virtual(main())
 
 
 @pytest.mark.parametrize('patience', [0.15, 0.35])
 def test_cancelled_wait_gives_its_turns_back(patience: float) -> None:
-    """Guards against a caller that leaves and so condemns its request.
+    """Guards against a caller that leaves and so quarantines its request.
 
     The caller leaves after the home, or the reporter, has granted the turn
     and before the answer has arrived.
@@ -292,7 +292,7 @@
     ],
 )
 def test_deaths_are_counted_once(second: CrashReport, deaths: int) -> None:
-    """Guards against condemning requests after a single death."""
+    """Guards against quarantining requests after a single death."""
 
     async def main() -> None:
         table = SuspectTable(clock=VirtualClock())
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -26,13 +26,13 @@
 from bronzewall.metrics import Metrics
 from bronzewall.ports import (
     CallerRequest,
-    Headers,
     UpstreamAnswer,
     UpstreamRequest,
 )
 from bronzewall.proxy import RequestPath
 from bronzewall.quota import StaticSplitQuota
 from bronzewall.standins.memory import MemoryPlatform
+from bronzewall.standins.memory_fleet import MemoryAnswer
 from bronzewall.standins.virtual_time import VirtualClock, run_virtual
 from bronzewall.types import VmId
 
@@ -75,38 +75,6 @@
             yield chunk
 
 
-@attrs.define(kw_only=True)
-class FakeWriter:
-    """Records what the caller would see."""
-
-    status: int = 0
-    headers: Headers = ()
-    body: bytes = b''
-    is_finished: bool = False
-    is_aborted: bool = False
-
-    @property
-    def is_started(self) -> bool:
-        """Whether a status was sent."""
-        return self.status > 0
-
-    async def start(self, *, status: int, headers: Headers) -> None:
-        """Record the start."""
-        self.status, self.headers = status, headers
-
-    async def write(self, chunk: bytes) -> None:
-        """Record a chunk."""
-        self.body += chunk
-
-    async def finish(self) -> None:
-        """Record the end."""
-        self.is_finished = True
-
-    def abort(self) -> None:
-        """Record the break."""
-        self.is_aborted = True
-
-
 def _request(method: str = 'GET', key: str = ACCOUNT_KEY) -> CallerRequest:
     async def read_body() -> bytes:
         return b''
@@ -126,8 +94,8 @@
 
 def _serve(
     upstreams: FakeUpstreams, request: CallerRequest
-) -> tuple[FakeWriter, RequestPath]:
-    async def main() -> tuple[FakeWriter, RequestPath]:
+) -> tuple[MemoryAnswer, RequestPath]:
+    async def main() -> tuple[MemoryAnswer, RequestPath]:
         clock = VirtualClock()
         platform = MemoryPlatform(clock=clock)
         feed = ConfigFeed(clock=clock, table=platform, objects=platform)
@@ -150,7 +118,7 @@
             journal=Journal(),
             may_serve_keyed=lambda: True,
         )
-        writer = FakeWriter()
+        writer = MemoryAnswer()
         await path.handle(request, writer)
         return writer, path
 
@@ -196,7 +164,7 @@
     """Guards against a short body that looks complete."""
     upstreams = FakeUpstreams(chunks=(b'half', UpstreamBrokenError('cut')))
     writer, _ = _serve(upstreams, _request())
-    assert writer.is_aborted
+    assert writer.is_broken
     assert not writer.is_finished
 
 
