--- a/tests/test_proxy_overload.py
+++ b/tests/test_proxy_overload.py
@@ -16,7 +16,7 @@
     an_account,
     an_instance,
 )
-from test_proxy import FakeExchange, FakeUpstreams, FakeWriter
+from test_proxy import FakeExchange, FakeUpstreams
 
 from bronzewall.config_feed import ConfigFeed
 from bronzewall.config_model import Route
@@ -32,6 +32,7 @@
 from bronzewall.proxy import RequestPath
 from bronzewall.quota import StaticSplitQuota
 from bronzewall.standins.memory import MemoryPlatform
+from bronzewall.standins.memory_fleet import MemoryAnswer
 from bronzewall.standins.virtual_time import VirtualClock, run_virtual
 from bronzewall.types import VmId
 
@@ -123,7 +124,7 @@
 ) -> None:
     """Guards against "not run" after an attempt that may have run."""
     upstreams = FakeUpstreams(failures=failures)
-    writer = FakeWriter()
+    writer = MemoryAnswer()
 
     async def main() -> None:
         path = _path(upstreams, route=a_route(), zones=zones)
@@ -141,7 +142,7 @@
     async def main() -> None:
         path = _path(upstreams, route=a_route(), zones=TWO)
         for _ in range(100):
-            await path.handle(GET, FakeWriter())
+            await path.handle(GET, MemoryAnswer())
 
     run_virtual(main())
     assert len(upstreams.sent) <= 100 * 1.1 + 3
@@ -153,7 +154,7 @@
     async def main() -> None:
         for zone, counted in (('muscat-b', 0), ('dhofar-a', 2)):
             path = _path(FakeUpstreams(), route=a_route(), zones=[zone])
-            await path.handle(GET, FakeWriter())
+            await path.handle(GET, MemoryAnswer())
             assert path.metrics.cross_region_bytes == counted
 
     run_virtual(main())
@@ -168,7 +169,7 @@
 
     async def main() -> None:
         path = _path(upstreams, route=a_route(hedge=hedge), zones=TWO)
-        writer = FakeWriter()
+        writer = MemoryAnswer()
         await path.handle(GET, writer)
         assert writer.body == b'ok'
         assert path.metrics.events['hedged'] == hedge
