Let the VM list stand-in be slow, and record how fault rows fail

Cause: mutations showed that two rows of test_platform_contract.py could not fail: the VM list ignored the delay. Ruled out: dropping QuietConnector now; it guards a race between the check on entry to the pool and the next use, which no test reproduces.

--- a/src/bronzewall/standins/faulty.py
+++ b/src/bronzewall/standins/faulty.py
@@ -41,7 +41,8 @@
             raise StoreAnswerLostError('late')
         await super().transact(checks=checks, writes=writes)
 
-    async def _operation(self) -> None:
+    async def operate(self) -> None:
+        """Fail at the step that was chosen."""
         self.operations += 1
         if self.operations != self.step:
             return
--- a/src/bronzewall/standins/memory.py
+++ b/src/bronzewall/standins/memory.py
@@ -55,9 +55,16 @@
     store: StoreData = attrs.field(factory=StoreData)
     faults: StoreFaults = attrs.field(factory=StoreFaults)
 
+    async def operate(self) -> None:
+        """Let an operation be slow or fail, as the faults say."""
+        if self.faults.delay:
+            await self.clock.sleep(self.faults.delay)
+        if self.faults.is_down:
+            raise StoreUnavailableError('the store is down')
+
     async def read(self, *, table: str, key: str) -> Row | None:
         """Return one row."""
-        await self._operation()
+        await self.operate()
         self.store.reads += 1
         row = self.store.rows_by_table.get(table, {}).get(key)
         await self._answer()
@@ -65,7 +72,7 @@
 
     async def scan(self, *, table: str, prefix: str) -> Mapping[str, Row]:
         """Return rows by key."""
-        await self._operation()
+        await self.operate()
         self.store.reads += 1
         rows = self.store.rows_by_table.get(table, {})
         found = {
@@ -78,7 +85,7 @@
         self, *, checks: Sequence[RowCheck], writes: Sequence[RowWrite]
     ) -> None:
         """Apply the writes if the checks hold."""
-        await self._operation()
+        await self.operate()
         for check in checks:
             self._verify(check)
         self.store.writes += 1
@@ -91,18 +98,18 @@
 
     async def time(self) -> float:
         """Return the service's clock."""
-        await self._operation()
+        await self.operate()
         return self.clock.wall()
 
     async def put(self, *, name: str, body: bytes) -> None:
         """Store an object."""
-        await self._operation()
+        await self.operate()
         self.store.writes += 1
         self.store.objects_by_name[name] = body
 
     async def get(self, *, name: str) -> bytes:
         """Return an object."""
-        await self._operation()
+        await self.operate()
         self.store.reads += 1
         try:
             body = self.store.objects_by_name[name]
@@ -111,12 +118,6 @@
         await self._answer()
         return body
 
-    async def _operation(self) -> None:
-        if self.faults.delay:
-            await self.clock.sleep(self.faults.delay)
-        if self.faults.is_down:
-            raise StoreUnavailableError('the store is down')
-
     async def _answer(self) -> None:
         if self.faults.answer_delay:
             await self.clock.sleep(self.faults.answer_delay)
@@ -150,6 +151,5 @@
 
     async def read(self) -> Sequence[VmRecord]:
         """Return the records."""
-        if self.platform.faults.is_down:
-            raise StoreUnavailableError('the platform is down')
+        await self.platform.operate()
         return self.platform.store.vm_records
--- a/src/bronzewall/standins/platform.py
+++ b/src/bronzewall/standins/platform.py
@@ -114,7 +114,9 @@
         return web.Response(body=body)
 
     async def _vms(self, _request: web.Request) -> web.Response:
-        if self.platform.faults.is_down:
+        try:
+            await self.platform.operate()
+        except StoreUnavailableError:
             return _down()
         records = self.platform.store.vm_records
         return _cbor(
