Let the cancellation row fail when cancellation is lost

Cause: the request's own timeout of 2 s closed the connection within the 5 s for which the test waits, so the row passed even when cancellation was held back. Change: the request has a timeout of 60 s; the assertion is the same. Ruled out: a shorter wait; it would depend on the speed of the machine. Measured: with cancellation shielded in a scratch copy the row passed before and fails now; unchanged code passes, 776 tests.

--- a/tests/test_upstream_http.py
+++ b/tests/test_upstream_http.py
@@ -292,6 +292,8 @@
         started.set()
 
     async with RawUpstream(script=script) as server:
-        await _cancel(lambda: _read(upstreams, server.request()), started)
+        # The timeout alone must not close the connection in time.
+        request = server.request(timeout=60)
+        await _cancel(lambda: _read(upstreams, request), started)
         async with asyncio.timeout(5):
             await server.connections[0].closed.wait()
