Show the age of the store's last confirmation in the status

Cause: operators could not see whether and since when the store is away. Change: status has store_age_s, the seconds since any VM confirmed the store. Ruled out: the age of this VM's own poll; most VMs do not poll.

--- a/src/bronzewall/daemon.py
+++ b/src/bronzewall/daemon.py
@@ -1,6 +1,7 @@
 """Lifecycle of one VM's daemon: start, planned stop, reports."""
 
 import asyncio
+import math
 import signal
 from typing import Any
 
@@ -151,6 +152,7 @@
             'zone': self.settings.zone,
             'generation': self.control.feed.generation,
             'serves_keyed': self.control.may_serve_keyed(),
+            'store_age_s': self._store_age(),
             'stopping': self.is_stopping,
             'in_flight': len(self.path.in_flight_by_request),
             'refusals': dict(self.metrics.refusals),
@@ -159,6 +161,11 @@
             'rights': quota_status(self.quota),
         }
 
+    def _store_age(self) -> float | None:
+        """Return seconds since any VM confirmed the store, if known."""
+        age = self.control.freshness.age()
+        return round(age, 3) if math.isfinite(age) else None
+
     def _debug(self) -> dict[str, Any]:
         sources = {origin.name: origin.source for origin in self.origins}
         return {
