--- a/src/bronzewall/publish_command.py
+++ b/src/bronzewall/publish_command.py
@@ -106,8 +106,7 @@
             return await _publish(request, url, session)
 
         found = with_session(work)
-        if self.option('base') and found.base is not None:
-            pathlib.Path(self.option('base')).write_text(json.dumps(found.base))
+        _write_base_file(self.option('base'), found.base)
         self.line(
             json.dumps(found.to_json())
             if self.option('json')
--- a/src/bronzewall/routing.py
+++ b/src/bronzewall/routing.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from bronzewall.config_model import Configuration, Route
+from bronzewall.config_model import Route
 from bronzewall.types import RouteId
 
 _PREFIX_MARK = '/*'
@@ -51,15 +51,6 @@
         return found
 
 
-def compile_routes(configuration: Configuration) -> RouteTable:
-    """Build the lookup table of a configuration."""
-    table = RouteTable()
-    for service in configuration.services_by_name.values():
-        for route in service.routes_by_id.values():
-            table.add(route)
-    return table
-
-
 def _route_id(route: Route) -> RouteId:
     return route.route_id
 
