--- a/src/bronzewall/edge/allowances.py
+++ b/src/bronzewall/edge/allowances.py
@@ -1,5 +1,6 @@
 """Rate and burst of client accounts, shared by zones and by VMs."""
 
+import math
 from collections import Counter
 from collections.abc import Mapping
 
@@ -11,14 +12,17 @@
 
 # Part of a zone's share that does not depend on where the demand was, so
 # that demand that moves to another zone finds some rate there.
-_EVEN_PART = 0.3
-# A zone's burst is raised by this many requests, because a part of a small
-# burst admits no whole request.
-_ROUNDING_TOKENS = 1.0
+_EVEN_PART = 0.5
+# A part of a small burst admits no whole request. Every zone may have this
+# part of the fleet's slack besides; the rest covers messages on their way.
+_SLACK_PART = 0.5
+_MAX_ROUNDING_TOKENS = 2.0
+# A VM without a hub may admit one request at once.
+_OWN_ROUNDING_TOKENS = 1.0
 # A process that starts does not know what was admitted before.
 _START_PART = 0.5
 # Time constant of the demand by account, seconds.
-_DEMAND_MEMORY_S = 2.0
+_DEMAND_MEMORY_S = 4.0
 # Without word from the hub for this long a VM uses only its own right.
 HUB_SILENCE_S = 1.0
 # Shortest time after which a refused caller is asked to come back, seconds.
@@ -44,8 +48,11 @@
         :param limit: most tokens.
         """
         elapsed = max(0, now - self.at)
-        self.level = min(limit, self.level + rate * elapsed)
         self.at = now
+        # Tokens of another zone may stand above the limit until they are
+        # used; nothing is added to them.
+        if self.level < limit:
+            self.level = min(limit, self.level + rate * elapsed)
 
 
 @attrs.define(kw_only=True)
@@ -84,10 +91,12 @@
 
     :param zone: the own zone.
     :param zones: number of zones.
+    :param slack: requests beyond burst and rate that the fleet may admit.
     """
 
     zone: str
     zones: int
+    slack: float
     demand: Demand = attrs.field(factory=Demand)
     demand_by_zone: dict[str, Mapping[str, float]] = attrs.field(factory=dict)
     _buckets_by_id: dict[str, Bucket] = attrs.field(factory=dict)
@@ -110,6 +119,18 @@
         if bucket is not None:
             bucket.level -= count
 
+    def level(self, account_id: str) -> float:
+        """Return the tokens as of the last refill."""
+        bucket = self._buckets_by_id.get(account_id)
+        # An account without a bucket has no limit.
+        return math.inf if bucket is None else bucket.level
+
+    def add(self, account_id: str, tokens: float) -> None:
+        """Add tokens that another zone has given up, or take some off."""
+        bucket = self._buckets_by_id.get(account_id)
+        if bucket is not None:
+            bucket.level += tokens
+
     def levels(
         self,
         accounts: Mapping[AccountId, EdgeAccount],
@@ -127,7 +148,7 @@
             if not account.rate:
                 continue
             share = self.share(account.account_id) * part
-            limit = account.burst * share + _ROUNDING_TOKENS
+            limit = account.burst * share + self._rounding() * part
             rate = account.rate * share
             bucket = self._buckets_by_id.get(account.account_id)
             if bucket is None:
@@ -138,6 +159,9 @@
             refills[account.account_id] = round(rate, 3)
         return levels, refills
 
+    def _rounding(self) -> float:
+        return min(_MAX_ROUNDING_TOKENS, self.slack * _SLACK_PART / self.zones)
+
 
 @attrs.define(kw_only=True, eq=False)
 class Admission:
@@ -189,7 +213,11 @@
             raise RateExceededError(
                 retry_after=min(
                     _MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, missing)
-                )
+                ),
+                detail=(
+                    f'{name}: {bucket.level:.2f} tokens, {rate:.2f}/s here of'
+                    f' {account.rate:g}/s, heard {now - self._heard_at:.2f} s ago'
+                ),
             )
         bucket.level -= 1
         self.spent[name] += 1
@@ -218,7 +246,7 @@
             zone.refill(rate=rate, limit=max(1, account.burst), now=now)
             return zone, rate
         rate = account.rate / self.vms
-        limit = account.burst / self.vms + _ROUNDING_TOKENS
+        limit = account.burst / self.vms + _OWN_ROUNDING_TOKENS
         own = self._own_by_id.get(name)
         if own is None:
             own = Bucket(level=limit, at=now)
--- a/src/bronzewall/edge/catalog.py
+++ b/src/bronzewall/edge/catalog.py
@@ -114,16 +114,16 @@
             for instance_id, item in before.items()
             if _ended(item, listed.get(instance_id))
         ]
-        for instance_id in set(before) ^ set(listed):
-            _LOG.info(
-                'instance_listed' if instance_id in listed else 'instance_gone',
-                instance=instance_id,
-                source=source,
-            )
-        for item in listed.values():
-            known = before.get(item.instance_id)
-            if item.is_leaving and not (known and known.is_leaving):
-                _LOG.info('instance_leaving', instance=item.instance_id)
+        _LOG.info(
+            'instances_changed',
+            source=source,
+            revision=self.revision,
+            listed=sorted(set(listed) - set(before)),
+            gone=sorted(set(before) - set(listed)),
+            leaving=sorted(
+                item.instance_id for item in listed.values() if item.is_leaving
+            ),
+        )
         self._index()
         self.on_gone(gone)
 
--- a/src/bronzewall/edge/composition.py
+++ b/src/bronzewall/edge/composition.py
@@ -32,6 +32,7 @@
 from bronzewall.edge.sending import Sender
 from bronzewall.edge.settings import EdgeSettings
 from bronzewall.edge.store_reader import StoreReader
+from bronzewall.edge.token_transfers import TokenTransfers
 from bronzewall.edge.zone_state import ZoneState
 from bronzewall.log_sink import LogSink
 from bronzewall.logs import configure_logs
@@ -126,7 +127,9 @@
         freshness=freshness,
         state=state,
         pools=ZonePools(
-            zone=settings.zone, zones=len(settings.region_by_zone())
+            zone=settings.zone,
+            zones=len(settings.region_by_zone()),
+            slack=settings.rate_slack,
         ),
         is_acting=lambda: choice.is_acting,
         find_hub=lambda: choice.hub(now=clock.now()),
@@ -183,6 +186,8 @@
     )
     hub.serve()
     member.serve()
+    transfers = TokenTransfers(hub=hub)
+    transfers.serve()
     pages: dict[str, Any] = {}
     ready_pages: dict[str, Any] = {}
     daemon = EdgeDaemon(
@@ -192,6 +197,7 @@
         path=path,
         member=member,
         hub=hub,
+        transfers=transfers,
         reader=StoreReader(
             clock=clock,
             store=store,
--- a/src/bronzewall/edge/daemon.py
+++ b/src/bronzewall/edge/daemon.py
@@ -19,6 +19,7 @@
 from bronzewall.edge.request_path import EdgePath
 from bronzewall.edge.settings import EdgeSettings
 from bronzewall.edge.store_reader import StoreReader
+from bronzewall.edge.token_transfers import TokenTransfers
 from bronzewall.errors import SettingsError
 from bronzewall.metrics import Metrics
 from bronzewall.ports import Clock
@@ -51,6 +52,7 @@
     path: EdgePath
     member: Member
     hub: Hub
+    transfers: TokenTransfers
     reader: StoreReader
     fleet: FleetView
     link: WebSocketLink
@@ -131,6 +133,7 @@
                 self.hub.is_dirty or now - beacons_at >= _BEACON_S
             ):
                 beacons_at = now
+                self.transfers.ask_where_low()
                 self.hub.beacons()
 
     def _act(self, is_acting: bool) -> None:
--- a/src/bronzewall/edge/gate.py
+++ b/src/bronzewall/edge/gate.py
@@ -92,7 +92,7 @@
             raise RefusalError(
                 reason=Reason.RATE_EXCEEDED,
                 retry_after=exc.retry_after,
-                detail=exchange.account.account_id,
+                detail=str(exc),
             ) from exc
 
     def give_back(self, exchange: EdgeExchange) -> None:
--- a/src/bronzewall/edge/hub.py
+++ b/src/bronzewall/edge/hub.py
@@ -192,14 +192,16 @@
             return
         self._told = told
         self._broken_news = []
-        for zone in self.fleet.zones() - {own}:
-            ranked = self.fleet.ranked(zone)
-            to = self._hub_by_zone.get(zone, ranked[0].vm_id)
+        for to in self.other_hubs():
             self.endpoint.send(to=to, message=news)
 
-    def vms(self) -> int:
-        """Return the number of VMs of the fleet."""
-        return len(self.fleet.entries_by_id)
+    def other_hubs(self) -> list[VmId]:
+        """Return the hubs of the other zones, as far as they are known."""
+        own = self.fleet.own.placement.zone
+        return [
+            self._hub_by_zone.get(zone, self.fleet.ranked(zone)[0].vm_id)
+            for zone in sorted(self.fleet.zones() - {own})
+        ]
 
     def _take_signs(
         self, signs: Iterable[tuple[str, str]], now: float
--- a/src/bronzewall/edge/settings.py
+++ b/src/bronzewall/edge/settings.py
@@ -71,6 +71,8 @@
     :param retry_ratio: retries allowed per request, over the fleet.
     :param retry_slack: retries allowed besides, over the fleet.
     :param retry_window: seconds in which both are counted.
+    :param rate_slack: requests of an account beyond its rate and burst that
+        the fleet may admit in a few seconds.
     """
 
     vm_id: str = _text()
@@ -95,6 +97,9 @@
         default=10, converter=float, validator=_at_least_zero
     )
     retry_window: float = _seconds(10)
+    rate_slack: float = attrs.field(
+        default=0, converter=float, validator=_at_least_zero
+    )
 
     def region_by_zone(self) -> dict[str, str]:
         """Return the region of each zone, at least of the own one."""
--- a/src/bronzewall/edge/zone_messages.py
+++ b/src/bronzewall/edge/zone_messages.py
@@ -109,3 +109,20 @@
     demand: dict[str, float] = attrs.field(factory=dict)
     broken: list[Broken] = attrs.field(factory=list)
     version: int = -1
+
+
+@message('edge-token-ask')
+@attrs.frozen(kw_only=True)
+class TokenAsk:
+    """Asks the hub of another zone for tokens of an account."""
+
+    account: str
+    tokens: float
+
+
+@message('edge-token-grant')
+@attrs.frozen(kw_only=True)
+class TokenGrant:
+    """Tokens that the sender has given up."""
+
+    tokens: float = 0
--- a/src/bronzewall/errors.py
+++ b/src/bronzewall/errors.py
@@ -182,11 +182,14 @@
     """The account's rate and burst are used up.
 
     :param retry_after: seconds until a retry may succeed.
+    :param detail: what the decision rests on.
     """
 
-    def __init__(self, *, retry_after: float) -> None:
+    def __init__(self, *, retry_after: float, detail: str = '') -> None:
         """Keep the delay for the refusal's Retry-After."""
-        super().__init__(f'rate exceeded, retry after {retry_after:.3f} s')
+        super().__init__(
+            f'rate exceeded, retry after {retry_after:.3f} s {detail}'.rstrip()
+        )
         self.retry_after = retry_after
 
 
