--- a/src/bronzewall/adapters/quiet_connector.py
+++ b/src/bronzewall/adapters/quiet_connector.py
@@ -66,7 +66,8 @@
 
     def keep_idle_for(self, seconds: float) -> None:
         """Close idle connections after a time, if it is shorter."""
-        self._keepalive_timeout = min(self._keepalive_timeout, seconds)
+        known = self._keepalive_timeout or seconds
+        self._keepalive_timeout = min(known, seconds)
 
     def close_idle(self, addresses: Collection[str]) -> None:
         """Close the idle connections to some addresses, ``host:port``."""
--- a/src/bronzewall/edge/beliefs.py
+++ b/src/bronzewall/edge/beliefs.py
@@ -10,15 +10,15 @@
 
 _LOG = structlog.get_logger()
 
-# Share of instances that fail at a random moment, without other evidence.
-PRIOR = 0.02
+# Probability that an instance fails of which nothing was seen for long.
+PRIOR = 0.1
 # Failing instances fail this part of their requests.
 FAIL_RATE_SICK = 0.65
 # Sound instances fail this part of their requests.
 FAIL_RATE_SOUND = 0.012
 # Time constant of a belief without new evidence, seconds: partial failures
-# last for several seconds.
-MEMORY_S = 4.0
+# last for up to ten seconds.
+MEMORY_S = 6.0
 _MIN_P = 0.002
 _MAX_P = 0.995
 # A belief above this is logged as a suspicion, below as its end.
@@ -67,8 +67,6 @@
     def note(self, instance_id: InstanceId, sign: Sign, *, now: float) -> None:
         """Take one outcome into account."""
         before = self.probability(instance_id, now=now)
-        if sign is Sign.GOOD and instance_id not in self._by_id:
-            return
         odds = before / (1 - before) * sign.value
         after = min(_MAX_P, max(_MIN_P, odds / (1 + odds)))
         self.set(instance_id, after, now=now)
--- a/src/bronzewall/edge/hub.py
+++ b/src/bronzewall/edge/hub.py
@@ -142,7 +142,7 @@
             self.directory.accounts_by_id, part=self._part(), now=now
         )
         self.state.admission.hear(tokens=tokens, refill=refill, now=now)
-        beliefs = self.state.shared.notable(now=now)
+        beliefs: dict[str, float] = dict(self.state.shared.notable(now=now))
         totals = self._totals()
         self.state.others = dict(totals)
         crashing = self.state.crashes.refused(now=now)
--- a/src/bronzewall/edge/selection.py
+++ b/src/bronzewall/edge/selection.py
@@ -15,11 +15,11 @@
 # costs about this part of its worth.
 _NEARNESS_LOSS = {
     Nearness.ZONE: 0.0,
-    Nearness.REGION: 0.06,
+    Nearness.REGION: 0.12,
     Nearness.REMOTE: 0.2,
 }
-# A failed idempotent request is sent again and only comes later.
-_IDEMPOTENT_WEIGHT = 0.4
+# A failed request that may be sent again only comes later.
+_REPEATABLE_WEIGHT = 0.15
 # Time in an instance's queue, in parts of the target latency.
 _WAIT_WEIGHT = 0.5
 # Some instances slow down when they are nearly full.
@@ -35,12 +35,13 @@
 class Need:
     """What a request asks of an instance.
 
+    :param is_repeatable: it may be sent again if the instance fails it.
     :param work: expected seconds of work.
     :param target: seconds within which the answer is worth most.
     """
 
     service: ServiceName
-    idempotent: bool
+    is_repeatable: bool
     work: float
     target: float | None
 
@@ -100,7 +101,7 @@
 
     def _option(self, item: EdgeInstance, need: Need, now: float) -> Option:
         failing = self.state.failing(item.instance_id, now=now)
-        weight = _IDEMPOTENT_WEIGHT if need.idempotent else 1
+        weight = _REPEATABLE_WEIGHT if need.is_repeatable else 1
         load = self.state.load(item.instance_id)
         if item.instance_id in self.state.busy_elsewhere:
             load = max(load, item.slots)
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -35,6 +35,9 @@
 
 _MS_PER_S = 1000
 _STATUS_SERVER_ERROR = 500
+_STATUS_TIMEOUT = 504
+# An answer this close to the deadline may be due to it, seconds.
+_DEADLINE_MARGIN_S = 0.1
 # Time after which a new connection is given up, seconds. Instances accept
 # within 1 ms; between regions a round trip takes 16 ms.
 _CONNECT_TIMEOUT_S = 0.3
@@ -52,7 +55,6 @@
 _SIGNS_BY_ERROR: dict[type[UpstreamError], Sign] = {
     ConnectFailedError: Sign.UNREACHABLE,
     UpstreamBrokenError: Sign.FAILED,
-    UpstreamTimeoutError: Sign.OVERDUE,
     UpstreamShedError: Sign.OVERDUE,
 }
 _REASONS_BY_ERROR: dict[type[UpstreamError], Reason] = {
@@ -124,7 +126,7 @@
     def _need(self, exchange: EdgeExchange) -> Need:
         return Need(
             service=exchange.service,
-            idempotent=exchange.route.idempotent,
+            is_repeatable=self._may_run_again(exchange, sent=1),
             work=self.work_times.mean(exchange.service),
             target=exchange.route.target_latency,
         )
@@ -290,8 +292,14 @@
         instance_id = option.instance.instance_id
         now = self.clock.now()
         is_good = answer.status < _STATUS_SERVER_ERROR
-        sign = Sign.GOOD if is_good else Sign.FAILED
-        self.state.note(instance_id, sign, now=now)
+        # An instance ends a request at its deadline, and is sound.
+        is_timeout = (
+            answer.status == _STATUS_TIMEOUT
+            and exchange.deadline - now < _DEADLINE_MARGIN_S
+        )
+        if not is_timeout:
+            sign = Sign.GOOD if is_good else Sign.FAILED
+            self.state.note(instance_id, sign, now=now)
         if is_good:
             self.work_times.note(exchange.service, now - sent_at)
             self.state.crashes.clear(exchange.fingerprint)
--- a/src/bronzewall/edge/store_reader.py
+++ b/src/bronzewall/edge/store_reader.py
@@ -25,8 +25,13 @@
 _WATCH_PART = 0.3
 # Part of the drain bound between two readings of the instances.
 _READ_PART = 0.45
-# Pause after a failed call, seconds.
+# Pause after a failed call, and after several in a row, seconds.
+_RETRY_PAUSE_S = 0.02
 _FAILURE_PAUSE_S = 0.4
+# VMs that start together register within this time, seconds.
+_JOIN_S = 0.5
+# A VM that started this much earlier was there before, milliseconds.
+_OLDER_MS = 2000
 # VMs register rarely, and those of the own zone report by themselves.
 _VMS_WATCH_S = 20.0
 _VMS_PAUSE_S = 2.0
@@ -59,9 +64,22 @@
     _vms_revision: int = -1
 
     async def join(self) -> None:
-        """Register this VM and learn of the others."""
+        """Register this VM and learn of the others.
+
+        While the whole fleet starts, the others register at the same time;
+        this VM waits for them before it takes duties.
+        """
+        now = self.clock.now()
+        self.choice.started_at = now + _JOIN_S
         await self._try(self._register)
         await self._try(self._read_vms)
+        started = [
+            entry.started_ms
+            for entry in self.fleet.entries_by_id.values()
+            if entry.vm_id != self.fleet.own.vm_id
+        ]
+        if started and min(started) < self.fleet.own.started_ms - _OLDER_MS:
+            self.choice.started_at = now
 
     def loops(self) -> list[Awaitable[None]]:
         """Return the loops to run."""
@@ -74,10 +92,12 @@
     async def _loop(
         self, step: Callable[[], Awaitable[None]], pause: float
     ) -> None:
+        pauses = (pause, _RETRY_PAUSE_S, _FAILURE_PAUSE_S)
+        failures = 0
         while True:
             await self.acting.wait()
-            succeeded = await self._try(step)
-            await self.clock.sleep(pause if succeeded else _FAILURE_PAUSE_S)
+            failures = 0 if await self._try(step) else failures + 1
+            await self.clock.sleep(pauses[min(failures, len(pauses) - 1)])
 
     async def _try(self, step: Callable[[], Awaitable[None]]) -> bool:
         """Make calls to the store; return whether they were answered."""
--- a/src/bronzewall/platform/store.py
+++ b/src/bronzewall/platform/store.py
@@ -32,6 +32,9 @@
 # this is slow or cut, and another VM of the zone should read.
 _CALL_TIMEOUT_S = 0.8
 _CONNECT_TIMEOUT_S = 0.4
+# A read is given up early once, so that a lost packet does not make what is
+# known too old; after a failure reads may take the whole time.
+_READ_TIMEOUT_S = 0.35
 # A watch is answered early by at most this part of its time.
 _WATCH_CERTAINTY = 0.9
 _PAGE_ROWS = 500
@@ -70,6 +73,7 @@
     decode_configuration: Callable[[bytes], EdgeConfiguration] = (
         decoding.configuration
     )
+    _read_timeout: float = _READ_TIMEOUT_S
     _bad_entries: dict[str, bytes] = attrs.field(factory=dict)
 
     async def read_configuration(self) -> ConfigurationReading:
@@ -169,7 +173,7 @@
             page = await self._get(
                 names.READ_PATH,
                 {'table': table, 'part': '', 'from': start},
-                _CALL_TIMEOUT_S,
+                self._read_timeout,
             )
             rows.extend(page.rows)
             if not page.has_more or not page.rows:
@@ -191,12 +195,14 @@
     async def _get(
         self, path: str, query: dict[str, str], timeout: float
     ) -> _Page:
+        self._read_timeout = _CALL_TIMEOUT_S
         wire = await self._call(
             'GET',
             path,
             query={name: text for name, text in query.items() if text},
             timeout=timeout,
         )
+        self._read_timeout = _READ_TIMEOUT_S
         try:
             return _page(wire)
         except (KeyError, TypeError, ValueError, binascii.Error) as exc:
