--- a/src/bronzewall/adapters/websocket_link.py
+++ b/src/bronzewall/adapters/websocket_link.py
@@ -1,12 +1,13 @@
 """Peer link over websockets, one task per peer connection."""
 
 import asyncio
+import socket
 from collections import Counter
 from collections.abc import Mapping
 
 import attrs
 import structlog
-from websockets.asyncio.client import connect
+from websockets.asyncio.client import ClientConnection, connect
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import ConnectionClosedError, WebSocketException
 
@@ -19,6 +20,9 @@
 _MAX_MESSAGE_BYTES = 67_108_864
 _OPEN_TIMEOUT_S = 2
 _RECONNECT_DELAY_S = 0.5
+# Bytes that are not acknowledged for this long, in milliseconds, mean that
+# the connection has gone silent.
+_USER_TIMEOUT_MS = 1500
 _LOG = structlog.get_logger()
 
 
@@ -112,6 +116,7 @@
             open_timeout=_OPEN_TIMEOUT_S,
             proxy=None,
         ) as connection:
+            _notice_silence(connection)
             while True:
                 payload = await queue.get()
                 await connection.send(payload)
@@ -130,3 +135,12 @@
             self.counters['text_message'] += 1
         elif self._handler is not None:
             self._handler(payload)
+
+
+def _notice_silence(connection: ClientConnection) -> None:
+    """Let the connection fail if the peer stops to acknowledge bytes."""
+    opened = connection.transport.get_extra_info('socket')
+    if opened is not None:
+        opened.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS
+        )
--- a/src/bronzewall/edge/allowances.py
+++ b/src/bronzewall/edge/allowances.py
@@ -10,9 +10,6 @@
 from bronzewall.errors import RateExceededError
 from bronzewall.types import AccountId
 
-# Part of a zone's share that does not depend on where the demand was, so
-# that demand that moves to another zone finds some rate there.
-_EVEN_PART = 0.5
 # A part of a small burst admits no whole request. Every zone may have this
 # part of the fleet's slack besides; the rest covers messages on their way.
 _SLACK_PART = 0.5
@@ -89,30 +86,18 @@
 class ZonePools:
     """Tokens of one zone, kept by its hub.
 
-    :param zone: the own zone.
+    Every zone has the same part of an account's rate and burst; tokens move
+    to where they are used.
+
     :param zones: number of zones.
     :param slack: requests beyond burst and rate that the fleet may admit.
     """
 
-    zone: str
     zones: int
     slack: float
     demand: Demand = attrs.field(factory=Demand)
-    demand_by_zone: dict[str, Mapping[str, float]] = attrs.field(factory=dict)
     _buckets_by_id: dict[str, Bucket] = attrs.field(factory=dict)
 
-    def share(self, account_id: str) -> float:
-        """Return this zone's part of an account's rate."""
-        rates = [
-            rates.get(account_id, 0) for rates in self.demand_by_zone.values()
-        ]
-        total = sum(rates)
-        even = 1 / self.zones
-        if total <= 0 or len(rates) < self.zones:
-            return even
-        own = self.demand_by_zone.get(self.zone, {}).get(account_id, 0)
-        return _EVEN_PART * even + (1 - _EVEN_PART) * own / total
-
     def spend(self, account_id: str, count: int) -> None:
         """Count requests that were admitted in the zone."""
         bucket = self._buckets_by_id.get(account_id)
@@ -147,7 +132,7 @@
         for account in accounts.values():
             if not account.rate:
                 continue
-            share = self.share(account.account_id) * part
+            share = part / self.zones
             limit = account.burst * share + self._rounding() * part
             rate = account.rate * share
             bucket = self._buckets_by_id.get(account.account_id)
--- a/src/bronzewall/edge/catalog.py
+++ b/src/bronzewall/edge/catalog.py
@@ -62,11 +62,13 @@
 
     def copy(
         self, instances: Iterable[EdgeInstance], *, confirmed_at: float
-    ) -> None:
-        """Take over the list of another VM, if it is newer."""
-        if confirmed_at > self.confirmed_at:
-            self.confirmed_at = confirmed_at
-            self._replace({item.instance_id: item for item in instances}, 'hub')
+    ) -> bool:
+        """Take over the list of another VM; return whether it is newer."""
+        if confirmed_at <= self.confirmed_at:
+            return False
+        self.confirmed_at = confirmed_at
+        self._replace({item.instance_id: item for item in instances}, 'hub')
+        return True
 
     def accept(
         self, instances: Iterable[EdgeInstance], *, confirmed_at: float
--- a/src/bronzewall/edge/composition.py
+++ b/src/bronzewall/edge/composition.py
@@ -127,7 +127,6 @@
         freshness=freshness,
         state=state,
         pools=ZonePools(
-            zone=settings.zone,
             zones=len(settings.region_by_zone()),
             slack=settings.rate_slack,
         ),
--- a/src/bronzewall/edge/daemon.py
+++ b/src/bronzewall/edge/daemon.py
@@ -29,9 +29,13 @@
 # Reports and beacons are sent at least this often, seconds.
 _REPORT_S = 0.4
 _BEACON_S = 0.25
+# Beacons that tell only of load wait for this long, seconds.
+_LOAD_BEACON_S = 0.1
 # News to other zones is collected for this long, seconds: bytes between
 # regions are paid.
 _NEWS_S = 1.0
+# Counters are logged this often, seconds.
+_COUNTERS_S = 10.0
 # The balancer asks once a second and takes a VM out after two misses.
 _NOTICE_S = 2.6
 # Part of the stop limit after which the process ends in any case.
@@ -104,6 +108,7 @@
             self.reader.join(),
             self._exchange(),
             self._tell_zones(),
+            self._log_counters(),
             *self.reader.loops(),
         ]
         self._tasks = [asyncio.ensure_future(_guarded(one)) for one in loops]
@@ -123,15 +128,18 @@
             await self.clock.sleep(_TICK_S)
             now = self.clock.now()
             self._use_members()
+            self.entry.max_body_bytes = self.path.gate.directory.limits.body_bytes
             self._act(self.member.choice.decide(now=now))
             state = self.member.state
             if state.is_changed or now - reported_at >= _REPORT_S:
                 reported_at = now
                 self.hub.is_dirty |= state.is_changed
+                self.hub.is_urgent |= state.is_urgent
                 self.member.report()
-            if self.member.choice.is_acting and (
-                self.hub.is_dirty or now - beacons_at >= _BEACON_S
-            ):
+            pause = _BEACON_S
+            if self.hub.is_dirty:
+                pause = 0 if self.hub.is_urgent else _LOAD_BEACON_S
+            if self.member.choice.is_acting and now - beacons_at >= pause:
                 beacons_at = now
                 self.transfers.ask_where_low()
                 self.hub.beacons()
@@ -162,6 +170,21 @@
         self.member.state.admission.vms = vms
         self.path.sender.budget.vms = vms
 
+    async def _log_counters(self) -> None:
+        """Write what was counted, for times without metrics."""
+        while True:
+            await self.clock.sleep(_COUNTERS_S)
+            _LOG.info(
+                'counters',
+                requests=self.metrics.requests,
+                answered=self.metrics.answered,
+                refusals=dict(self.metrics.refusals),
+                retries=dict(self.metrics.retries),
+                events=dict(self.metrics.events),
+                peers=dict(self.link.counters),
+                messages=dict(self.hub.endpoint.counters),
+            )
+
     async def _tell_zones(self) -> None:
         while True:
             await self.clock.sleep(_NEWS_S)
--- a/src/bronzewall/edge/hub.py
+++ b/src/bronzewall/edge/hub.py
@@ -19,20 +19,21 @@
 from bronzewall.messages import Envelope
 from bronzewall.peer_calls import PeerEndpoint
 from bronzewall.ports import Clock
-from bronzewall.types import VmId
+from bronzewall.types import InstanceId, VmId
 
 # A VM that has not reported for this long is left out of the zone's load.
 REPORT_SILENCE_S = 1.5
 # A configuration is sent again if the receiver does not report it, seconds.
 _RESEND_S = 0.5
-# Beliefs below this are not told to other zones.
-_NOTABLE_P = 0.15
-# Beliefs are told to other zones in steps of this many percent.
-_PERCENT_STEP = 20
-# Demand is told to other zones if it changed by this part.
-_DEMAND_CHANGE = 0.25
-_MIN_DEMAND_PER_S = 0.5
-_PERCENT = 100
+# An instance is told to other zones as suspected above the first and until
+# below the second probability; the difference keeps messages few.
+_SUSPECT_P = 0.6
+_SOUND_P = 0.25
+# What a zone believes of an instance that another one suspects.
+_TOLD_P = 0.8
+# News for other regions waits for this long, seconds: it is used rarely and
+# paid by the byte.
+_REMOTE_NEWS_S = 5.0
 _LOG = structlog.get_logger()
 
 
@@ -46,11 +47,21 @@
     version_sent_at: float = 0
 
 
+@attrs.frozen(kw_only=True)
+class _Told:
+    """What another zone was told last."""
+
+    content: tuple[list[str], list[str]]
+    at: float
+
+
 @attrs.define(kw_only=True, eq=False)
 class Hub:
     """State of the duties; unused while another VM is the hub.
 
     :param has_store: the last call to the store was answered.
+    :param is_dirty: there is something to tell the zone.
+    :param is_urgent: it is more than a change of load.
     """
 
     clock: Clock
@@ -65,9 +76,12 @@
     find_hub: Callable[[], VmId | None]
     has_store: bool = False
     is_dirty: bool = False
+    is_urgent: bool = False
     _reporters_by_id: dict[VmId, _Reporter] = attrs.field(factory=dict)
     _compressed: tuple[int, bytes] = (-1, b'')
-    _told: tuple[Any, ...] = ()
+    _suspects: frozenset[str] = frozenset()
+    _suspects_by_zone: dict[str, frozenset[str]] = attrs.field(factory=dict)
+    _told_by_zone: dict[str, _Told] = attrs.field(factory=dict)
     _broken_news: list[Broken] = attrs.field(factory=list)
     _busy_by_zone: dict[str, frozenset[str]] = attrs.field(factory=dict)
     _hub_by_zone: dict[str, VmId] = attrs.field(factory=dict)
@@ -118,31 +132,28 @@
             return
         now = self.clock.now()
         self._hub_by_zone[news.zone] = envelope.sender
-        own = self.fleet.own.placement.zone
-        for instance_id, percent in news.beliefs.items():
-            found = self.catalog.instances_by_id.get(instance_id)  # type: ignore[call-overload]
-            if found is not None and found.placement.zone != own:
-                self.state.shared.set(
-                    found.instance_id, percent / _PERCENT, now=now
-                )
+        self._take_suspects(news, now)
         self._busy_by_zone[news.zone] = frozenset(news.busy)
         self.state.busy_elsewhere = frozenset().union(
             *self._busy_by_zone.values()
         )
         self.state.crashes.note(news.broken, now=now)
-        self.pools.demand_by_zone[news.zone] = news.demand
         self.is_dirty = True
 
     def beacons(self) -> None:
         """Send a beacon to every VM of the zone."""
         self.is_dirty = False
+        self.is_urgent = False
         now = self.clock.now()
         self._drop_silent(now)
         tokens, refill = self.pools.levels(
             self.directory.accounts_by_id, part=self._part(), now=now
         )
         self.state.admission.hear(tokens=tokens, refill=refill, now=now)
-        beliefs: dict[str, float] = dict(self.state.shared.notable(now=now))
+        beliefs: dict[str, float] = {
+            instance_id: p
+            for instance_id, p in self.state.shared.notable(now=now).items()
+        }
         totals = self._totals()
         self.state.others = dict(totals)
         crashing = self.state.crashes.refused(now=now)
@@ -174,35 +185,52 @@
                 )
 
     def send_news(self) -> None:
-        """Tell the other zones what changed."""
+        """Tell the other zones what changed, far ones less often."""
         now = self.clock.now()
-        own = self.fleet.own.placement.zone
-        rates = self.pools.demand.rates(now=now)
-        self.pools.demand_by_zone[own] = dict(rates)
+        self._suspects = self._suspected(now)
+        broken, self._broken_news = self._broken_news, []
         news = ZoneNews(
-            zone=own,
-            beliefs=self._notable(now),
+            zone=self.fleet.own.placement.zone,
+            suspects=sorted(self._suspects),
             busy=self._busy(),
-            demand=self._told_demand(rates),
-            broken=self._broken_news,
-            version=self.directory.version,
+            broken=broken,
         )
-        told = (news.beliefs, news.busy, news.demand)
-        if told == self._told and not news.broken:
-            return
-        self._told = told
-        self._broken_news = []
-        for to in self.other_hubs():
-            self.endpoint.send(to=to, message=news)
+        for zone, to in self._hubs():
+            told = self._told_by_zone.get(zone)
+            is_due = told is None or (
+                now - told.at >= _REMOTE_NEWS_S or self._is_near(zone)
+            )
+            content = (news.suspects, news.busy)
+            is_same = told is not None and told.content == content
+            if broken or (is_due and not is_same):
+                self._told_by_zone[zone] = _Told(content=content, at=now)
+                self.endpoint.send(to=to, message=news)
 
     def other_hubs(self) -> list[VmId]:
         """Return the hubs of the other zones, as far as they are known."""
+        return [vm_id for _, vm_id in self._hubs()]
+
+    def _hubs(self) -> list[tuple[str, VmId]]:
         own = self.fleet.own.placement.zone
         return [
-            self._hub_by_zone.get(zone, self.fleet.ranked(zone)[0].vm_id)
+            (zone, self._hub_by_zone.get(zone, self.fleet.ranked(zone)[0].vm_id))
             for zone in sorted(self.fleet.zones() - {own})
         ]
 
+    def _is_near(self, zone: str) -> bool:
+        ranked = self.fleet.ranked(zone)
+        region = self.fleet.own.placement.region
+        return bool(ranked) and ranked[0].placement.region == region
+
+    def _take_suspects(self, news: ZoneNews, now: float) -> None:
+        before = self._suspects_by_zone.get(news.zone, frozenset())
+        suspects = frozenset(news.suspects)
+        self._suspects_by_zone[news.zone] = suspects
+        for name in before - suspects:
+            self.state.shared.forget(InstanceId(name))
+        for name in suspects:
+            self.state.shared.set(InstanceId(name), _TOLD_P, now=now)
+
     def _take_signs(
         self, signs: Iterable[tuple[str, str]], now: float
     ) -> None:
@@ -212,7 +240,9 @@
                 continue
             sign = Sign[sign_name]
             self.state.shared.note(found.instance_id, sign, now=now)
-            self.is_dirty |= sign is not Sign.GOOD
+            if sign is not Sign.GOOD:
+                self.is_dirty = True
+                self.is_urgent = True
 
     def _drop_silent(self, now: float) -> None:
         for vm_id, reporter in tuple(self._reporters_by_id.items()):
@@ -275,14 +305,15 @@
             self._compressed = (self.directory.version, packed)
         return self._compressed[1]
 
-    def _notable(self, now: float) -> dict[str, int]:
-        """Return the suspected instances of the own zone, in percent."""
+    def _suspected(self, now: float) -> frozenset[str]:
+        """Return the suspected instances of the own zone."""
         own = self.fleet.own.placement.zone
-        return {
-            instance_id: _step(p)
+        return frozenset(
+            instance_id
             for instance_id, p in self.state.shared.notable(now=now).items()
-            if p > _NOTABLE_P and self._is_in(instance_id, own)
-        }
+            if p > (_SOUND_P if instance_id in self._suspects else _SUSPECT_P)
+            and self._is_in(instance_id, own)
+        )
 
     def _is_in(self, instance_id: Any, zone: str) -> bool:
         found = self.catalog.instances_by_id.get(instance_id)
@@ -297,23 +328,7 @@
             and self.state.load(item.instance_id) >= item.slots
         )
 
-    def _told_demand(self, rates: dict[str, float]) -> dict[str, float]:
-        """Return the demand, with the old figures where they still fit."""
-        before: dict[str, float] = self._told[2] if self._told else {}
-        told: dict[str, float] = {}
-        for account_id, rate in rates.items():
-            old = before.get(account_id, 0)
-            if rate < _MIN_DEMAND_PER_S:
-                continue
-            fits = abs(rate - old) <= _DEMAND_CHANGE * max(rate, old)
-            told[account_id] = old if fits else round(rate, 1)
-        return told
-
 
 def _age(now: float, at: float) -> float | None:
     age = now - at
     return None if age == float('inf') else age
-
-
-def _step(p: float) -> int:
-    return round(p * _PERCENT / _PERCENT_STEP) * _PERCENT_STEP
--- a/src/bronzewall/edge/member.py
+++ b/src/bronzewall/edge/member.py
@@ -125,6 +125,7 @@
             _LOG.warning('configuration_ignored', error=str(exc))
             return
         self.directory.accept(configuration, raw=raw, source='hub')
+        self.state.is_changed = True
 
     def _take_ages(self, beacon: Beacon) -> None:
         """Count ages from the report that the beacon answers.
@@ -138,11 +139,19 @@
             and self.directory.version >= beacon.version
         ):
             self.freshness.confirm(beacon.echo - beacon.store_age)
-        if beacon.catalog_age is None:
+
+    def _take_catalog(self, beacon: Beacon) -> None:
+        """Take over the list of the hub that this VM follows.
+
+        Its revisions are compared only with its own.
+        """
+        if beacon.echo is None or beacon.catalog_age is None:
             return
         confirmed_at = beacon.echo - beacon.catalog_age
         if beacon.catalog is not None:
-            self.catalog.copy(beacon.catalog, confirmed_at=confirmed_at)
+            if self.catalog.copy(beacon.catalog, confirmed_at=confirmed_at):
+                self._catalog_revision = beacon.catalog_revision
+                self.state.is_changed = True
         elif beacon.catalog_revision == self._catalog_revision:
             self.catalog.confirm(confirmed_at)
 
@@ -150,10 +159,10 @@
         state = self.state
         if beacon.echo is not None:
             self._is_known = True
-        if beacon.catalog is not None:
-            self._catalog_revision = beacon.catalog_revision
+        self._take_catalog(beacon)
         if beacon.members is not None:
             self._members_revision = beacon.members_revision
+            self.state.is_changed = True
         state.others = beacon.in_flight
         self._take_beliefs(beacon.beliefs, now)
         state.admission.hear(
--- a/src/bronzewall/edge/request_path.py
+++ b/src/bronzewall/edge/request_path.py
@@ -126,6 +126,7 @@
             'answered',
             request_id=exchange.request_id,
             route=exchange.route.route_id,
+            account=exchange.account and exchange.account.account_id,
             status=answer.status,
             runs=exchange.runs,
             seconds=round(self.clock.now() - exchange.started, 3),
--- a/src/bronzewall/edge/selection.py
+++ b/src/bronzewall/edge/selection.py
@@ -15,8 +15,8 @@
 # costs about this part of its worth.
 _NEARNESS_LOSS = {
     Nearness.ZONE: 0.0,
-    Nearness.REGION: 0.12,
-    Nearness.REMOTE: 0.2,
+    Nearness.REGION: 0.15,
+    Nearness.REMOTE: 0.25,
 }
 # A failed request that may be sent again only comes later.
 _REPEATABLE_WEIGHT = 0.15
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -11,6 +11,7 @@
 from bronzewall.edge.catalog import Catalog
 from bronzewall.edge.exchange import EdgeExchange
 from bronzewall.edge.gate import Gate
+from bronzewall.edge.model import nearness
 from bronzewall.edge.ports import (
     HeaderNames,
     InstanceAnswer,
@@ -44,8 +45,11 @@
 # Instances that may reject one request before it is refused.
 _MAX_REJECTIONS = 3
 # An answer that takes this many times the expected time is overdue.
-_OVERDUE_FACTOR = 3.0
+_OVERDUE_FACTOR = 4.0
 _MIN_OVERDUE_S = 0.5
+# An overdue request is also sent to another instance that is expected to
+# lose no more than this part of its worth.
+_MAX_SECOND_LOSS = 0.25
 # Least part of the expected time that a request may take.
 _LEAST_WORK_PART = 0.3
 # Retry-After of requests that no instance could take, seconds.
@@ -161,7 +165,7 @@
             excluded=exchange.tried_ids,
             now=self.clock.now(),
         )
-        if option is None or option.wait > 0:
+        if option is None or option.wait > 0 or option.loss > _MAX_SECOND_LOSS:
             return None
         self._count_retry(exchange, 'overdue')
         return option
@@ -303,6 +307,11 @@
         if is_good:
             self.work_times.note(exchange.service, now - sent_at)
             self.state.crashes.clear(exchange.fingerprint)
+        near = nearness(self.selector.here, option.instance.placement)
+        self.metrics.events[f'answer_bytes_{near.name.lower()}'] += len(
+            answer.body
+        )
+        self.metrics.events[f'answers_{near.name.lower()}'] += 1
         _LOG.info(
             'instance_answered',
             request_id=exchange.request_id,
--- a/src/bronzewall/edge/store_reader.py
+++ b/src/bronzewall/edge/store_reader.py
@@ -145,7 +145,7 @@
         self.catalog.accept(
             reading.instances, confirmed_at=reading.confirmed_at
         )
-        self.hub.is_dirty |= revision != self.catalog.revision
+        self._tell(is_new=revision != self.catalog.revision)
 
     async def _follow_configuration(self) -> None:
         if self._revision < 0:
@@ -174,6 +174,10 @@
             is_new = self.directory.accept(
                 configuration, raw=reading.raw, source='store'
             )
-            self.hub.is_dirty |= is_new
+            self._tell(is_new=is_new)
         self._revision = reading.revision
         self.freshness.confirm(reading.confirmed_at)
+
+    def _tell(self, *, is_new: bool) -> None:
+        self.hub.is_dirty |= is_new
+        self.hub.is_urgent |= is_new
--- a/src/bronzewall/edge/token_transfers.py
+++ b/src/bronzewall/edge/token_transfers.py
@@ -9,6 +9,7 @@
 from bronzewall.edge.zone_messages import TokenAsk, TokenGrant
 from bronzewall.errors import PeerTimeoutError
 from bronzewall.messages import Envelope
+from bronzewall.types import VmId
 
 # A zone with fewer tokens than this asks another one.
 _LOW_TOKENS = 2.0
@@ -20,8 +21,8 @@
 _KEEP_TOKENS = 1.0
 # Pause between two questions about one account, seconds.
 _PAUSE_S = 0.2
-# Pause after all zones had none, seconds.
-_EMPTY_PAUSE_S = 1.0
+# The pause doubles with each zone that has none, up to this, seconds.
+_MAX_PAUSE_S = 0.8
 # Regions are 16 ms away and back; what takes longer is cut or slow.
 _TIMEOUT_S = 0.3
 
@@ -37,6 +38,7 @@
     hub: Hub
     _next_ask: dict[str, float] = attrs.field(factory=dict)
     _turns: dict[str, int] = attrs.field(factory=dict)
+    _pauses: dict[str, float] = attrs.field(factory=dict)
     _tasks: set['asyncio.Task[None]'] = attrs.field(factory=set)
 
     def serve(self) -> None:
@@ -69,27 +71,30 @@
                 task.add_done_callback(self._tasks.discard)
 
     async def _ask(self, account: str, tokens: float) -> None:
-        """Ask one zone after the other, beginning with another each time."""
+        """Ask one zone; the next one if it has none."""
         hubs = self.hub.other_hubs()
         if not hubs:
             return
         turn = self._turns.get(account, 0)
-        for step in range(len(hubs)):
-            to = hubs[(turn + step) % len(hubs)]
-            try:
-                grant = await self.hub.endpoint.call(
-                    to=to,
-                    message=TokenAsk(account=account, tokens=tokens),
-                    timeout=_TIMEOUT_S,
-                )
-            except PeerTimeoutError:
-                self.hub.endpoint.counters['token_ask_lost'] += 1
-                continue
-            if grant.tokens > 0:
-                self._turns[account] = turn + step
-                self.hub.pools.add(account, grant.tokens)
-                self.hub.is_dirty = True
-                return
+        granted = await self._granted(hubs[turn % len(hubs)], account, tokens)
+        if granted > 0:
+            self._pauses.pop(account, None)
+            self.hub.pools.add(account, granted)
+            self.hub.is_dirty = True
+            return
         self._turns[account] = turn + 1
-        now = self.hub.clock.now()
-        self._next_ask[account] = now + _EMPTY_PAUSE_S
+        pause = self._pauses.get(account, _PAUSE_S)
+        self._next_ask[account] = self.hub.clock.now() + pause
+        self._pauses[account] = min(_MAX_PAUSE_S, pause * 2)
+
+    async def _granted(self, hub: VmId, account: str, tokens: float) -> float:
+        try:
+            grant: TokenGrant = await self.hub.endpoint.call(
+                to=hub,
+                message=TokenAsk(account=account, tokens=tokens),
+                timeout=_TIMEOUT_S,
+            )
+        except PeerTimeoutError:
+            self.hub.endpoint.counters['token_ask_lost'] += 1
+            return 0
+        return grant.tokens
--- a/src/bronzewall/edge/zone_messages.py
+++ b/src/bronzewall/edge/zone_messages.py
@@ -95,18 +95,16 @@
     """What the hub of a zone tells the hubs of other zones.
 
     :param zone: zone of the sender.
-    :param beliefs: suspected instances with the probability of failing, in
-        percent; the others are believed to be sound.
-    :param busy: instances without a free slot.
-    :param demand: requests a second by account, rounded.
+    :param suspects: instances of the zone that seem to fail; the others are
+        believed to be sound.
+    :param busy: instances of the zone without a free slot.
     :param broken: new since the last news.
     :param version: version of the configuration that the zone holds.
     """
 
     zone: str
-    beliefs: dict[str, int] = attrs.field(factory=dict)
+    suspects: list[str] = attrs.field(factory=list)
     busy: list[str] = attrs.field(factory=list)
-    demand: dict[str, float] = attrs.field(factory=dict)
     broken: list[Broken] = attrs.field(factory=list)
     version: int = -1
 
--- a/src/bronzewall/peer_calls.py
+++ b/src/bronzewall/peer_calls.py
@@ -135,4 +135,6 @@
             call_id=call_id,
             reply_to=reply_to,
         )
-        self.link.send(to=to, payload=messages.encode(envelope))
+        payload = messages.encode(envelope)
+        self.counters[f'bytes_{type(body).__name__}'] += len(payload)
+        self.link.send(to=to, payload=payload)
