--- a/src/bronzewall/edge/store_reader.py
+++ b/src/bronzewall/edge/store_reader.py
@@ -30,6 +30,8 @@
 _FAILURE_PAUSE_S = 0.4
 # VMs that start together register within this time, seconds.
 _JOIN_S = 0.5
+# A hub answers the first report of a VM within this time, seconds.
+_HUB_ANSWER_S = 0.25
 # A VM that started this much earlier was there before, milliseconds.
 _OLDER_MS = 2000
 # VMs register rarely, and those of the own zone report by themselves.
@@ -78,6 +80,7 @@
         ]
         if started and min(started) < self.fleet.own.started_ms - _OLDER_MS:
             self.choice.started_at = now
+            await self._start_alone()
 
     def loops(self) -> list[Awaitable[None]]:
         """Return the loops to run."""
@@ -113,6 +116,16 @@
             self.hub.has_store = True
         return True
 
+    async def _start_alone(self) -> None:
+        """Read the store if no hub answers a VM that has restarted.
+
+        The whole fleet may have restarted, and its entries are old.
+        """
+        await self.clock.sleep(_HUB_ANSWER_S)
+        if self.directory.version < 0 and not self.choice.is_acting:
+            await self._try(self._follow_configuration)
+            await self._try(self._read_instances)
+
     async def _register(self) -> None:
         await self.store.register(self.fleet.own)
 
--- a/tests/edge_builders.py
+++ b/tests/edge_builders.py
@@ -118,7 +118,9 @@
     return EdgeAccount(**{**fields, **changes})
 
 
-def an_edge_configuration(version: int = 1, **changes: Any) -> EdgeConfiguration:
+def an_edge_configuration(
+    version: int = 1, **changes: Any
+) -> EdgeConfiguration:
     """Return a configuration with one route and one account."""
     fields: dict[str, Any] = {
         'version': version,
--- a/tests/test_edge_sending.py
+++ b/tests/test_edge_sending.py
@@ -160,9 +160,7 @@
 def test_promise_of_an_instance_that_ran_is_not_passed_on(status) -> None:
     async def main() -> None:
         vm = an_edge_vm()
-        vm.serve_alone(
-            configuration=an_edge_configuration(routes=(UNSAFE,))
-        )
+        vm.serve_alone(configuration=an_edge_configuration(routes=(UNSAFE,)))
         vm.instances.behaviours_by_id['i-1'] = answering(status)
         assert (await vm.ask()).status == 502
 
@@ -307,9 +305,7 @@
     async def main() -> None:
         vm = an_edge_vm()
         account = an_edge_account(rate=0.001, burst=1)
-        vm.serve_alone(
-            configuration=an_edge_configuration(accounts=(account,))
-        )
+        vm.serve_alone(configuration=an_edge_configuration(accounts=(account,)))
         vm.instances.behaviours_by_id['i-1'] = failing(
             UpstreamShedError('full')
         )
--- a/tests/test_edge_state.py
+++ b/tests/test_edge_state.py
@@ -138,9 +138,7 @@
     directory = Directory(clock=FakeClock())
     seen = []
     for version in versions:
-        directory.accept(
-            an_edge_configuration(version), raw=b'', source='test'
-        )
+        directory.accept(an_edge_configuration(version), raw=b'', source='test')
         seen.append(directory.version)
     assert seen == sorted(seen)
 
@@ -246,7 +244,11 @@
     )
     assert settings.drain_bound == 3
     assert settings.strength == 1
-    assert settings.region_by_zone() == {'muscat-a': 'muscat', 'a': 'x', 'b': 'y'}
+    assert settings.region_by_zone() == {
+        'muscat-a': 'muscat',
+        'a': 'x',
+        'b': 'y',
+    }
 
 
 @pytest.mark.parametrize(
--- a/tests/test_edge_zone.py
+++ b/tests/test_edge_zone.py
@@ -66,9 +66,7 @@
                 vm.tick()
 
     def hubs(self) -> list[str]:
-        return [
-            name for name, vm in self.vms.items() if vm.choice.is_acting
-        ]
+        return [name for name, vm in self.vms.items() if vm.choice.is_acting]
 
     async def stop(self) -> None:
         for task in self.tasks:
@@ -264,3 +262,20 @@
         await fleet.stop()
 
     run_virtual(main())
+
+
+def test_restart_of_the_whole_fleet_serves_at_once() -> None:
+    # The entries of the store are those of VMs that are gone; candidates
+    # for the hub must not wait for them before callers are served.
+    async def main() -> None:
+        fleet = Fleet()
+        fleet.shared.vms = [
+            a_vm(f'vm-{number}', started_ms=number) for number in range(8)
+        ]
+        vm = fleet.add('vm-7', started_ms=100_000)
+        await fleet.start()
+        await asyncio.sleep(0.3)
+        assert (await vm.ask()).status == 200
+        await fleet.stop()
+
+    run_virtual(main())
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -60,9 +60,7 @@
     ],
     'services': [{'name': 'drafts', 'maxConnections': 360}],
     'limits': {'maxBodyBytes': 99, 'idleTimeout': 15},
-    'tenants': [
-        {'name': 'x', 'apiKeys': ['k'], 'priority': 0, 'ratePerS': 3}
-    ],
+    'tenants': [{'name': 'x', 'apiKeys': ['k'], 'priority': 0, 'ratePerS': 3}],
 }
 
 
@@ -132,9 +130,7 @@
 )
 def test_configuration_of_another_form_is_refused(change) -> None:
     with pytest.raises(StoreEntryError):
-        decoding.configuration(
-            json.dumps({**CONFIGURATION, **change}).encode()
-        )
+        decoding.configuration(json.dumps({**CONFIGURATION, **change}).encode())
 
 
 def test_vm_entry_round_trip() -> None:
