--- a/src/bronzewall/command.py
+++ b/src/bronzewall/command.py
@@ -27,6 +27,7 @@
 from bronzewall.config_files import load_directory
 from bronzewall.errors import BronzewallError, ConfigurationFilesError
 from bronzewall.key_table import key_digest
+from bronzewall.log_explain import steps_of
 from bronzewall.logs import configure_logs
 from bronzewall.publish_command import PublishCommand
 from bronzewall.settings import load_settings
@@ -149,10 +150,16 @@
         f'remembers this one.\n{_EXIT_HELP}'
     )
     arguments = [argument('request-id', 'Id of the request.')]
-    options = [PLATFORM_OPTION, JSON_OPTION]
+    options = [
+        PLATFORM_OPTION,
+        JSON_OPTION,
+        option('log', None, 'Log file to read; - for stdin.', flag=False),
+    ]
 
     def handle(self) -> int:
         """Print the steps of the request."""
+        if self.option('log'):
+            return self._explain_log(self.option('log'))
         path = f'/explain/{self.argument("request-id")}'
         reports = collect_reports(platform_url(self), path)
         steps = [
@@ -166,6 +173,18 @@
                 self.line(line)
         return EXIT_OK if steps else EXIT_FAILED
 
+    def _explain_log(self, place: str) -> int:
+        """Print what a log says of the request."""
+        request_id = self.argument('request-id')
+        if place == '-':
+            steps = steps_of(sys.stdin, request_id)
+        else:
+            with open(place, encoding='utf-8') as lines:
+                steps = steps_of(lines, request_id)
+        for step in steps:
+            self.line(str(step))
+        return EXIT_OK if steps else EXIT_FAILED
+
 
 class DebugCommand(Command):
     """Show settings and beliefs of VMs."""
--- a/tests/test_edge_sending.py
+++ b/tests/test_edge_sending.py
@@ -138,7 +138,7 @@
         vm.serve_alone(an_edge_instance('i-1'), an_edge_instance('i-2'))
         vm.instances.behaviours_by_id['i-1'] = answering(500)
         statuses = [(await vm.ask()).status for _ in range(4)]
-        assert statuses == [200] * 4
+        assert set(statuses) == {200}
 
     run_virtual(main())
 
--- a/tests/test_edge_state.py
+++ b/tests/test_edge_state.py
@@ -7,6 +7,7 @@
     HOST,
     KEY,
     a_vm,
+    an_edge_account,
     an_edge_configuration,
     an_edge_instance,
     an_edge_route,
@@ -23,7 +24,6 @@
 from bronzewall.errors import RateExceededError, SettingsError
 from bronzewall.log_sink import BURST_LINES, LogSink
 from bronzewall.types import ServiceName, VmId
-from edge_builders import an_edge_account
 
 DRAFTS = ServiceName('drafts')
 
@@ -56,7 +56,7 @@
     catalog = a_catalog(clock)
     clock.at += 1
     catalog.accept([], confirmed_at=clock.now())
-    assert ids(catalog) == []
+    assert not ids(catalog)
 
 
 def test_lapsed_entry_is_kept_for_two_seconds_after_an_outage() -> None:
@@ -71,7 +71,7 @@
     assert ids(catalog) == ['i-1']
     clock.at += 1.1
     catalog.accept([], confirmed_at=clock.now())
-    assert ids(catalog) == []
+    assert not ids(catalog)
 
 
 def test_lapsed_entry_whose_address_was_reused_is_gone() -> None:
@@ -115,7 +115,7 @@
     clock = FakeClock()
     catalog = a_catalog(clock)
     catalog.reject(an_edge_instance())
-    assert ids(catalog) == []
+    assert not ids(catalog)
     clock.at += 1
     moved = an_edge_instance(address='10.0.0.9:1')
     catalog.accept([moved], confirmed_at=clock.now())
@@ -129,7 +129,7 @@
     leaving = an_edge_instance(is_leaving=True)
     catalog.accept([leaving], confirmed_at=clock.now())
     assert not catalog.copy([an_edge_instance()], confirmed_at=100.5)
-    assert ids(catalog) == []
+    assert not ids(catalog)
 
 
 @given(st.lists(st.integers(1, 50), max_size=30))
@@ -238,7 +238,11 @@
 
 
 def test_settings_from_lines() -> None:
-    lines = ['# comment', '', *[f'{k.upper()}={v}' for k, v in GIVEN.items()]]
+    lines = [
+        '# comment',
+        '',
+        *[f'{name.upper()}={text}' for name, text in GIVEN.items()],
+    ]
     settings = edge_settings(
         parse_lines([*lines, 'ZONES=a=x,b=y', 'STRENGTH=', 'DRAIN_BOUND=3'])
     )
--- a/tests/test_edge_zone.py
+++ b/tests/test_edge_zone.py
@@ -59,12 +59,6 @@
             ]
             self.tasks.append(asyncio.ensure_future(self._tick(vm)))
 
-    async def _tick(self, vm) -> None:
-        while True:
-            await asyncio.sleep(TICK_S)
-            if vm.fleet.own.vm_id not in self.network.frozen_ids:
-                vm.tick()
-
     def hubs(self) -> list[str]:
         return [name for name, vm in self.vms.items() if vm.choice.is_acting]
 
@@ -73,36 +67,24 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
-    def run(self, scenario) -> None:
-        async def main() -> None:
-            await self.start()
-            try:
-                await scenario()
-            finally:
-                await self.stop()
-
-        run_virtual(main())
+    async def _tick(self, vm) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            if vm.fleet.own.vm_id not in self.network.frozen_ids:
+                vm.tick()
 
 
 def test_one_vm_reads_and_all_know() -> None:
     # Guards against every VM reading the store, which is paid by the call.
     async def main() -> None:
-        fleet = Fleet('a', 'b', 'c')
-
-        async def scenario() -> None:
-            await asyncio.sleep(3)
-            assert fleet.hubs() == ['a']
-            assert all(vm.directory.version == 1 for vm in fleet.vms.values())
-            assert all(vm.freshness.is_fresh() for vm in fleet.vms.values())
-            before = fleet.vms['b'].store.calls
-            await asyncio.sleep(5)
-            assert fleet.vms['b'].store.calls == before
-
-        await fleet.start()
-        try:
-            await scenario()
-        finally:
-            await fleet.stop()
+        fleet = await _settled('a', 'b', 'c')
+        assert fleet.hubs() == ['a']
+        assert all(vm.directory.version == 1 for vm in fleet.vms.values())
+        assert all(vm.freshness.is_fresh() for vm in fleet.vms.values())
+        before = fleet.vms['b'].store.calls
+        await asyncio.sleep(5)
+        assert fleet.vms['b'].store.calls == before
+        await fleet.stop()
 
     run_virtual(main())
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -145,7 +145,7 @@
     def __init__(self) -> None:
         self.rows = {'op': {}, 'servers': {}, 'bronzewall-vms': {}}
         self.status = 200
-        self.delay = 0.0
+        self.delay = float(0)
         self.page = 500
         self.queries = []
 
