--- a/src/bronzewall/edge/directory.py
+++ b/src/bronzewall/edge/directory.py
@@ -1,5 +1,7 @@
 """The configuration in force on this VM and how requests are looked up."""
 
+import asyncio
+import contextlib
 from collections.abc import Mapping
 
 import attrs
@@ -35,6 +37,7 @@
         factory=dict
     )
     accounts_by_id: Mapping[AccountId, EdgeAccount] = attrs.field(factory=dict)
+    _known: asyncio.Event = attrs.field(factory=asyncio.Event)
     _account_ids_by_digest: Mapping[bytes, AccountId] = attrs.field(
         factory=dict
     )
@@ -51,6 +54,12 @@
             return CallerLimits()
         return self.configuration.limits
 
+    async def wait_until_known(self, timeout: float) -> None:
+        """Wait for the first configuration, or for a time in seconds."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout):
+                await self._known.wait()
+
     def accept(
         self, configuration: EdgeConfiguration, *, raw: bytes, source: str
     ) -> bool:
@@ -74,6 +83,7 @@
             routes.setdefault(route.host, {})[route.prefix] = route
         self.configuration = configuration
         self.raw = raw
+        self._known.set()
         self.routes_by_host = routes
         self.accounts_by_id = {
             account.account_id: account for account in configuration.accounts
--- a/src/bronzewall/edge/request_path.py
+++ b/src/bronzewall/edge/request_path.py
@@ -28,6 +28,9 @@
 from bronzewall.types import RequestId
 
 _REQUEST_ID_BITS = 64
+# A VM that starts has its configuration within this time, seconds. Requests
+# that come before wait for it.
+_START_WAIT_S = 0.6
 # Statuses that promise that a request has not run. An instance's answer
 # with one of them does not prove it, unless the instance says so.
 _PROMISES = frozenset((408, 421, 429, 503))
@@ -90,6 +93,8 @@
         writer: AnswerWriter,
         started: float,
     ) -> None:
+        if self.gate.directory.configuration is None:
+            await self.gate.directory.wait_until_known(_START_WAIT_S)
         exchange = self.gate.open(request, request_id, started)
         exchange.take_body(await _read_body(request))
         self.gate.check(exchange)
--- a/src/bronzewall/edge/store_reader.py
+++ b/src/bronzewall/edge/store_reader.py
@@ -123,8 +123,9 @@
         """
         await self.clock.sleep(_HUB_ANSWER_S)
         if self.directory.version < 0 and not self.choice.is_acting:
-            await self._try(self._follow_configuration)
+            # Callers are served as soon as there is a configuration.
             await self._try(self._read_instances)
+            await self._try(self._follow_configuration)
 
     async def _register(self) -> None:
         await self.store.register(self.fleet.own)
--- a/tests/test_edge_sending.py
+++ b/tests/test_edge_sending.py
@@ -352,3 +352,20 @@
         assert len(vm.instances.requests) <= 4
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize(
+    ('delay', 'status', 'waited'), [(0.3, 200, 0.3), (5, 503, 0.6)]
+)
+def test_request_to_a_starting_vm(delay, status, waited) -> None:
+    # Pattern: all VMs lost power and come back. Callers come before the
+    # configuration is read; a VM that does not get one refuses soon.
+    async def main() -> None:
+        vm = an_edge_vm()
+        asyncio.get_running_loop().call_later(delay, vm.serve_alone)
+        vm.instances.work = 0
+        writer = await vm.ask()
+        assert writer.status == status
+        assert vm.clock.now() == pytest.approx(waited, abs=0.05)
+
+    run_virtual(main())
