--- a/src/bronzewall/edge/hub.py
+++ b/src/bronzewall/edge/hub.py
@@ -269,13 +269,14 @@
         mates = {entry.vm_id for entry in self.fleet.zone_mates()}
         heard = {self.fleet.own.vm_id, *self._reporters_by_id}
         silent = mates - heard
-        for vm_id in heard:
-            self._silent_since.pop(vm_id, None)
+        self._silent_since = {
+            vm_id: self._silent_since.get(vm_id, now) for vm_id in silent
+        }
         lost = sum(
-            now - self._silent_since.setdefault(vm_id, now) < _GONE_S
-            for vm_id in silent
+            now - since < _GONE_S for since in self._silent_since.values()
         )
-        return (len(mates) - len(silent)) / (len(mates) - len(silent) + lost)
+        present = len(mates) - len(silent)
+        return present / (present + lost)
 
     def _totals(self) -> Counter[str]:
         totals: Counter[str] = Counter()
