--- a/src/bronzewall/edge/allowances.py
+++ b/src/bronzewall/edge/allowances.py
@@ -12,8 +12,8 @@
 
 # A part of a small burst admits no whole request. Every zone may have this
 # part of the fleet's slack besides; the rest covers messages on their way.
-_SLACK_PART = 0.5
-_MAX_ROUNDING_TOKENS = 2.0
+_SLACK_PART = 0.8
+_MAX_ROUNDING_TOKENS = 2.5
 # A VM without a hub may admit one request at once.
 _OWN_ROUNDING_TOKENS = 1.0
 # A process that starts does not know what was admitted before.
--- a/src/bronzewall/edge/zone_messages.py
+++ b/src/bronzewall/edge/zone_messages.py
@@ -112,15 +112,14 @@
 @message('edge-token-ask')
 @attrs.frozen(kw_only=True)
 class TokenAsk:
-    """Asks the hub of another zone for tokens of an account."""
+    """Asks the hub of another zone for tokens of several accounts."""
 
-    account: str
-    tokens: float
+    tokens: dict[str, float]
 
 
 @message('edge-token-grant')
 @attrs.frozen(kw_only=True)
 class TokenGrant:
-    """Tokens that the sender has given up."""
+    """Tokens that the sender has given up, by account."""
 
-    tokens: float = 0
+    tokens: dict[str, float] = attrs.field(factory=dict)
