--- a/src/bronzewall/edge/hub.py
+++ b/src/bronzewall/edge/hub.py
@@ -15,6 +15,7 @@
 from bronzewall.edge.fleet_view import FleetView
 from bronzewall.edge.freshness import KeyFreshness
 from bronzewall.edge.zone_messages import Beacon, Broken, Report, ZoneNews
+from bronzewall.edge.zone_packing import pack_instances, pack_vms
 from bronzewall.edge.zone_state import ZoneState
 from bronzewall.messages import Envelope
 from bronzewall.peer_calls import PeerEndpoint
@@ -26,8 +27,8 @@
 # A VM of the zone that is not heard for this long is taken to be gone, and
 # its part of the accounts' rates is used by the others, seconds.
 _GONE_S = 15.0
-# A configuration is sent again if the receiver does not report it, seconds.
-_RESEND_S = 0.5
+# What a VM lacks is sent again if it does not report it, seconds.
+_RESEND_S = 1.0
 # An instance is told to other zones as suspected above the first and until
 # below the second probability; the difference keeps messages few.
 _SUSPECT_P = 0.6
@@ -42,12 +43,29 @@
 
 @attrs.define(kw_only=True)
 class _Reporter:
-    """Newest report of one VM."""
+    """Newest report of one VM.
+
+    :param sent: revision and time of what was sent to it, by name.
+    """
 
     report: Report
     at: float
-    version_sent: int = -1
-    version_sent_at: float = 0
+    sent: dict[str, tuple[int, float]] = attrs.field(factory=dict)
+
+    def is_due(self, name: str, revision: int, now: float) -> bool:
+        """Return whether to send something, and note that it is sent.
+
+        It is not sent again while the answer may be on its way.
+        """
+        sent = self.sent.get(name)
+        is_on_its_way = (
+            sent is not None
+            and sent[0] == revision
+            and now - sent[1] < _RESEND_S
+        )
+        if not is_on_its_way:
+            self.sent[name] = (revision, now)
+        return not is_on_its_way
 
 
 @attrs.frozen(kw_only=True)
@@ -81,7 +99,7 @@
     is_dirty: bool = False
     is_urgent: bool = False
     _reporters_by_id: dict[VmId, _Reporter] = attrs.field(factory=dict)
-    _compressed: tuple[int, bytes] = (-1, b'')
+    _packed_by_name: dict[str, tuple[int, bytes]] = attrs.field(factory=dict)
     _silent_since: dict[VmId, float] = attrs.field(factory=dict)
     _suspects: frozenset[str] = frozenset()
     _suspects_by_zone: dict[str, frozenset[str]] = attrs.field(factory=dict)
@@ -180,7 +198,9 @@
             )
             if reporter is None:
                 # A VM that did not read the store learns of its hub here.
-                beacon = attrs.evolve(beacon, members=(self.fleet.own,))
+                beacon = attrs.evolve(
+                    beacon, members=pack_vms((self.fleet.own,))
+                )
             else:
                 beacon = self._for_reporter(beacon, reporter, totals, now)
             self.endpoint.send(to=entry.vm_id, message=beacon)
@@ -297,18 +317,20 @@
             'echo': report.stamp,
             'in_flight': self._others(report, totals),
         }
-        if self.directory.version > report.version and (
-            reporter.version_sent != self.directory.version
-            or now - reporter.version_sent_at > _RESEND_S
+        version = self.directory.version
+        if version > report.version and reporter.is_due('raw', version, now):
+            changes['raw'] = self._packed('raw', version)
+        revision = self.catalog.revision
+        if report.catalog_revision != revision and reporter.is_due(
+            'catalog', revision, now
+        ):
+            changes['catalog'] = self._packed('catalog', revision)
+        revision = self.fleet.revision
+        if report.members_revision != revision and reporter.is_due(
+            'members', revision, now
         ):
-            reporter.version_sent = self.directory.version
-            reporter.version_sent_at = now
-            changes['raw'] = self._packed_configuration()
-        if report.catalog_revision != self.catalog.revision:
-            changes['catalog'] = tuple(self.catalog.instances_by_id.values())
-        if report.members_revision != self.fleet.revision:
-            changes['members'] = tuple(self.fleet.entries_by_id.values())
-            changes['members_revision'] = self.fleet.revision
+            changes['members'] = self._packed('members', revision)
+            changes['members_revision'] = revision
         return attrs.evolve(beacon, **changes)
 
     def _others(self, report: Report, totals: Counter[str]) -> dict[str, int]:
@@ -317,11 +339,20 @@
         others.subtract(report.in_flight)
         return {name: count for name, count in others.items() if count > 0}
 
-    def _packed_configuration(self) -> bytes:
-        if self._compressed[0] != self.directory.version:
-            packed = zlib.compress(self.directory.raw)
-            self._compressed = (self.directory.version, packed)
-        return self._compressed[1]
+    def _packed(self, name: str, revision: int) -> bytes:
+        """Return what is sent, packed once for each revision."""
+        known = self._packed_by_name.get(name)
+        if known is None or known[0] != revision:
+            known = (revision, self._pack(name))
+            self._packed_by_name[name] = known
+        return known[1]
+
+    def _pack(self, name: str) -> bytes:
+        if name == 'catalog':
+            return pack_instances(self.catalog.instances_by_id.values())
+        if name == 'members':
+            return pack_vms(self.fleet.entries_by_id.values())
+        return zlib.compress(self.directory.raw)
 
     def _suspected(self, now: float) -> frozenset[str]:
         """Return the suspected instances of the own zone."""
--- a/src/bronzewall/edge/member.py
+++ b/src/bronzewall/edge/member.py
@@ -14,6 +14,7 @@
 from bronzewall.edge.hub_choice import HubChoice
 from bronzewall.edge.ports import FleetStore
 from bronzewall.edge.zone_messages import Beacon, Report
+from bronzewall.edge.zone_packing import unpack_instances, unpack_vms
 from bronzewall.edge.zone_state import ZoneState
 from bronzewall.errors import StoreEntryError
 from bronzewall.messages import Envelope
@@ -112,7 +113,9 @@
         return [vm_id for vm_id in mates[:2] if vm_id != own]
 
     def _take_members(self, beacon: Beacon) -> None:
-        for entry in beacon.members or ():
+        if beacon.members is None:
+            return
+        for entry in unpack_vms(beacon.members):
             self.fleet.add(entry)
 
     def _take_configuration(self, beacon: Beacon) -> None:
@@ -149,7 +152,8 @@
             return
         confirmed_at = beacon.echo - beacon.catalog_age
         if beacon.catalog is not None:
-            if self.catalog.copy(beacon.catalog, confirmed_at=confirmed_at):
+            listed = unpack_instances(beacon.catalog)
+            if self.catalog.copy(listed, confirmed_at=confirmed_at):
                 self._catalog_revision = beacon.catalog_revision
                 self.state.is_changed = True
         elif beacon.catalog_revision == self._catalog_revision:
--- a/src/bronzewall/edge/zone_messages.py
+++ b/src/bronzewall/edge/zone_messages.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from bronzewall.edge.model import EdgeInstance, VmEntry
+from bronzewall.edge.model import VmEntry
 from bronzewall.messages import message
 
 
@@ -62,8 +62,8 @@
     :param version: version of the configuration that the hub holds; the
         ages hold for a receiver that has it as well.
     :param raw: the configuration, if the receiver's is older.
-    :param catalog: instances, if the receiver has another list.
-    :param members: VMs of all zones, if the receiver has another list.
+    :param catalog: packed instances, if the receiver has another list.
+    :param members: packed VMs of all zones, if the receiver has another list.
     :param in_flight: requests of the zone's other VMs at each instance.
     :param beliefs: probabilities of failing that differ from the prior.
     :param tokens: admissible requests of the zone by account.
@@ -77,9 +77,9 @@
     catalog_age: float | None = None
     version: int = -1
     raw: bytes | None = None
-    catalog: tuple[EdgeInstance, ...] | None = None
+    catalog: bytes | None = None
     catalog_revision: int = -1
-    members: tuple[VmEntry, ...] | None = None
+    members: bytes | None = None
     members_revision: int = -1
     in_flight: dict[str, int] = attrs.field(factory=dict)
     beliefs: dict[str, float] = attrs.field(factory=dict)
--- a/src/bronzewall/peer_calls.py
+++ b/src/bronzewall/peer_calls.py
@@ -85,7 +85,10 @@
             self.counters['not_accepted'] += 1
             return
         if envelope.reply_to is None:
-            self._dispatch(envelope)
+            try:
+                self._dispatch(envelope)
+            except PeerMessageError as exc:
+                self.counters[type(exc).__name__] += 1
             return
         reply = self._replies_by_call.get(envelope.reply_to)
         if reply is not None and not reply.done():
