--- a/src/bronzewall/edge/hub.py
+++ b/src/bronzewall/edge/hub.py
@@ -100,6 +100,7 @@
     is_urgent: bool = False
     _reporters_by_id: dict[VmId, _Reporter] = attrs.field(factory=dict)
     _packed_by_name: dict[str, tuple[int, bytes]] = attrs.field(factory=dict)
+    _beacons_at: float = 0
     _silent_since: dict[VmId, float] = attrs.field(factory=dict)
     _suspects: frozenset[str] = frozenset()
     _suspects_by_zone: dict[str, frozenset[str]] = attrs.field(factory=dict)
@@ -289,11 +290,16 @@
         mates = {entry.vm_id for entry in self.fleet.zone_mates()}
         heard = {self.fleet.own.vm_id, *self._reporters_by_id}
         silent = mates - heard
+        if now - self._beacons_at > REPORT_SILENCE_S:
+            # A hub that has just taken over has had no reports yet.
+            self._silent_since = {}
+        self._beacons_at = now
         self._silent_since = {
             vm_id: self._silent_since.get(vm_id, now) for vm_id in silent
         }
         lost = sum(
-            now - since < _GONE_S for since in self._silent_since.values()
+            REPORT_SILENCE_S <= now - since < _GONE_S
+            for since in self._silent_since.values()
         )
         present = len(mates) - len(silent)
         return present / (present + lost)
--- a/tests/test_edge_zone.py
+++ b/tests/test_edge_zone.py
@@ -317,3 +317,24 @@
         task.cancel()
 
     run_virtual(main())
+
+
+def test_new_hub_keeps_the_rate_of_its_zone() -> None:
+    # A hub that takes over has heard no other VM yet; it must not take the
+    # whole zone for lost.
+    async def main() -> None:
+        fleet = await _settled('a', 'b', 'c', 'd', 'e')
+        account = an_edge_account(rate=24, burst=3)
+        fleet.shared.publish(an_edge_configuration(2, accounts=(account,)))
+        await asyncio.sleep(1)
+        fleet.network.freeze(VmId('a'))
+        statuses = []
+        for _ in range(60):
+            for name in ('c', 'd'):
+                fleet.vms[name].instances.work = 0
+                statuses.append((await fleet.vms[name].ask()).status)
+            await asyncio.sleep(0.1)
+        assert statuses.count(200) / len(statuses) > 0.97
+        await fleet.stop()
+
+    run_virtual(main())
