--- a/src/bronzewall/edge/beliefs.py
+++ b/src/bronzewall/edge/beliefs.py
@@ -32,8 +32,10 @@
     FAILED = FAIL_RATE_SICK / FAIL_RATE_SOUND
     # A connection fails at once on a dead instance, and for no other one.
     UNREACHABLE = 200.0
-    # Latencies have a long tail, so that silence says less than an error.
+    # Where latencies have a long tail, silence says less than an error.
     OVERDUE = 6.0
+    # Where nearly all answers come in time, it says about as much.
+    SILENT = 30.0
 
 
 @attrs.define(kw_only=True)
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -269,7 +269,10 @@
     def _note_overdue(self, exchange: EdgeExchange, option: Option) -> None:
         now = self.clock.now()
         instance_id = option.instance.instance_id
-        self.state.note(instance_id, Sign.OVERDUE, now=now)
+        sign = Sign.OVERDUE
+        if self.work_times.is_rarely_late(exchange.service):
+            sign = Sign.SILENT
+        self.state.note(instance_id, sign, now=now)
         self.metrics.events['overdue'] += 1
         _LOG.info(
             'answer_overdue',
@@ -326,6 +329,8 @@
             sign = Sign.GOOD if is_good else Sign.FAILED
             self.state.note(instance_id, sign, now=now)
         if is_good:
+            is_late = now - sent_at > self._overdue_after(exchange)
+            self.work_times.note_late(exchange.service, is_late=is_late)
             self.work_times.note(exchange.service, now - sent_at)
             self.state.crashes.clear(exchange.fingerprint)
         near = nearness(self.selector.here, option.instance.placement)
--- a/src/bronzewall/edge/zone_state.py
+++ b/src/bronzewall/edge/zone_state.py
@@ -12,7 +12,7 @@
 
 # A VM that does not reach an instance says little about the instance.
 _SHARED_SIGNS = {Sign.UNREACHABLE: Sign.OVERDUE}
-_OWN_SIGNS = frozenset((Sign.UNREACHABLE, Sign.OVERDUE))
+_OWN_SIGNS = frozenset((Sign.UNREACHABLE, Sign.OVERDUE, Sign.SILENT))
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/tests/test_edge_patterns.py
+++ b/tests/test_edge_patterns.py
@@ -13,6 +13,7 @@
     an_edge_vm,
 )
 
+from bronzewall.errors import UpstreamTimeoutError
 from bronzewall.standins.memory_store import answer_of
 from bronzewall.standins.virtual_time import run_virtual
 
@@ -159,3 +160,35 @@
         assert results['hot'].count(429) > 50
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_silent_instances_non_idempotent(seed: int) -> None:
+    # Pattern: some instances take requests and do not answer (incident
+    # inc-7011 of majlis-grid). Requests that must not be sent again are
+    # lost there until the silence is noticed.
+    async def main() -> None:
+        vm = an_edge_vm()
+        route = an_edge_route(idempotent=False, timeout=1.5)
+        names = [f'i-{number}' for number in range(6)]
+        vm.serve_alone(
+            *[an_edge_instance(name) for name in names],
+            configuration=an_edge_configuration(routes=(route,)),
+        )
+        vm.instances.work = 0.25
+        await _ask_all(vm, 120, 0.08)
+        rng = random.Random(seed)
+
+        async def partly_silent(request):
+            if rng.random() < 0.6:
+                await asyncio.sleep(request.timeout)
+                raise UpstreamTimeoutError('silent')
+            await asyncio.sleep(0.25)
+            return answer_of(request)
+
+        for name in names[:2]:
+            vm.instances.behaviours_by_id[name] = partly_silent
+        statuses = await _ask_all(vm, 120, 0.08)
+        assert statuses.count(504) <= 6
+
+    run_virtual(main())
