--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -8,7 +8,11 @@
 from aiohttp import HttpVersion10, web
 from multidict import CIMultiDict
 
-from bronzewall.adapters.entry_protocol import BadInputReporter, ProblemServer
+from bronzewall.adapters.entry_protocol import (
+    BadInputReporter,
+    ProblemRequestHandler,
+    ProblemServer,
+)
 from bronzewall.errors import (
     BodyTimeoutError,
     BodyTooLargeError,
@@ -130,6 +134,8 @@
             await self._runner.cleanup()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        assert isinstance(request.protocol, ProblemRequestHandler)
+        waited = request.protocol.take_waited()
         if request.version < HttpVersion10:
             # The parser accepts HTTP/0.9, whose answers have no status.
             problem = self.on_bad_input('HttpVersion')
@@ -139,11 +145,13 @@
                 body=problem.body,
             )
         writer = AiohttpAnswerWriter(request=request, is_last=self._is_draining)
-        await self.handler(self._caller_request(request), writer)
+        await self.handler(self._caller_request(request, waited), writer)
         assert writer.response is not None
         return writer.response
 
-    def _caller_request(self, request: web.BaseRequest) -> CallerRequest:
+    def _caller_request(
+        self, request: web.BaseRequest, waited: float
+    ) -> CallerRequest:
         async def read_body() -> bytes:
             try:
                 async with asyncio.timeout(_BODY_TIMEOUT_S):
@@ -159,6 +167,7 @@
             path=request.path,
             headers=tuple(request.headers.items()),
             read_body=read_body,
+            waited=waited,
         )
 
     async def _read_body(self, request: web.BaseRequest) -> bytes:
--- a/src/bronzewall/adapters/entry_protocol.py
+++ b/src/bronzewall/adapters/entry_protocol.py
@@ -1,6 +1,7 @@
 """aiohttp request handler that answers bad input with problem documents."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -20,7 +21,7 @@
 class ProblemRequestHandler(RequestHandler):
     """Request handler of one caller's connection."""
 
-    __slots__ = ('_header_timer', '_on_bad_input')
+    __slots__ = ('_arrivals', '_header_timer', '_on_bad_input')
 
     def __init__(
         self, manager: Any, *, on_bad_input: BadInputReporter, **options: Any
@@ -29,6 +30,7 @@
         super().__init__(manager, **options)
         self._on_bad_input = on_bad_input
         self._header_timer: asyncio.TimerHandle | None = None
+        self._arrivals: deque[float] = deque()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timer of the first header block."""
@@ -43,6 +45,24 @@
             self._header_timer.cancel()
         super().connection_lost(exc)
 
+    def data_received(self, data: bytes) -> None:
+        """Note when each request came.
+
+        aiohttp handles the requests of a connection one after the other; a
+        later one may have waited for long when its turn comes.
+        """
+        before = len(self._messages)
+        super().data_received(data)
+        came = len(self._messages) - before
+        now = self._loop.time()
+        self._arrivals.extend(now for _ in range(came))
+
+    def take_waited(self) -> float:
+        """Return the seconds for which the next request waited its turn."""
+        if not self._arrivals:
+            return 0
+        return self._loop.time() - self._arrivals.popleft()
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -51,6 +71,7 @@
         message: str | None = None,
     ) -> web.StreamResponse:
         """Return the answer to a request that cannot be parsed."""
+        self.take_waited()
         problem = self._on_bad_input(type(exc).__name__)
         response = web.Response(
             status=problem.status,
--- a/src/bronzewall/edge/request_path.py
+++ b/src/bronzewall/edge/request_path.py
@@ -53,7 +53,7 @@
         self, request: CallerRequest, writer: AnswerWriter
     ) -> None:
         """Answer one request with an instance's answer or a refusal."""
-        started = self.clock.now()
+        started = self.clock.now() - request.waited
         given = header_rules.find(request.headers, self.names.attempt_id)
         request_id = RequestId(given or self._new_request_id())
         self.metrics.requests += 1
--- a/src/bronzewall/ports.py
+++ b/src/bronzewall/ports.py
@@ -190,6 +190,7 @@
     :param path: decoded path without the query.
     :param read_body: reads the whole body, or raises
         :class:`BodyTooLargeError` or :class:`BodyTimeoutError`.
+    :param waited: seconds since the request came on its connection.
     """
 
     method: str
@@ -197,6 +198,7 @@
     path: str
     headers: Headers
     read_body: Callable[[], Awaitable[bytes]]
+    waited: float = 0
 
 
 CallerHandler = Callable[[CallerRequest, AnswerWriter], Awaitable[None]]
--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -83,3 +83,35 @@
     answer = await _send(_HEAD + b'Content-Length: 3\r\n\r\nabc', errors)
     assert b'X-Size: 3' in answer
     assert not errors
+
+
+async def test_pipelined_request_counts_its_wait(unused_tcp_port: int) -> None:
+    # Its time limit runs from when it came, not from when its turn comes.
+    waits = []
+
+    async def slow(request: CallerRequest, writer: AnswerWriter) -> None:
+        waits.append(request.waited)
+        await asyncio.sleep(0.2)
+        await writer.start(status=200, headers=[('Content-Length', '0')])
+        await writer.finish()
+
+    server = EntryServer(
+        listen=f'127.0.0.1:{unused_tcp_port}',
+        handler=slow,
+        on_bad_input=lambda _error: pytest.fail('bad input'),
+        max_body_bytes=_LIMIT,
+    )
+    await server.start()
+    reader, writer = await asyncio.open_connection('127.0.0.1', unused_tcp_port)
+    one = b'GET /drafts/1 HTTP/1.1\r\nHost: a\r\n\r\n'
+    writer.write(one + one)
+    for _ in range(2):
+        await reader.readuntil(b'\r\n\r\n')
+    writer.write(one)
+    await reader.readuntil(b'\r\n\r\n')
+    writer.close()
+    await server.stop()
+    # Not an upper bound on elapsed time: the first and the last one did
+    # not wait behind another request.
+    assert waits[1] >= 0.15
+    assert max(waits[0], waits[2]) < waits[1]
