--- a/src/bronzewall/adapters/instance_http.py
+++ b/src/bronzewall/adapters/instance_http.py
@@ -94,7 +94,6 @@
                 status=response.status,
                 headers=tuple(response.headers.items()),
                 body=body,
-                is_sealed=self.names.seal in response.headers,
             )
 
     def _check(
@@ -104,7 +103,8 @@
         headers = response.headers
         where = request.instance_id
         if response.status == _STATUS_WRONG_INSTANCE:
-            raise WrongInstanceError(f'{where}: another instance answered')
+            other = headers.get(self.names.instance_id)
+            raise WrongInstanceError(f'{where}: {other} answered')
         if self.names.not_run in headers:
             raise UpstreamShedError(f'{where}: not run, {response.status}')
         lengths = set(headers.getall('Content-Length', ()))
--- a/src/bronzewall/edge/exchange.py
+++ b/src/bronzewall/edge/exchange.py
@@ -38,13 +38,6 @@
     rejections: int = 0
     last_answer: InstanceAnswer | None = None
 
-    @property
-    def priority(self) -> int:
-        """Rank of the request; 0 is the highest."""
-        if self.account is not None and self.account.priority is not None:
-            return self.account.priority
-        return self.route.priority
-
     def take_body(self, body: bytes) -> None:
         """Keep the body and what identifies the request sent again."""
         self.body = body
--- a/src/bronzewall/edge/model.py
+++ b/src/bronzewall/edge/model.py
@@ -1,7 +1,6 @@
 """What operators configure and what service discovery reports, as data."""
 
 import enum
-from collections.abc import Mapping
 
 import attrs
 
@@ -92,7 +91,6 @@
 
     version: int
     routes: tuple[EdgeRoute, ...]
-    connections_by_service: Mapping[ServiceName, int]
     accounts: tuple[EdgeAccount, ...] = ()
     needs_keys: bool = False
     limits: CallerLimits = CallerLimits()
--- a/src/bronzewall/edge/ports.py
+++ b/src/bronzewall/edge/ports.py
@@ -120,7 +120,6 @@
     :param target: path and query in wire form.
     :param timeout: seconds until the whole answer must be there.
     :param connect_timeout: seconds for a new connection.
-    :param fresh: use no connection that served an earlier request.
     """
 
     instance_id: str
@@ -132,20 +131,15 @@
     attempt_id: str
     timeout: float
     connect_timeout: float
-    fresh: bool = False
 
 
 @attrs.frozen(kw_only=True)
 class InstanceAnswer:
-    """The whole answer of an instance.
-
-    :param is_sealed: the instance marked it as its own.
-    """
+    """The whole answer of an instance."""
 
     status: int
     headers: Headers
     body: bytes
-    is_sealed: bool
 
 
 class InstanceHttp(Protocol):
--- a/src/bronzewall/edge/settings.py
+++ b/src/bronzewall/edge/settings.py
@@ -7,50 +7,22 @@
 import attrs
 
 from bronzewall.errors import SettingsError
+from bronzewall.settings_checks import host_port, not_empty, positive
 
 _COMMENT = '#'
 _DISCOVERY_INTERVAL_S = 1.5
 
 
-def _host_port(
-    _instance: object, field: 'attrs.Attribute[str]', found: str
-) -> None:
-    host, _, port = found.rpartition(':')
-    if not host or not port.isdigit():
-        raise SettingsError(f'{field.name} is {found!r}; expected HOST:PORT')
-
-
-def _not_empty(
-    _instance: object, field: 'attrs.Attribute[str]', found: str
-) -> None:
-    if not found:
-        raise SettingsError(f'{field.name} must not be empty')
-
-
-def _positive(
-    _instance: object, field: 'attrs.Attribute[Any]', found: float
-) -> None:
-    if not found > 0:
-        raise SettingsError(f'{field.name} is {found}; expected more than 0')
-
-
-def _at_least_zero(
-    _instance: object, field: 'attrs.Attribute[Any]', found: float
-) -> None:
-    if found < 0:
-        raise SettingsError(f'{field.name} is {found}; expected 0 or more')
-
-
 def _seconds(default: float) -> Any:
-    return attrs.field(default=default, converter=float, validator=_positive)
+    return attrs.field(default=default, converter=float, validator=positive)
 
 
 def _text() -> Any:
-    return attrs.field(validator=_not_empty)
+    return attrs.field(validator=not_empty)
 
 
 def _address() -> Any:
-    return attrs.field(validator=_host_port)
+    return attrs.field(validator=host_port)
 
 
 @attrs.frozen(kw_only=True)
@@ -65,15 +37,14 @@
     :param peer_address: ``host:port`` at which other VMs reach
         ``peer_listen``, if it differs.
     :param zones: regions by zone, as ``zone=region`` joined by commas.
-    :param strength: cores that this VM may use.
-    :param config_bound: seconds in which a change must be in force.
+    :param strength: relative processor share of this VM.
     :param drain_bound: seconds after which a leaving instance gets nothing.
     :param revoke_bound: seconds after which a withdrawn key must not work.
     :param stop_limit: seconds of a planned stop until the process is killed.
     :param discovery_interval: seconds between two reports of an instance.
     :param retry_ratio: retries allowed per request, over the fleet.
-    :param retry_slack: retries allowed besides, over the fleet.
-    :param retry_window: seconds in which both are counted.
+    :param retry_slack: retries allowed besides, over the fleet, in any
+        window in which the platform counts them.
     :param rate_slack: requests of an account beyond its rate and burst that
         the fleet may admit in a few seconds.
     """
@@ -89,20 +60,18 @@
     zones: str = ''
     peer_address: str = ''
     strength: float = _seconds(1)
-    config_bound: float = _seconds(2)
     drain_bound: float = _seconds(2)
     revoke_bound: float = _seconds(5)
     stop_limit: float = _seconds(6)
     discovery_interval: float = _seconds(_DISCOVERY_INTERVAL_S)
     retry_ratio: float = attrs.field(
-        default=0.1, converter=float, validator=_at_least_zero
+        default=0.1, converter=float, validator=attrs.validators.ge(0)
     )
     retry_slack: float = attrs.field(
-        default=10, converter=float, validator=_at_least_zero
+        default=10, converter=float, validator=attrs.validators.ge(0)
     )
-    retry_window: float = _seconds(10)
     rate_slack: float = attrs.field(
-        default=0, converter=float, validator=_at_least_zero
+        default=0, converter=float, validator=attrs.validators.ge(0)
     )
 
     def region_by_zone(self) -> dict[str, str]:
--- a/src/bronzewall/edge/store_reader.py
+++ b/src/bronzewall/edge/store_reader.py
@@ -48,7 +48,6 @@
 class StoreReader:
     """Loops that read the store.
 
-    :param config_bound: seconds in which a change must be in force.
     :param drain_bound: seconds after which a leaving instance gets nothing.
     :param revoke_bound: seconds after which a withdrawn key must not work.
     """
--- a/src/bronzewall/platform/decoding.py
+++ b/src/bronzewall/platform/decoding.py
@@ -38,10 +38,6 @@
     return EdgeConfiguration(
         version=_whole(wire, 'configVersion'),
         routes=tuple(_route(item) for item in _items(wire, 'routes')),
-        connections_by_service={
-            ServiceName(_text(item, 'name')): _whole(item, 'maxConnections')
-            for item in _items(wire, 'services')
-        },
         accounts=tuple(_account(item) for item in _items(wire, 'tenants')),
         needs_keys='tenants' in wire,
         limits=_limits(wire.get('limits', {})),
--- a/src/bronzewall/settings.py
+++ b/src/bronzewall/settings.py
@@ -2,42 +2,19 @@
 
 import difflib
 from collections.abc import Mapping
-from typing import Any
 
 import attrs
 import typed_settings
 
 from bronzewall.errors import SettingsError
+from bronzewall.settings_checks import host_port, not_empty, positive
 
 PREFIX = 'BRONZEWALL_'
-_MAX_PORT = 65535
 _DEFAULT_NOTICE_S = 5.0
 _DEFAULT_STOP_LIMIT_S = 30.0
 _DEFAULT_BODY_BYTES = 1_048_576
 
 
-def _not_empty(
-    _instance: object, field: 'attrs.Attribute[str]', found: str
-) -> None:
-    if not found:
-        raise ValueError(f'{field.name} must not be empty')
-
-
-def _host_port(
-    _instance: object, field: 'attrs.Attribute[str]', found: str
-) -> None:
-    host, _, port = found.rpartition(':')
-    if not host or not port.isdigit() or int(port) > _MAX_PORT:
-        raise ValueError(f'{field.name} is {found!r}; expected HOST:PORT')
-
-
-def _positive(
-    _instance: object, field: 'attrs.Attribute[Any]', found: float
-) -> None:
-    if not found > 0:
-        raise ValueError(f'{field.name} is {found}; expected more than 0')
-
-
 @attrs.frozen(kw_only=True)
 class Settings:
     """Settings of one VM.
@@ -52,21 +29,21 @@
     :param max_body_bytes: largest request body in bytes.
     """
 
-    vm_id: str = attrs.field(validator=_not_empty)
-    region: str = attrs.field(validator=_not_empty)
-    zone: str = attrs.field(validator=_not_empty)
-    listen: str = attrs.field(validator=_host_port)
-    peer_listen: str = attrs.field(validator=_host_port)
-    admin_listen: str = attrs.field(validator=_host_port)
-    platform: str = attrs.field(validator=_not_empty)
+    vm_id: str = attrs.field(validator=not_empty)
+    region: str = attrs.field(validator=not_empty)
+    zone: str = attrs.field(validator=not_empty)
+    listen: str = attrs.field(validator=host_port)
+    peer_listen: str = attrs.field(validator=host_port)
+    admin_listen: str = attrs.field(validator=host_port)
+    platform: str = attrs.field(validator=not_empty)
     notice_s: float = attrs.field(
         default=_DEFAULT_NOTICE_S, validator=attrs.validators.ge(0)
     )
     stop_limit_s: float = attrs.field(
-        default=_DEFAULT_STOP_LIMIT_S, validator=_positive
+        default=_DEFAULT_STOP_LIMIT_S, validator=positive
     )
     max_body_bytes: int = attrs.field(
-        default=_DEFAULT_BODY_BYTES, validator=_positive
+        default=_DEFAULT_BODY_BYTES, validator=positive
     )
     log_format: str = attrs.field(
         default='json', validator=attrs.validators.in_(('console', 'json'))
--- a/src/bronzewall/standins/memory_store.py
+++ b/src/bronzewall/standins/memory_store.py
@@ -181,5 +181,4 @@
         status=status,
         headers=(('X-From', request.instance_id),),
         body=b'body',
-        is_sealed=True,
     )
--- a/tests/edge_builders.py
+++ b/tests/edge_builders.py
@@ -125,7 +125,6 @@
     fields: dict[str, Any] = {
         'version': version,
         'routes': (an_edge_route(),),
-        'connections_by_service': {ServiceName('drafts'): 360},
         'accounts': (an_edge_account(),),
         'needs_keys': True,
     }
--- a/tests/test_instance_http.py
+++ b/tests/test_instance_http.py
@@ -67,11 +67,7 @@
 
 async def test_whole_answer() -> None:
     answer = await exchange(sends(WHOLE))
-    assert (answer.status, answer.body, answer.is_sealed) == (
-        200,
-        b'body',
-        True,
-    )
+    assert (answer.status, answer.body) == (200, b'body')
 
 
 async def test_answer_without_length_is_whole_when_closed() -> None:
