--- a/src/bronzewall/edge/daemon.py
+++ b/src/bronzewall/edge/daemon.py
@@ -132,7 +132,7 @@
             self.entry.max_body_bytes = (
                 self.path.gate.directory.limits.body_bytes
             )
-            self._act(self.member.choice.decide(now=now))
+            self.reader.act(self.member.choice.decide(now=now))
             state = self.member.state
             if state.is_changed or now - reported_at >= _REPORT_S:
                 reported_at = now
@@ -147,16 +147,6 @@
                 self.transfers.ask_where_low()
                 self.hub.beacons()
 
-    def _act(self, is_acting: bool) -> None:
-        """Start or stop the duties of a hub."""
-        acting = self.reader.acting
-        if is_acting and not acting.is_set():
-            _LOG.info('hub_started', vm=self.settings.vm_id)
-            acting.set()
-        elif acting.is_set() and not is_acting:
-            _LOG.info('hub_ended', vm=self.settings.vm_id)
-            acting.clear()
-
     def _use_members(self) -> None:
         """Tell the link and the limits which VMs there are."""
         if self._known_members == self.fleet.revision:
--- a/src/bronzewall/edge/hub.py
+++ b/src/bronzewall/edge/hub.py
@@ -28,7 +28,7 @@
 # its part of the accounts' rates is used by the others, seconds.
 _GONE_S = 15.0
 # What a VM lacks is sent again if it does not report it, seconds.
-_RESEND_S = 1.0
+_RESEND_S = 0.5
 # An instance is told to other zones as suspected above the first and until
 # below the second probability; the difference keeps messages few.
 _SUSPECT_P = 0.6
--- a/src/bronzewall/edge/hub_choice.py
+++ b/src/bronzewall/edge/hub_choice.py
@@ -11,6 +11,8 @@
 HUB_SILENCE_S = 0.7
 # Time between the attempts of successive candidates, seconds.
 _CANDIDATE_STEP_S = 0.25
+# The same while the hub does not reach the store: a change may be waiting.
+_STORE_STEP_S = 0.1
 # More candidates than this do not wait longer.
 _MAX_STEPS = 6
 # A candidate that did not reach the store either waits before the next try.
@@ -96,14 +98,17 @@
             )
         elif not heard.has_store and own_store:
             waited = now - heard.lost_store_at
-            self.is_acting = waited >= self._patience()
+            self.is_acting = waited >= self._patience(_STORE_STEP_S)
         return self.is_acting
 
-    def _patience(self) -> float:
-        """Return how long a silence must last before this VM acts."""
+    def _patience(self, step: float = _CANDIDATE_STEP_S) -> float:
+        """Return how long this VM waits for candidates before it.
+
+        :param step: seconds for each of them.
+        """
         before = 0
         for entry in self.fleet.zone_mates():
             if entry.vm_id == self.fleet.own.vm_id:
                 break
             before += 1
-        return _CANDIDATE_STEP_S * min(before, _MAX_STEPS)
+        return step * min(before, _MAX_STEPS)
--- a/src/bronzewall/edge/store_reader.py
+++ b/src/bronzewall/edge/store_reader.py
@@ -24,7 +24,7 @@
 # of a watch confirms the configuration.
 _WATCH_PART = 0.35
 # Part of the drain bound between two readings of the instances.
-_READ_PART = 0.5
+_READ_PART = 0.35
 # Pause after a failed call, and after several in a row, seconds.
 _RETRY_PAUSE_S = 0.02
 _FAILURE_PAUSE_S = 0.4
@@ -66,6 +66,18 @@
     _revision: int = -1
     _vms_revision: int = -1
 
+    def act(self, is_acting: bool) -> None:
+        """Start or stop reading for the zone."""
+        if is_acting and not self.acting.is_set():
+            _LOG.info('hub_started')
+            # Whether this VM reaches the store is known after its first
+            # call; until then others keep trying as well.
+            self.hub.has_store = False
+            self.acting.set()
+        elif self.acting.is_set() and not is_acting:
+            _LOG.info('hub_ended')
+            self.acting.clear()
+
     async def join(self) -> None:
         """Register this VM and learn of the others.
 
--- a/src/bronzewall/standins/memory_store.py
+++ b/src/bronzewall/standins/memory_store.py
@@ -18,6 +18,9 @@
 
 _POLL_S = 0.01
 _STATUS_OK = 200
+# Time after which the client gives up a read and the rest of a watch.
+_HUNG_READ_S = 0.35
+_HUNG_WATCH_S = 0.8
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -26,17 +29,21 @@
 
     :param configurations: configurations by their stored form.
     :param is_silent: watches end without telling of changes.
+    :param is_hung: calls end without an answer when their time is over.
     """
 
     clock: Clock
     shared: 'SharedStore'
     is_away: bool = False
     is_silent: bool = False
+    is_hung: bool = False
     calls: int = 0
 
     async def read_configuration(self) -> ConfigurationReading:
         """Return the configuration."""
         self._count()
+        if self.is_hung:
+            await self._hang(_HUNG_READ_S)
         return ConfigurationReading(
             raw=self.shared.raw,
             revision=self.shared.revision,
@@ -52,10 +59,13 @@
         while self.clock.now() < ends_at:
             if after < self.shared.history_from:
                 raise StoreHistoryLostError('history')
-            if self.shared.changed_at > after and not self.is_silent:
+            is_told = not self.is_silent and not self.is_hung
+            if self.shared.changed_at > after and is_told:
                 return await self._changed()
             await asyncio.sleep(_POLL_S)
             self._check()
+        if self.is_hung:
+            await self._hang(_HUNG_WATCH_S)
         return ConfigurationReading(
             raw=None,
             revision=self.shared.revision,
@@ -65,6 +75,8 @@
     async def read_instances(self) -> InstancesReading:
         """Return the instances."""
         self._count()
+        if self.is_hung:
+            await self._hang(_HUNG_READ_S)
         return InstancesReading(
             instances=tuple(self.shared.instances_by_id.values()),
             confirmed_at=self.clock.now(),
@@ -98,6 +110,11 @@
         """Return a configuration that was published."""
         return self.shared.configurations[raw]
 
+    async def _hang(self, seconds: float) -> None:
+        """Wait for an answer that does not come."""
+        await asyncio.sleep(seconds)
+        raise StoreUnavailableError('no answer')
+
     async def _changed(self) -> ConfigurationReading:
         return ConfigurationReading(
             raw=self.shared.raw,
--- a/tests/edge_builders.py
+++ b/tests/edge_builders.py
@@ -212,10 +212,7 @@
     def tick(self) -> None:
         """Do what the daemon does each tick."""
         is_acting = self.choice.decide(now=self.clock.now())
-        if is_acting:
-            self.reader.acting.set()
-        else:
-            self.reader.acting.clear()
+        self.reader.act(is_acting)
         self.member.report()
         if is_acting:
             self.transfers.ask_where_low()
--- a/tests/test_edge_zone.py
+++ b/tests/test_edge_zone.py
@@ -338,3 +338,24 @@
         await fleet.stop()
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize('delay', [0, 0.2, 0.4, 0.6, 0.8])
+def test_change_while_the_store_is_silent_for_some(delay: float) -> None:
+    # Found on trouble-1 of wrzosek-gw: the store turned some VMs away, the
+    # hub and the next candidates among them, as a key was withdrawn.
+    async def main() -> None:
+        names = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h']
+        fleet = await _settled(*names)
+        await asyncio.sleep(delay)
+        for name in names[:4]:
+            fleet.vms[name].store.is_hung = True
+        fleet.shared.publish(an_edge_configuration(2))
+        await asyncio.sleep(2)
+        behind = [
+            name for name, vm in fleet.vms.items() if vm.directory.version != 2
+        ]
+        assert not behind
+        await fleet.stop()
+
+    run_virtual(main())
