Renew old configurations and lists from any VM and then the store

Cause: a VM follows one zone leader and gets changes only from it. A leader's status message kept it as leader also where it did not hear the VM (one-way cut, lost link): such a status holds no echo and thus neither configuration nor list, and nothing made the VM read for itself. A leader also counted as reaching the store if any of its three loops had the last word.

Ruled out: turned-away leaders alone, history dropped, hung reads, killed leaders: 0.3 to 2.1 s on the code before. A shorter leader time-out does not help, since the leader is heard. Following only leaders that echo makes two leaders hold each other off, and needs a special case for leaders that do not report.

Beyond 0.8 it acts as leader until it has read the store. A leader whose own data is that old says so and is followed last. A new leader reads the configuration at once, and its loops do not wait out an earlier pause. Ages at use are histograms on the metrics page.

--- a/src/bronzewall/edge/catalog.py
+++ b/src/bronzewall/edge/catalog.py
@@ -66,7 +66,7 @@
     def adopt(
         self, instances: Iterable[EdgeInstance], *, confirmed_at: float
     ) -> bool:
-        """Adopt the leader's list if it is newer; return whether it is."""
+        """Adopt another VM's list if it is newer; return whether it is."""
         if confirmed_at <= self.confirmed_at:
             return False
         self.confirmed_at = confirmed_at
--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -10,11 +10,13 @@
 from bronzewall.edge.fleet_view import FleetView
 from bronzewall.edge.freshness import KeyFreshness
 from bronzewall.edge.gate import Gate
+from bronzewall.edge.knowledge_age import KnowledgeAge
 from bronzewall.edge.leader_election import LeaderElection
 from bronzewall.edge.member import Member
 from bronzewall.edge.model import EdgeInstance, VmEntry
 from bronzewall.edge.ports import FleetStore, HeaderNames, InstanceHttp
 from bronzewall.edge.rate_limits import ZonePools
+from bronzewall.edge.refresh import Refresher
 from bronzewall.edge.request_path import EdgeRequestHandler
 from bronzewall.edge.retry_budget import RetryBudget
 from bronzewall.edge.selection import Selector
@@ -55,6 +57,7 @@
     leader: ZoneLeader
     member: Member
     reader: StoreReader
+    refresher: Refresher
     transfers: TokenTransfers
     selector: Selector
     gate: Gate
@@ -71,11 +74,17 @@
     """
     clock = ports.clock
     fleet = FleetView(own=own)
-    election = LeaderElection(fleet=fleet, started_at=clock.now())
     directory = Directory()
     freshness = KeyFreshness(clock=clock, bound=settings.revoke_bound)
     state = ZoneState()
     catalog = Catalog(clock=clock, interval=settings.discovery_interval)
+    age = KnowledgeAge(
+        clock=clock,
+        catalog=catalog,
+        freshness=freshness,
+        list_bound=min(settings.drain_bound, settings.config_bound),
+    )
+    election = LeaderElection(fleet=fleet, age=age, started_at=clock.now())
     selector = Selector(
         own_placement=own.placement, catalog=catalog, state=state
     )
@@ -93,6 +102,7 @@
         directory=directory,
         catalog=catalog,
         freshness=freshness,
+        age=age,
         state=state,
         pools=ZonePools(
             zone_count=len(settings.region_by_zone()), slack=settings.rate_slack
@@ -125,7 +135,18 @@
         revoke_bound=settings.revoke_bound,
     )
     transfers = TokenTransfers(leader=leader)
-    for component in (leader, member, transfers):
+    refresher = Refresher(
+        clock=clock,
+        random=ports.random,
+        endpoint=ports.endpoint,
+        fleet=fleet,
+        directory=directory,
+        catalog=catalog,
+        freshness=freshness,
+        age=age,
+        store=ports.store,
+    )
+    for component in (leader, member, transfers, refresher):
         component.serve()
     gate = Gate(
         clock=clock,
@@ -166,6 +187,7 @@
         leader=leader,
         member=member,
         reader=reader,
+        refresher=refresher,
         transfers=transfers,
         selector=selector,
         gate=gate,
--- a/src/bronzewall/edge/composition.py
+++ b/src/bronzewall/edge/composition.py
@@ -113,6 +113,7 @@
         leader=components.leader,
         transfers=components.transfers,
         reader=components.reader,
+        refresher=components.refresher,
         fleet=components.fleet,
         link=link,
         client=client,
--- a/src/bronzewall/edge/daemon.py
+++ b/src/bronzewall/edge/daemon.py
@@ -15,6 +15,7 @@
 from bronzewall.adapters.websocket_link import WebSocketLink
 from bronzewall.edge.fleet_view import FleetView
 from bronzewall.edge.member import Member
+from bronzewall.edge.refresh import Refresher
 from bronzewall.edge.request_path import EdgeRequestHandler
 from bronzewall.edge.settings import EdgeSettings
 from bronzewall.edge.store_reader import StoreReader
@@ -61,6 +62,7 @@
     leader: ZoneLeader
     transfers: TokenTransfers
     reader: StoreReader
+    refresher: Refresher
     fleet: FleetView
     link: WebSocketLink
     client: InstanceClient
@@ -109,6 +111,7 @@
     async def _start_background(self) -> None:
         loops: list[Awaitable[None]] = [
             self.reader.join(),
+            self.refresher.run(),
             self._exchange(),
             self._send_zone_summaries(),
             self._log_counters(),
--- a/src/bronzewall/edge/leader_election.py
+++ b/src/bronzewall/edge/leader_election.py
@@ -5,6 +5,7 @@
 import attrs
 
 from bronzewall.edge.fleet_view import FleetView, rank
+from bronzewall.edge.knowledge_age import KnowledgeAge
 from bronzewall.types import VmId
 
 # A leader sends its status at least every 0.25 s; after two lost messages it
@@ -38,10 +39,12 @@
     """Decides which VM this one follows and whether it acts as a leader.
 
     Several VMs may be leaders at the same time; the only cost is more calls
-    to the store.
+    to the store. A VM whose data is too old acts as a leader until it has read
+    the store, whatever the leaders say that it hears.
     """
 
     fleet: FleetView
+    age: KnowledgeAge
     started_at: float
     is_leader: bool = False
     store_failed_at: float = -math.inf
@@ -89,6 +92,10 @@
         if self.is_leaving:
             self.is_leader = False
             return False
+        reaches_store = now - self.store_failed_at > _STORE_RETRY_S
+        if reaches_store and self.age.is_read_due():
+            self.is_leader = True
+            return True
         leader = self.current_leader(now=now)
         if leader is None:
             waiting_since = max(
@@ -99,7 +106,6 @@
             )
             return self.is_leader
         contact = self._contacts_by_id[leader]
-        reaches_store = now - self.store_failed_at > _STORE_RETRY_S
         if self.is_leader:
             ranks_higher = rank(self.fleet.own) < rank(
                 self.fleet.entries_by_id[leader]
--- a/src/bronzewall/edge/member.py
+++ b/src/bronzewall/edge/member.py
@@ -69,6 +69,8 @@
         state.admission.admitted.clear()
         state.admission.requested.clear()
         if self.election.is_leader:
+            # The list that this VM reads replaces that of the leader before.
+            self._catalog_revision = -1
             self.leader.record_broken_requests(broken, now=now)
             self.leader.record_demand(requested, admitted, now=now)
             return
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -223,6 +223,10 @@
         exchange.tried_ids.add(instance_id)
         exchange.runs += 1
         sent_at = self.clock.now()
+        self.metrics.record_ages(
+            configuration=self.gate.freshness.age(),
+            instances=sent_at - self.catalog.confirmed_at,
+        )
         timer = asyncio.get_running_loop().call_later(
             self._overdue_after(exchange),
             self._record_overdue,
--- a/src/bronzewall/edge/settings.py
+++ b/src/bronzewall/edge/settings.py
@@ -43,6 +43,7 @@
         ``peer_listen``, if it differs.
     :param zones: regions by zone, as ``zone=region`` joined by commas.
     :param strength: relative processing power of this VM.
+    :param config_bound: seconds within which a configuration must be in force.
     :param drain_bound: seconds within which requests to a leaving instance
         must stop.
     :param revoke_bound: seconds within which a withdrawn key must stop
@@ -69,6 +70,7 @@
     zones: str = ''
     peer_address: str = ''
     strength: float = _seconds(1)
+    config_bound: float = _seconds(2)
     drain_bound: float = _seconds(2)
     revoke_bound: float = _seconds(5)
     stop_limit: float = _seconds(6)
--- a/src/bronzewall/edge/store_reader.py
+++ b/src/bronzewall/edge/store_reader.py
@@ -1,6 +1,7 @@
 """Reads the platform's store while this VM is a zone leader."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -68,6 +69,7 @@
     drain_bound: float
     revoke_bound: float
     active: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _activated: asyncio.Event = attrs.field(factory=asyncio.Event)
     _configuration_revision: int = -1
     _vms_revision: int = -1
 
@@ -75,6 +77,11 @@
         """Start reading when this VM becomes a leader, stop when it ceases."""
         if is_leader and not self.active.is_set():
             _LOG.info('hub_started')
+            # The configuration is read and not watched: what the leader
+            # before has missed must be known at once.
+            self._configuration_revision = -1
+            self._activated.set()
+            self._activated = asyncio.Event()
             # Whether this VM reaches the store is known after its first
             # call; until then other candidates keep trying as well.
             self.leader.has_store = False
@@ -126,7 +133,13 @@
         while True:
             await self.active.wait()
             failures = 0 if await self._call_store(step) else failures + 1
-            await self.clock.sleep(pauses[min(failures, len(pauses) - 1)])
+            await self._pause(pauses[min(failures, len(pauses) - 1)])
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait, but not beyond the next time that this VM becomes leader."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._activated.wait()
 
     async def _call_store(self, step: Callable[[], Awaitable[None]]) -> bool:
         """Run calls to the store; return whether they were answered."""
--- a/src/bronzewall/edge/zone_leader.py
+++ b/src/bronzewall/edge/zone_leader.py
@@ -13,6 +13,7 @@
 from bronzewall.edge.failure_estimates import Observation
 from bronzewall.edge.fleet_view import FleetView
 from bronzewall.edge.freshness import KeyFreshness
+from bronzewall.edge.knowledge_age import KnowledgeAge
 from bronzewall.edge.rate_limits import ZonePools
 from bronzewall.edge.zone_messages import (
     BrokenRequest,
@@ -99,6 +100,7 @@
     directory: Directory
     catalog: Catalog
     freshness: KeyFreshness
+    age: KnowledgeAge
     state: ZoneState
     pools: ZonePools
     is_leader: Callable[[], bool]
@@ -196,7 +198,7 @@
                 continue
             reporter = self._reporters_by_id.get(entry.vm_id)
             status = ZoneStatus(
-                has_store=self.has_store,
+                has_store=self.has_store and not self.age.is_read_due(),
                 store_age=_age(now, self.freshness.confirmed_at),
                 catalog_age=_age(now, self.catalog.confirmed_at),
                 version=self.directory.version,
--- a/src/bronzewall/edge/zone_messages.py
+++ b/src/bronzewall/edge/zone_messages.py
@@ -59,7 +59,8 @@
     """Status message of a zone leader to one VM of its zone.
 
     :param echo: stamp of the latest report from the receiver.
-    :param has_store: the leader's last call to the store was answered.
+    :param has_store: the leader's last call to the store was answered, and
+        its data is recent.
     :param store_age: seconds since the configuration was confirmed.
     :param catalog_age: seconds since the list of instances was confirmed.
     :param version: version of the leader's configuration; ``store_age``
@@ -111,6 +112,39 @@
     broken: list[BrokenRequest] = attrs.field(factory=list)
 
 
+@message('edge-refresh')
+@attrs.frozen(kw_only=True)
+class RefreshRequest:
+    """Requests the configuration and the instance list from any VM.
+
+    :param version: version of the sender's active configuration.
+    :param list_age: seconds since the sender's instance list was confirmed.
+    """
+
+    version: int
+    list_age: float
+
+
+@message('edge-refresh-reply')
+@attrs.frozen(kw_only=True)
+class RefreshReply:
+    """What the answering VM knows of the store.
+
+    :param version: version of its configuration; ``store_age`` applies to a
+        receiver whose version is at least this one.
+    :param store_age: seconds since the configuration was confirmed.
+    :param raw: the configuration, if the receiver's is older.
+    :param list_age: seconds since the list of instances was confirmed.
+    :param catalog: packed instances, if the receiver's list is older.
+    """
+
+    version: int = -1
+    store_age: float | None = None
+    raw: bytes | None = None
+    list_age: float | None = None
+    catalog: bytes | None = None
+
+
 @message('edge-token-ask', label='TokenAsk')
 @attrs.frozen(kw_only=True)
 class TokenRequest:
--- /dev/null
+++ b/tests/edge_disturbances.py
@@ -0,0 +1,146 @@
+"""A zone under disturbances that a seed draws, and the ages at use."""
+
+import asyncio
+import random
+
+import attrs
+from edge_builders import an_edge_configuration, an_edge_instance
+from edge_fleet import TICK_S, Fleet
+
+from bronzewall.types import VmId
+
+_SETTLE_S = 3.0
+_LENGTH_S = 9.0
+_CHANGE_PAUSES_S = (0.2, 2.5)
+_INSTANCES = 12
+_CUTS = 20
+_KILLS_PER_TICK = 0.01
+_FREEZES_PER_TICK = 0.01
+_FREEZE_S = 1.0
+
+
+@attrs.frozen(kw_only=True)
+class Disturbances:
+    """What happens to one zone.
+
+    :param away_share: share of the VMs that the store turns away.
+    :param is_silent: the store does not answer these VMs at all.
+    :param has_cuts: one-way cuts between VMs.
+    :param has_kills: leaders are killed and start again.
+    :param has_freezes: VMs stand still.
+    :param loses_history: the store drops its history at changes.
+    """
+
+    vms: int = 17
+    away_share: float = 0.4
+    is_silent: bool = False
+    has_cuts: bool = False
+    has_kills: bool = False
+    has_freezes: bool = False
+    loses_history: bool = False
+
+
+@attrs.define(kw_only=True)
+class _Changes:
+    """Times at which versions and shorter instance lists were accepted."""
+
+    random: random.Random
+    version: int = 1
+    listed: int = _INSTANCES
+    version_times: list[tuple[int, float]] = attrs.field(factory=list)
+    list_times: list[tuple[int, float]] = attrs.field(factory=list)
+    next_version_at: float = 0
+    next_list_at: float = 0
+
+    def apply(self, fleet: Fleet, now: float, loses_history: bool) -> None:
+        if now >= self.next_version_at:
+            self.version += 1
+            fleet.shared.publish(an_edge_configuration(self.version))
+            self.version_times.append((self.version, now))
+            self.next_version_at = now + self.random.uniform(*_CHANGE_PAUSES_S)
+            if loses_history and self.random.random() < 0.5:
+                fleet.shared.drop_history()
+        if now >= self.next_list_at and self.listed:
+            self.listed -= 1
+            list_first(fleet, self.listed)
+            self.list_times.append((self.listed, now))
+            self.next_list_at = now + self.random.uniform(*_CHANGE_PAUSES_S)
+
+    def oldest_missing(self, version: int, listed: int) -> float:
+        """Return when the first change that a VM lacks was accepted."""
+        missing = [at for number, at in self.version_times if number > version]
+        missing.extend(at for left, at in self.list_times if left < listed)
+        return min(missing, default=float('inf'))
+
+
+def list_first(fleet: Fleet, count: int) -> None:
+    """List the first instances of a fixed sequence."""
+    fleet.list_instances(
+        *(an_edge_instance(f'i-{number}') for number in range(count))
+    )
+
+
+async def oldest_use(seed: int, case: Disturbances) -> tuple[float, str, int]:
+    """Return the greatest age of what a VM used, which one, and the calls.
+
+    The age is that of the first accepted change that the VM did not know.
+    """
+    drawn = random.Random(seed)
+    names = [f'vm-{number:02}' for number in range(case.vms)]
+    fleet = Fleet(*names)
+    list_first(fleet, _INSTANCES)
+    await fleet.start()
+    await asyncio.sleep(_SETTLE_S)
+    loop = asyncio.get_running_loop()
+    started_at = loop.time()
+    calls_before = _calls(fleet)
+    away = set(drawn.sample(names, int(case.vms * case.away_share)))
+    _turn_away(fleet, away, case)
+    if case.has_cuts:
+        for _ in range(_CUTS):
+            sender, receiver = drawn.sample(names, 2)
+            fleet.network.block(sender=VmId(sender), receiver=VmId(receiver))
+    changes = _Changes(random=drawn)
+    worst = (0, '')
+    while loop.time() < started_at + _LENGTH_S:
+        now = loop.time()
+        changes.apply(fleet, now, case.loses_history)
+        await _disturb(fleet, case, drawn, away)
+        for name, vm in fleet.vms.items():
+            is_frozen = VmId(name) in fleet.network.frozen_ids
+            if vm.directory.version < 0 or is_frozen:
+                continue
+            missing_at = changes.oldest_missing(
+                vm.directory.version, len(vm.catalog.instances_by_id)
+            )
+            worst = max(worst, (now - missing_at, name))
+        await asyncio.sleep(TICK_S)
+    calls = _calls(fleet) - calls_before
+    await fleet.stop()
+    return (*worst, calls)
+
+
+async def _disturb(
+    fleet: Fleet, case: Disturbances, drawn: random.Random, away: set[str]
+) -> None:
+    if case.has_kills and drawn.random() < _KILLS_PER_TICK and fleet.leaders():
+        name = drawn.choice(fleet.leaders())
+        await fleet.restart(name)
+        _turn_away(fleet, away & {name}, case)
+    if case.has_freezes and drawn.random() < _FREEZES_PER_TICK:
+        vm_id = VmId(drawn.choice(list(fleet.vms)))
+        fleet.network.freeze(vm_id)
+        asyncio.get_running_loop().call_later(
+            _FREEZE_S, fleet.network.thaw, vm_id
+        )
+
+
+def _turn_away(fleet: Fleet, names: set[str], case: Disturbances) -> None:
+    for name in names:
+        store = fleet.vms[name].store
+        store.is_hung = case.is_silent
+        store.is_unavailable = not case.is_silent
+
+
+def _calls(fleet: Fleet) -> int:
+    return sum(vm.store.calls for vm in fleet.vms.values())
--- a/tests/edge_fleet.py
+++ b/tests/edge_fleet.py
@@ -51,7 +51,9 @@
             await vm.reader.join()
         for name, vm in self.vms.items():
             await vm.reader._read_vms()
-            self._run(name, *vm.reader.loops(), self._tick(vm))
+            self._run(
+                name, *vm.reader.loops(), vm.refresher.run(), self._tick(vm)
+            )
 
     async def restart(self, name: str, pause: float = 0.2) -> None:
         """Kill a VM and start it again."""
@@ -63,7 +65,12 @@
             zone=entry.placement.zone,
             started_ms=int(self._now() * 1000),
         )
-        loops = (vm.reader.join(), *vm.reader.loops(), self._tick(vm))
+        loops = (
+            vm.reader.join(),
+            *vm.reader.loops(),
+            vm.refresher.run(),
+            self._tick(vm),
+        )
         self._run(name, *loops)
 
     async def kill(self, name: str) -> None:
--- a/tests/outer_interface.py
+++ b/tests/outer_interface.py
@@ -2,6 +2,7 @@
 
 import ast
 import enum
+import functools
 import importlib
 import pathlib
 import pkgutil
@@ -69,6 +70,7 @@
 }
 
 
+@functools.cache
 def interface() -> dict[str, Any]:
     """Return the names by where they are seen."""
     load_all_modules()
@@ -177,9 +179,11 @@
     ]
 
 
-def _trees() -> Iterator[ast.Module]:
-    for path in sorted(_SOURCE.rglob('*.py')):
-        yield ast.parse(path.read_text())
+@functools.cache
+def _trees() -> tuple[ast.Module, ...]:
+    return tuple(
+        ast.parse(path.read_text()) for path in sorted(_SOURCE.rglob('*.py'))
+    )
 
 
 def _log_lines() -> list[str]:
