Read a configuration one entry at a time and split traffic evenly

Cause: one route of an unknown type (upload) made the decoder reject the whole configuration, so that a deployment not seen before was not served at all, and each request waited 0.6 s for a configuration that could not come. Splits were drawn at random: at 200 requests a share of one half is off by 3.5 points at one standard deviation.

Ruled out: adding the word alone, since the next unknown value would end the service again; dropping unreadable routes, because their requests would be sent by a shorter prefix or be refused with a wrong 404.

Change: unknown values are read in their strictest known sense (table in docs/platform.md): any route type but idempotent is not idempotent; an entry that cannot be read refuses its own requests as not run (503), and where its place cannot be read, requests without a route or key get 503 in place of 404 and 401. A VM whose configuration is malformed, or whose own read of it failed, refuses at once. TrafficSplits divides by a golden-ratio sequence with a random start for each route and VM. A test that wanted the whole configuration rejected for one bad route is replaced by tests that the route refuses and that the others are served; rejection of malformed whole documents stays tested.

Each VM's share after 200 requests is within 2 points for splits of two and three parts (test).

--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -24,6 +24,7 @@
 from bronzewall.edge.settings import EdgeSettings
 from bronzewall.edge.store_reader import StoreReader
 from bronzewall.edge.token_transfers import TokenTransfers
+from bronzewall.edge.traffic_splits import TrafficSplits
 from bronzewall.edge.zone_leader import ZoneLeader
 from bronzewall.edge.zone_state import ZoneState
 from bronzewall.metrics import Metrics
@@ -150,7 +151,7 @@
         component.serve()
     gate = Gate(
         clock=clock,
-        random=ports.random,
+        splits=TrafficSplits(random=ports.random),
         directory=directory,
         freshness=freshness,
         state=state,
--- a/src/bronzewall/edge/directory.py
+++ b/src/bronzewall/edge/directory.py
@@ -52,8 +52,12 @@
             return CallerLimits()
         return self.configuration.limits
 
+    def stop_waiting(self) -> None:
+        """Let requests fail at once while no configuration is to be had."""
+        self._loaded.set()
+
     async def wait_for_configuration(self, timeout: float) -> None:
-        """Wait for the first configuration.
+        """Wait for the first configuration, or until it is known to fail.
 
         :param timeout: longest wait in seconds.
         """
--- a/src/bronzewall/edge/gate.py
+++ b/src/bronzewall/edge/gate.py
@@ -1,7 +1,5 @@
 """Finds the route and account of a request and checks its admission."""
 
-import random
-
 import attrs
 
 from bronzewall import headers as header_rules
@@ -9,11 +7,12 @@
 from bronzewall.edge.exchange import EdgeExchange
 from bronzewall.edge.freshness import KeyFreshness
 from bronzewall.edge.model import EdgeAccount, EdgeConfiguration, EdgeRoute
+from bronzewall.edge.traffic_splits import TrafficSplits
 from bronzewall.edge.zone_state import ZoneState
 from bronzewall.errors import RateExceededError
 from bronzewall.ports import CallerRequest, Clock, Headers
 from bronzewall.problems import Reason, RefusalError
-from bronzewall.types import RequestId, ServiceName
+from bronzewall.types import RequestId
 
 _MS_PER_S = 1000
 # Timeout of a request if neither the caller nor the route sets one, seconds.
@@ -32,7 +31,7 @@
     """
 
     clock: Clock
-    random: random.Random
+    splits: TrafficSplits
     directory: Directory
     freshness: KeyFreshness
     state: ZoneState
@@ -51,7 +50,7 @@
             raise RefusalError(
                 reason=Reason.NOT_CONFIGURED, retry_after=_RETRY_AFTER_S
             )
-        route = self._find_route(request)
+        route = self._find_route(configuration, request)
         key = header_rules.caller_key(request.headers)
         route_timeout = (
             _DEFAULT_TIMEOUT_S if route.timeout is None else route.timeout
@@ -61,7 +60,7 @@
             request=request,
             request_id=request_id,
             route=route,
-            service=self._draw_service(route),
+            service=self.splits.draw(route),
             account=self._find_account(configuration, route, key),
             key=key,
             started=started,
@@ -105,12 +104,18 @@
         if exchange.account is not None:
             self.state.admission.refund(exchange.account)
 
-    def _find_route(self, request: CallerRequest) -> EdgeRoute:
+    def _find_route(
+        self, configuration: EdgeConfiguration, request: CallerRequest
+    ) -> EdgeRoute:
         host = header_rules.find(request.headers, 'Host') or ''
         path = request.target.partition('?')[0]
         route = self.directory.find_route(host=host, path=path)
         if route is not None:
+            if not route.traffic_split:
+                raise _unreadable_refusal(f'route {route.route_id}')
             return route
+        if configuration.has_unreadable_routes:
+            raise _unreadable_refusal('a route')
         if not self.freshness.is_fresh():
             # The route may have been added since the last confirmation.
             raise self._stale_keys_refusal()
@@ -123,14 +128,6 @@
             return int(text) / _MS_PER_S
         return _DEFAULT_TIMEOUT_S
 
-    def _draw_service(self, route: EdgeRoute) -> ServiceName:
-        """Draw a service at random by the weights of the traffic split."""
-        shares = route.traffic_split
-        if len(shares) == 1:
-            return shares[0].service
-        weights = [share.weight for share in shares]
-        return self.random.choices(shares, weights)[0].service
-
     def _find_account(
         self,
         configuration: EdgeConfiguration,
@@ -143,7 +140,11 @@
             raise RefusalError(reason=Reason.KEY_MISSING)
         account = self.directory.find_account(key)
         if account is not None:
+            if not account.is_usable:
+                raise _unreadable_refusal(f'account {account.account_id}')
             return account
+        if configuration.has_unreadable_accounts:
+            raise _unreadable_refusal('an account')
         if not self.freshness.is_fresh():
             # The key may have been added since the last confirmation.
             raise self._stale_keys_refusal()
@@ -162,3 +163,10 @@
         return RefusalError(
             reason=Reason.CUT_OFF, detail=detail, retry_after=_RETRY_AFTER_S
         )
+
+
+def _unreadable_refusal(subject: str) -> RefusalError:
+    return RefusalError(
+        reason=Reason.NOT_CONFIGURED,
+        detail=f'{subject} of the configuration cannot be read',
+    )
--- a/src/bronzewall/edge/member.py
+++ b/src/bronzewall/edge/member.py
@@ -139,6 +139,7 @@
             configuration = self.store.decode_configuration(raw)
         except StoreEntryError as exc:
             _LOG.warning('configuration_ignored', error=str(exc))
+            self.directory.stop_waiting()
             return
         self.directory.accept(configuration, raw=raw, source='hub')
         self.state.has_updates = True
--- a/src/bronzewall/edge/model.py
+++ b/src/bronzewall/edge/model.py
@@ -34,6 +34,8 @@
     :param max_instances: number of instances that may run one request.
     :param priority: rank among requests; 0 is the most urgent.
     :param open_to_all: whether requests are served without a key.
+    :param traffic_split: empty if the route's entry is malformed; its
+        requests are then refused.
     """
 
     route_id: RouteId
@@ -55,6 +57,7 @@
     :param rate: requests a second over the whole fleet; 0 for no limit.
     :param burst: requests admitted at once over the whole fleet.
     :param priority: overrides the priority of the route, if set.
+    :param is_usable: its entry could be read; requests are refused otherwise.
     """
 
     account_id: AccountId
@@ -62,6 +65,7 @@
     rate: float = 0
     burst: float = 0
     priority: int | None = None
+    is_usable: bool = True
 
 
 @attrs.frozen(kw_only=True)
@@ -82,6 +86,9 @@
 
     :param version: increases with every publication.
     :param needs_keys: whether the configuration has client accounts at all.
+    :param has_unreadable_routes: some routes could not be read; a request
+        without a route may belong to one of them.
+    :param has_unreadable_accounts: the same for accounts and keys.
     """
 
     version: int
@@ -89,6 +96,8 @@
     accounts: tuple[EdgeAccount, ...] = ()
     needs_keys: bool = False
     limits: CallerLimits = CallerLimits()
+    has_unreadable_routes: bool = False
+    has_unreadable_accounts: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/src/bronzewall/edge/store_reader.py
+++ b/src/bronzewall/edge/store_reader.py
@@ -203,7 +203,7 @@
 
     async def _follow_configuration(self) -> None:
         if self._configuration_revision < 0:
-            self._apply_reading(await self.store.read_configuration())
+            await self._read_configuration()
             return
         try:
             self._apply_reading(
@@ -217,15 +217,24 @@
             # may have been missed, so the rows are read at once.
             _LOG.info('watch_ended', error=str(exc))
             self._configuration_revision = -1
-            self._apply_reading(await self.store.read_configuration())
+            await self._read_configuration()
             await self.clock.sleep(_WATCH_PAUSE_S)
 
+    async def _read_configuration(self) -> None:
+        try:
+            reading = await self.store.read_configuration()
+        except StoreError:
+            self.directory.stop_waiting()
+            raise
+        self._apply_reading(reading)
+
     def _apply_reading(self, reading: ConfigurationReading) -> None:
         if reading.raw is not None and reading.raw != self.directory.raw:
             try:
                 configuration = self.store.decode_configuration(reading.raw)
             except StoreEntryError as exc:
                 _LOG.warning('configuration_ignored', error=str(exc))
+                self.directory.stop_waiting()
                 return
             is_new = self.directory.accept(
                 configuration, raw=reading.raw, source='store'
--- /dev/null
+++ b/src/bronzewall/platform/fields.py
@@ -0,0 +1,106 @@
+"""Reads typed fields of the platform's JSON documents."""
+
+import json
+import math
+from collections.abc import Mapping
+from typing import Any, TypeVar
+
+from bronzewall.errors import StoreEntryError
+
+_FieldT = TypeVar('_FieldT')
+_NUMBER = (int, float)
+
+
+def document(raw: bytes) -> dict[str, Any]:
+    """Return the object that a row holds.
+
+    :raises StoreEntryError: the row holds something else.
+    """
+    try:
+        wire = json.loads(raw)
+    except (ValueError, RecursionError) as exc:
+        raise StoreEntryError(f'not JSON: {exc}') from exc
+    if not isinstance(wire, dict):
+        raise StoreEntryError(f'not a JSON object: {type(wire).__name__}')
+    return wire
+
+
+def text(wire: Mapping[str, Any], name: str) -> str:
+    """Return a text that is not empty.
+
+    :raises StoreEntryError: the field is missing or holds something else.
+    """
+    value = _typed(wire, name, str)
+    if not value:
+        raise StoreEntryError(f'{name} is empty')
+    return value
+
+
+def integer(wire: Mapping[str, Any], name: str) -> int:
+    """Return a whole number.
+
+    :raises StoreEntryError: the field is missing or holds something else.
+    """
+    return _typed(wire, name, int)
+
+
+def number(wire: Mapping[str, Any], name: str) -> float:
+    """Return a number that is not negative.
+
+    :raises StoreEntryError: the field is missing or holds something else.
+    """
+    value = _typed(wire, name, _NUMBER)
+    if not 0 <= value < math.inf:
+        raise StoreEntryError(f'{name} is {value!r}')
+    return value
+
+
+def optional_number(wire: Mapping[str, Any], name: str) -> float | None:
+    """Return a number that is not negative, or ``None`` if there is none.
+
+    :raises StoreEntryError: the field holds something else.
+    """
+    return None if wire.get(name) is None else number(wire, name)
+
+
+def items(wire: Mapping[str, Any], name: str) -> list[Any]:
+    """Return a list; a missing one is empty.
+
+    :raises StoreEntryError: the field holds something else.
+    """
+    value = wire.get(name, [])
+    if not isinstance(value, list):
+        raise StoreEntryError(f'{name} is not a list')
+    return value
+
+
+def entry(item: object) -> Mapping[str, Any]:
+    """Return one item of a list of objects.
+
+    :raises StoreEntryError: the item is something else.
+    """
+    if not isinstance(item, dict):
+        raise StoreEntryError(f'{item!r} is not an object')
+    return item
+
+
+def address(value: str) -> str:
+    """Return an address of the form ``host:port``.
+
+    :raises StoreEntryError: it has another form.
+    """
+    host, _, port = value.rpartition(':')
+    if not host or not port.isdigit():
+        raise StoreEntryError(f'address {value!r} is not host:port')
+    return value
+
+
+def _typed(
+    wire: Mapping[str, Any],
+    name: str,
+    types: type[_FieldT] | tuple[type[_FieldT], ...],
+) -> _FieldT:
+    value = wire.get(name)
+    if not isinstance(value, types) or isinstance(value, bool):
+        raise StoreEntryError(f'{name} is {value!r}')
+    return value
--- a/src/bronzewall/platform/store.py
+++ b/src/bronzewall/platform/store.py
@@ -21,6 +21,7 @@
 )
 from bronzewall.metrics import Metrics
 from bronzewall.platform import decoding, names
+from bronzewall.platform.configuration import ConfigurationDecoder
 from bronzewall.ports import Clock
 
 _STATUS_OK = 200
@@ -71,12 +72,13 @@
     clock: Clock
     metrics: Metrics
     region_by_zone: Mapping[str, str]
-    decode_configuration: Callable[[bytes], EdgeConfiguration] = (
-        decoding.decode_configuration
-    )
     _read_timeout: float = _READ_TIMEOUT_S
     _bad_entries: dict[str, bytes] = attrs.field(factory=dict)
 
+    def decode_configuration(self, raw: bytes) -> EdgeConfiguration:
+        """Decode the operators' row."""
+        return ConfigurationDecoder(events=self.metrics.events).decode(raw)
+
     async def read_configuration(self) -> ConfigurationReading:
         """Read the configuration."""
         sent_at = self.clock.now()
