Bound answers of instances and tell late copies from answers

Causes, each shown by a test that failed on the code before: * An answer was read as a whole without a limit. A late copy of such an answer on a connection in use again let a request that ran be sent again or refused as not run. The product's own face had no guard at all for upstreams that echo nothing. * A whole answer with garbage behind it in the same packet was reported as lost, and a partial second head behind it broke the next exchange.

Ruled out: a limit by reading in parts above aiohttp, which sees neither interim answers nor chunk extensions; waiting for a quiet time before a connection is used again, since a copy may come at any time.

Change: bytes are counted where they arrive (receive_limits.py): 32 KiB until the end of the header block, 4 MiB for a body and 32 MiB for all answers of a VM, then the largest one ends. The header block is parsed by itself, so that it survives bad bytes behind it; bytes beyond the body are dropped and end the connection. On a connection in use again only an answer with the echoed id counts, whatever its status; the product's own client uses a connection again only after an echo (cost: one connection, about 1 ms, a request for upstreams without it; the stand-in echoes).

--- a/src/bronzewall/adapters/instance_http.py
+++ b/src/bronzewall/adapters/instance_http.py
@@ -9,7 +9,11 @@
 import attrs
 from multidict import CIMultiDictProxy
 
-from bronzewall.adapters.safe_reuse_connector import SafeReuseConnector
+from bronzewall.adapters.receive_limits import ReceiveLimits
+from bronzewall.adapters.safe_reuse_connector import (
+    SafeReuseConnector,
+    SafeReuseHandler,
+)
 from bronzewall.adapters.upstream_calls import (
     open_no_retry_session,
     start_request,
@@ -35,6 +39,12 @@
 # peer is then unreachable. TCP retransmits lost packets after 0.2 s.
 _USER_TIMEOUT_MS = 1500
 _TIMEOUT_PARAMETER = 'timeout='
+# Answers are received as a whole before they are passed on, bytes.
+_ANSWER_BYTES = 4_194_304
+_TOTAL_ANSWER_BYTES = 33_554_432
+_LIMITS = ReceiveLimits(
+    answer_bytes=_ANSWER_BYTES, total_bytes=_TOTAL_ANSWER_BYTES
+)
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -59,12 +69,14 @@
             self.session, request, connect_timeout=request.connect_timeout
         ) as response:
             is_sent = _is_request_sent(response)
+            is_first = _is_first_exchange(response)
             body = await response.read()
             if not is_sent:
                 # The instance answered before it had the whole request body.
                 # It still expects the rest, so the connection can't be reused.
                 response.close()
             self._apply_idle_timeout(response.headers)
+            self._check_request(request, response, is_first=is_first)
             self._check_answer(request, response)
             return InstanceAnswer(
                 status=response.status,
@@ -72,10 +84,39 @@
                 body=body,
             )
 
+    def _check_request(
+        self,
+        request: InstanceRequest,
+        response: aiohttp.ClientResponse,
+        *,
+        is_first: bool,
+    ) -> None:
+        """Raise an error unless this is the final answer to this request.
+
+        A late copy of an answer to an earlier request may say that it has
+        not run; this request may run nevertheless.
+
+        :param is_first: no request was sent on the connection before.
+        """
+        headers = response.headers
+        instance_id = request.instance_id
+        echoed = headers.get(self.names.attempt_id)
+        is_needed = not is_first or response.status in _STATUS_SUCCESS
+        if echoed != request.attempt_id and (echoed is not None or is_needed):
+            response.close()
+            raise UpstreamBrokenError(
+                f'{instance_id}: answer to attempt {echoed}'
+            )
+        if response.status < HTTPStatus.OK:
+            response.close()
+            raise UpstreamBrokenError(
+                f'{instance_id}: no final answer, status {response.status}'
+            )
+
     def _check_answer(
         self, request: InstanceRequest, response: aiohttp.ClientResponse
     ) -> None:
-        """Raise an error unless the instance answered this very request."""
+        """Raise an error unless the instance ran the request."""
         headers = response.headers
         instance_id = request.instance_id
         if response.status == _STATUS_WRONG_INSTANCE:
@@ -90,14 +131,6 @@
             raise UpstreamBrokenError(
                 f'{instance_id}: conflicting body lengths'
             )
-        echoed = headers.get(self.names.attempt_id)
-        if echoed != request.attempt_id and (
-            echoed is not None or response.status in _STATUS_SUCCESS
-        ):
-            response.close()
-            raise UpstreamBrokenError(
-                f'{instance_id}: answer to attempt {echoed}'
-            )
         if response.status in _STATUS_SUCCESS and (
             self.names.answer_signature not in headers
         ):
@@ -114,10 +147,15 @@
             self.connector.limit_keepalive(int(seconds) * _IDLE_FRACTION)
 
 
-def open_instance_client(names: HeaderNames) -> InstanceClient:
-    """Return a client that never resends a request on its own."""
+def open_instance_client(
+    names: HeaderNames, limits: ReceiveLimits = _LIMITS
+) -> InstanceClient:
+    """Return a client that never resends a request on its own.
+
+    :param limits: limits on the bytes of answers.
+    """
     connector = SafeReuseConnector(
-        keepalive_timeout=_IDLE_S, socket_factory=_open_socket
+        limits=limits, keepalive_timeout=_IDLE_S, socket_factory=_open_socket
     )
     session = open_no_retry_session(
         connector,
@@ -127,6 +165,12 @@
     return InstanceClient(names=names, session=session, connector=connector)
 
 
+def _is_first_exchange(response: aiohttp.ClientResponse) -> bool:
+    """Return whether the connection had no request before."""
+    protocol = response._protocol  # noqa: SLF001, WPS437
+    return isinstance(protocol, SafeReuseHandler) and protocol.is_first
+
+
 def _is_request_sent(response: aiohttp.ClientResponse) -> bool:
     """Return whether the whole request was written."""
     writer = response._writer  # noqa: SLF001, WPS437
--- a/src/bronzewall/adapters/safe_reuse_connector.py
+++ b/src/bronzewall/adapters/safe_reuse_connector.py
@@ -3,24 +3,44 @@
 import asyncio
 import functools
 from collections.abc import Collection
+from http import HTTPStatus
 from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.streams import EMPTY_PAYLOAD
 
+from bronzewall.adapters.receive_limits import ReceivedBytes, ReceiveLimits
 
-class _SafeReuseHandler(ResponseHandler):
+_END_OF_HEAD = b'\r\n\r\n'
+
+
+class SafeReuseHandler(ResponseHandler):
     """Connection that is not reused if data arrived while it was idle.
 
     aiohttp checks a connection when it is returned to the pool, not when it
     is taken out. An answer that arrives in between would be mistaken for the
     answer to the next request.
+
+    ``is_first`` is whether at most one request was sent on the connection.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        """Create a connection that has not sent a request yet."""
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, received: ReceivedBytes
+    ) -> None:
+        """Create a connection that has not sent a request yet.
+
+        :param received: counts the bytes of all connections.
+        """
         super().__init__(loop)
         self.is_idle = False
+        self.is_first = True
+        self._has_sent = False
+        self._received = received
+        self._head_bytes = 0
+        self._has_head = False
+        # Bytes of the body that are still to come, if it has a length.
+        self._body_left: int | None = None
 
     def is_connected(self) -> bool:
         """Return whether the connection may be used."""
@@ -29,14 +49,32 @@
     def set_response_params(self, **settings: Any) -> None:
         """Prepare to receive an answer."""
         self.is_idle = False
+        self.is_first = not self._has_sent
+        self._has_sent = True
+        self._head_bytes = 0
+        self._has_head = False
+        self._body_left = None
+        self._received.start(self, self.fail)
         super().set_response_params(**settings)
 
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Receive the header block of an answer, which may be interim."""
+        message, payload = data
+        self._has_head = self._has_head or message.code >= HTTPStatus.OK
+        length = message.headers.get('Content-Length', '')
+        if payload is EMPTY_PAYLOAD:
+            self._body_left = 0
+        elif length.isdigit() and not message.chunked:
+            self._body_left = int(length)
+        super().feed_data(data, size)
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Fail an answer whose connection ended with an error.
 
         An answer without a length is complete only after a clean close.
         aiohttp also accepts a reset connection as its end.
         """
+        self._received.stop(self)
         payload = getattr(self, '_payload', None)
         if exc is not None and payload is not None and not payload.is_eof():
             payload.set_exception(aiohttp.ClientPayloadError(repr(exc)))
@@ -49,20 +87,94 @@
             self.force_close()
             self.abort()
             return
-        super().data_received(data)
+        self._received.add(self, len(data))
+        if not data:
+            super().data_received(data)
+        while data and self.transport is not None:
+            part, data = self._next_part(data)
+            if part:
+                super().data_received(part)
+                self._check_end(part)
+        self._fail_malformed_body()
+
+    def fail(self, reason: str) -> None:
+        """End an answer that exceeds a limit and close the connection."""
+        exc = aiohttp.ClientPayloadError(reason)
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(exc)
+        self.set_exception(exc)
+        transport = self.transport
+        if transport is not None:
+            transport.abort()
+        # Bytes that the event loop has read already are ignored.
+        self.transport = None
+
+    def finish(self) -> None:
+        """Note that the answer was read; more bytes belong to no request."""
+        self.is_idle = True
+        self._received.stop(self)
+
+    def _next_body_part(self, data: bytes) -> bytes:
+        """Return the bytes that belong to the body.
+
+        More bytes belong to no request; the connection is not used again.
+        """
+        if self._body_left is None:
+            return data
+        part = data[: self._body_left]
+        self._body_left -= len(part)
+        if len(part) < len(data):
+            self.force_close()
+        return part
+
+    def _check_end(self, part: bytes) -> None:
+        """Do not use the connection again if bytes follow a chunked body."""
+        payload = self._payload
+        if payload is None or not payload.is_eof() or self._body_left == 0:
+            return
+        if not part.endswith(_END_OF_HEAD):
+            self.force_close()
+
+    def _fail_malformed_body(self) -> None:
+        """End the body after a parser error; aiohttp would wait for more."""
+        payload = self._payload
+        exc = self._exception
+        if exc is None or payload is None or payload.is_eof():
+            return
+        payload.set_exception(aiohttp.ClientPayloadError(repr(exc)))
+
+    def _next_part(self, data: bytes) -> tuple[bytes, bytes]:
+        """Return the bytes to parse now and the rest."""
+        if self._has_head:
+            return self._next_body_part(data), b''
+        # The parser forgets an answer if bytes that follow it in the same
+        # part are malformed. The header block is therefore a part by itself.
+        end = data.find(_END_OF_HEAD) + len(_END_OF_HEAD)
+        if end < len(_END_OF_HEAD):
+            end = len(data)
+        self._head_bytes += end
+        if self._head_bytes > self._received.limits.head_bytes:
+            self.fail(f'no header block after {self._head_bytes} bytes')
+            return b'', b''
+        return data[:end], data[end:]
 
 
 class SafeReuseConnector(aiohttp.TCPConnector):
     """Connector without limits; the dispatcher limits connections."""
 
-    def __init__(self, **options: Any) -> None:
-        """Create a connector of :class:`_SafeReuseHandler` connections.
+    def __init__(
+        self, *, limits: ReceiveLimits | None = None, **options: Any
+    ) -> None:
+        """Create a connector of :class:`SafeReuseHandler` connections.
 
+        :param limits: limits on the bytes of answers.
         :param options: passed on to ``TCPConnector``.
         """
         super().__init__(limit=0, limit_per_host=0, **options)
+        received = ReceivedBytes(limits=limits or ReceiveLimits())
         make_handler: Any = functools.partial(
-            _SafeReuseHandler, loop=self._loop
+            SafeReuseHandler, loop=self._loop, received=received
         )
         self._factory = make_handler
 
@@ -88,4 +200,4 @@
         self, key: Any, protocol: Any, *, should_close: bool = False
     ) -> None:
         super()._release(key, protocol, should_close=should_close)
-        protocol.is_idle = True
+        protocol.finish()
--- a/src/bronzewall/adapters/upstream_http.py
+++ b/src/bronzewall/adapters/upstream_http.py
@@ -6,7 +6,10 @@
 import attrs
 
 from bronzewall import headers as header_rules
-from bronzewall.adapters.safe_reuse_connector import SafeReuseConnector
+from bronzewall.adapters.safe_reuse_connector import (
+    SafeReuseConnector,
+    SafeReuseHandler,
+)
 from bronzewall.adapters.upstream_calls import (
     open_no_retry_session,
     start_request,
@@ -54,7 +57,9 @@
                 request,
                 connect_timeout=min(_CONNECT_TIMEOUT_S, request.timeout),
             )
-        problem = _framing_problem(request, response)
+        problem = _identity_problem(request, response) or _framing_problem(
+            request, response
+        )
         if problem is not None:
             response.close()
             raise UpstreamBrokenError(f'{request.instance_id}: {problem}')
@@ -91,11 +96,27 @@
     )
     if has_body and not lengths and not is_chunked:
         return 'an answer without a length may be truncated'
+    return None
+
+
+def _identity_problem(
+    request: UpstreamRequest, response: aiohttp.ClientResponse
+) -> str | None:
+    """Return why an answer may belong to another request.
+
+    A connection is used again only while its answers echo the request's id:
+    a second copy of an answer may arrive after the next request was sent.
+    """
     echoed = response.headers.get(header_rules.REQUEST_ID)
     sent = header_rules.find(request.headers, header_rules.REQUEST_ID)
-    if echoed is not None and echoed != sent:
-        return 'the answer belongs to another request'
-    return None
+    if echoed == sent and echoed is not None:
+        return None
+    protocol = response._protocol  # noqa: SLF001, WPS437
+    if echoed is None and isinstance(protocol, SafeReuseHandler):
+        protocol.force_close()
+        if protocol.is_first:
+            return None
+    return 'the answer belongs to another request'
 
 
 async def _body(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
--- a/src/bronzewall/edge/composition.py
+++ b/src/bronzewall/edge/composition.py
@@ -10,6 +10,7 @@
 
 from bronzewall.adapters.entry_http import EntryServer
 from bronzewall.adapters.instance_http import open_instance_client
+from bronzewall.adapters.receive_limits import ReceiveLimits
 from bronzewall.adapters.report_http import Page, readiness_page
 from bronzewall.adapters.system_clock import SystemClock
 from bronzewall.adapters.websocket_link import WebSocketLink
@@ -70,7 +71,13 @@
     vm_id = VmId(settings.vm_id)
     started_ms = int(clock.wall() * _MS_PER_S)
     link = WebSocketLink(listen=settings.peer_listen)
-    client = open_instance_client(platform.names)
+    client = open_instance_client(
+        platform.names,
+        ReceiveLimits(
+            answer_bytes=settings.answer_bytes,
+            total_bytes=settings.total_answer_bytes,
+        ),
+    )
     components = build_components(
         VmEntry(
             vm_id=vm_id,
--- a/src/bronzewall/edge/settings.py
+++ b/src/bronzewall/edge/settings.py
@@ -16,6 +16,8 @@
 
 _COMMENT = '#'
 _DISCOVERY_INTERVAL_S = 1.5
+_ANSWER_BYTES = 4_194_304
+_TOTAL_ANSWER_BYTES = 33_554_432
 
 
 def _seconds(default: float) -> Any:
@@ -56,6 +58,8 @@
         window in which the platform counts them.
     :param rate_slack: requests of an account beyond its rate and burst that
         the fleet may admit in a few seconds.
+    :param answer_bytes: largest body of an instance's answer.
+    :param total_answer_bytes: bytes of all answers that are being received.
     :param log_level: name of the lowest level that is logged.
     """
 
@@ -85,6 +89,12 @@
         default=0, converter=float, validator=attrs.validators.ge(0)
     )
 
+    answer_bytes: int = attrs.field(
+        default=_ANSWER_BYTES, converter=int, validator=positive
+    )
+    total_answer_bytes: int = attrs.field(
+        default=_TOTAL_ANSWER_BYTES, converter=int, validator=positive
+    )
     log_level: str = attrs.field(
         default='info', validator=attrs.validators.in_(LEVELS_BY_NAME)
     )
--- a/src/bronzewall/standins/upstream.py
+++ b/src/bronzewall/standins/upstream.py
@@ -60,6 +60,7 @@
     def application(self) -> web.Application:
         """Return the web application."""
         app = web.Application()
+        app.on_response_prepare.append(_echo_request_id)
         app.add_routes(
             [
                 web.post('/-/control', self._control),
@@ -138,6 +139,15 @@
         return web.json_response({'status': 'ok', 'load': 0})
 
 
+async def _echo_request_id(
+    request: web.Request, response: web.StreamResponse
+) -> None:
+    """Echo the request's id, so that connections are used again."""
+    request_id = request.headers.get(header_rules.REQUEST_ID)
+    if request_id is not None:
+        response.headers[header_rules.REQUEST_ID] = request_id
+
+
 async def serve_upstream(
     *, listen: str, name: str, delay: float
 ) -> web.AppRunner:
--- a/tests/test_instance_http.py
+++ b/tests/test_instance_http.py
@@ -151,6 +151,61 @@
     await client.session.close()
 
 
+@pytest.mark.parametrize(
+    'late',
+    [
+        WHOLE,
+        WHOLE.replace(b'T-Attempt: a-1\r\n', b''),
+        b'HTTP/1.1 503 Full\r\nT-Attempt: a-1\r\nT-Not-Run: 1\r\n'
+        b'Content-Length: 0\r\n\r\n',
+        b'HTTP/1.1 503 Full\r\nT-Not-Run: 1\r\nContent-Length: 0\r\n\r\n',
+        b'HTTP/1.1 421 Other\r\nT-Attempt: a-1\r\nContent-Length: 0\r\n\r\n',
+        b'HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n',
+        b'HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n',
+    ],
+)
+async def test_late_copy_says_nothing_about_the_next_request(
+    late: bytes,
+) -> None:
+    # A copy of a "not run" answer to the request before must not let this one
+    # be sent again or be refused as not run: the instance runs it.
+    client = open_instance_client(NAMES)
+
+    async def script(connection, _number):
+        await connection.read_request()
+        await connection.send(WHOLE)
+        await connection.read_request()
+        await connection.send(late)
+
+    async with RawUpstream(script=script) as upstream:
+        await client.send(a_request(upstream.address))
+        with pytest.raises(UpstreamBrokenError):
+            await client.send(a_request(upstream.address, attempt_id='a-2'))
+        assert len(upstream.connections) == 1
+    await client.session.close()
+
+
+@pytest.mark.parametrize('extra', [WHOLE, b'garbage' * 99, b'HTTP/1.1 20'])
+async def test_whole_answer_is_used_despite_bytes_behind_it(
+    extra: bytes,
+) -> None:
+    # Answers that are complete are delivered, so that a request that has run
+    # is not reported as lost.
+    client = open_instance_client(NAMES)
+    async with RawUpstream(script=respond_with(WHOLE + extra)) as upstream:
+        for _ in range(2):
+            answer = await client.send(a_request(upstream.address))
+            assert answer.body == b'body'
+        assert len(upstream.connections) == 2
+    await client.session.close()
+
+
+async def test_switch_of_protocols_is_no_answer() -> None:
+    switch = b'HTTP/1.1 101 Switch\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n'
+    with pytest.raises(UpstreamBrokenError):
+        await exchange(respond_with(switch))
+
+
 async def test_connection_is_not_reused_after_an_early_answer() -> None:
     # The instance still expects the rest of the request body on the connection
     # and would read another request as that rest.
