Watch the instances and let weak VMs wait for a leader at the start

Cause: a zone leader read all instances each 0.35 of the drain bound and ended a watch of the configuration each 1.5 s: 2.1 calls a second and zone at a bound of 2 s, 1.6 at 3 s, with all entries in each answer. At the first start every VM read the list of all VMs: 292 calls at the size of the large deployment. The short time limit of a read never applied while a watch was open, because any call in flight selected the long one.

Ruled out: one long watch beside one short (no fewer calls); a watch of 10 s (a connection that went silent would hide a withdrawn key for that long).

Change: two watches of at most 0.6 of the smallest bound, half a period apart (watch_schedule.py); each answer shows that the store serves this VM and confirms what the other open watch has not reported. After changes the next watch waits 0.25 s, so that a series comes in few answers. A failed watch counts as a lost store at once, not only after the read that follows. At the first start a VM below strength 0.6 waits 2.5 s for a leader, which learns of it from the registrations. Other VMs are asked from 0.62 of the bound on and the store is read from 0.78 to 0.90 by rank, so that not all read when a leader is lost.

--- a/soak/store.py
+++ b/soak/store.py
@@ -26,6 +26,9 @@
     rows: dict[str, dict[str, tuple[str, int]]] = attrs.field(
         factory=lambda: {'op': {}, 'servers': {}, 'bronzewall-vms': {}}
     )
+    dropped: dict[str, dict[str, int]] = attrs.field(
+        factory=lambda: {'op': {}, 'servers': {}, 'bronzewall-vms': {}}
+    )
     revision: int = 1
     history_from: int = 0
     refused_vms: set[str] = attrs.field(factory=set)
@@ -65,6 +68,7 @@
         """Remove a row."""
         self.revision += 1
         self.rows[table].pop(key, None)
+        self.dropped[table][key] = self.revision
 
     def heal(self) -> None:
         """End all faults."""
@@ -94,7 +98,9 @@
         while loop.time() < ends_at:
             if after < self.history_from:
                 return web.json_response({}, status=_STATUS_GONE)
-            if any(revision > after for _, revision in table.values()):
+            changed = [revision for _, revision in table.values()]
+            changed.extend(self.dropped[request.query['table']].values())
+            if max(changed, default=0) > after:
                 break
             await asyncio.sleep(_POLL_S)
             await self._apply_faults(request)
@@ -115,6 +121,12 @@
             for key, (raw, revision) in sorted(self.rows[table].items())
             if revision > after
         ]
+        if after:
+            rows.extend(
+                {'table': table, 'part': '', 'key': key, 'deleted': True}
+                for key, revision in self.dropped[table].items()
+                if revision > after and key not in self.rows[table]
+            )
         return web.json_response(
             {
                 'tableRows': rows,
--- a/src/bronzewall/edge/catalog.py
+++ b/src/bronzewall/edge/catalog.py
@@ -45,6 +45,10 @@
     _rejected_addresses: dict[InstanceId, str] = attrs.field(factory=dict)
     _grace_ends_at: float = -math.inf
 
+    def is_in_grace(self) -> bool:
+        """Return whether missing entries are kept because they may return."""
+        return self.clock.now() < self._grace_ends_at
+
     def usable(self, service: ServiceName) -> tuple[EdgeInstance, ...]:
         """Return the instances that may get new requests."""
         return self._usable_by_service.get(service, ())
--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -22,9 +22,10 @@
 from bronzewall.edge.selection import Selector
 from bronzewall.edge.sending import Sender
 from bronzewall.edge.settings import EdgeSettings
-from bronzewall.edge.store_reader import StoreReader
+from bronzewall.edge.store_reader import WATCH_FRACTION, StoreReader
 from bronzewall.edge.token_transfers import TokenTransfers
 from bronzewall.edge.traffic_splits import TrafficSplits
+from bronzewall.edge.watch_schedule import WatchSchedule
 from bronzewall.edge.zone_leader import ZoneLeader
 from bronzewall.edge.zone_state import ZoneState
 from bronzewall.metrics import Metrics
@@ -132,8 +133,8 @@
         directory=directory,
         catalog=catalog,
         freshness=freshness,
-        drain_bound=settings.drain_bound,
-        revoke_bound=settings.revoke_bound,
+        first_start=settings.first_start,
+        schedule=WatchSchedule(period=age.list_bound * WATCH_FRACTION),
     )
     transfers = TokenTransfers(leader=leader)
     refresher = Refresher(
--- a/src/bronzewall/edge/knowledge_age.py
+++ b/src/bronzewall/edge/knowledge_age.py
@@ -11,8 +11,12 @@
 # Fraction of a bound after which other VMs are asked, and the one after which
 # this VM reads the store itself. Traffic within a zone is free, and a call to
 # the store is not.
-_ASK_FRACTION = 0.7
-_READ_FRACTION = 0.8
+_ASK_FRACTION = 0.62
+_READ_FRACTION = 0.78
+# Addition to the latter for each VM that precedes this one, so that not all of
+# them read when a leader is lost, and the number of those that count.
+_PRECEDING_FRACTION = 0.02
+_MAX_PRECEDING = 6
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -39,9 +43,15 @@
         """Return whether to ask other VMs for newer data."""
         return self._is_beyond(_ASK_FRACTION)
 
-    def is_read_due(self) -> bool:
-        """Return whether to read the store whoever is the zone leader."""
-        return self._is_beyond(_READ_FRACTION)
+    def is_read_due(self, *, preceding: int = 0) -> bool:
+        """Return whether to read the store whoever is the zone leader.
+
+        :param preceding: VMs of the zone that rank higher.
+        """
+        return self._is_beyond(
+            _READ_FRACTION
+            + _PRECEDING_FRACTION * min(preceding, _MAX_PRECEDING)
+        )
 
     def _is_beyond(self, fraction: float) -> bool:
         """Compare ages; a VM without any data waits for its first leader."""
--- a/src/bronzewall/edge/leader_election.py
+++ b/src/bronzewall/edge/leader_election.py
@@ -93,7 +93,7 @@
             self.is_leader = False
             return False
         reaches_store = now - self.store_failed_at > _STORE_RETRY_S
-        if reaches_store and self.age.is_read_due():
+        if reaches_store and self.age.is_read_due(preceding=self._preceding()):
             self.is_leader = True
             return True
         leader = self.current_leader(now=now)
@@ -126,9 +126,13 @@
 
         :param delay: seconds for each of them.
         """
+        return delay * min(self._preceding(), _MAX_PRECEDING_CANDIDATES)
+
+    def _preceding(self) -> int:
+        """Return the number of VMs of the zone that rank higher."""
         preceding = 0
         for entry in self.fleet.zone_vms():
             if entry.vm_id == self.fleet.own.vm_id:
                 break
             preceding += 1
-        return delay * min(preceding, _MAX_PRECEDING_CANDIDATES)
+        return preceding
--- a/src/bronzewall/edge/ports.py
+++ b/src/bronzewall/edge/ports.py
@@ -7,6 +7,7 @@
 
 from bronzewall.edge.model import EdgeConfiguration, EdgeInstance, VmEntry
 from bronzewall.ports import Headers, UpstreamRequest
+from bronzewall.types import InstanceId
 
 
 @attrs.frozen(kw_only=True)
@@ -27,10 +28,28 @@
 class InstancesReading:
     """All instances that the store lists.
 
+    :param revision: revision of the store up to which the result is valid.
     :param confirmed_at: clock time at which it was certainly up to date.
     """
 
     instances: tuple[EdgeInstance, ...]
+    revision: int
+    confirmed_at: float
+
+
+@attrs.frozen(kw_only=True)
+class InstanceChanges:
+    """Entries of instances that changed since a revision.
+
+    :param listed: new and changed entries.
+    :param gone: ids whose entry was removed or cannot be read.
+    :param revision: revision of the store up to which the result is valid.
+    :param confirmed_at: clock time at which it was certainly up to date.
+    """
+
+    listed: tuple[EdgeInstance, ...]
+    gone: tuple[InstanceId, ...]
+    revision: int
     confirmed_at: float
 
 
@@ -68,6 +87,15 @@
     async def read_instances(self) -> InstancesReading:
         """Return the instances."""
 
+    async def watch_instances(
+        self, *, after: int, wait: float
+    ) -> InstanceChanges:
+        """Return the next changes, or none when the wait ends.
+
+        :param after: revision of the previous reading.
+        :param wait: seconds to wait for a change.
+        """
+
     async def register(self, entry: VmEntry) -> None:
         """Write this VM's entry."""
 
--- a/src/bronzewall/edge/refresh.py
+++ b/src/bronzewall/edge/refresh.py
@@ -26,10 +26,10 @@
 from bronzewall.types import VmId
 
 # Time between two checks of the ages, seconds.
-_CHECK_INTERVAL_S = 0.1
+_CHECK_INTERVAL_S = 0.05
 # Time limit of a question to another VM, seconds; a round trip between regions
 # takes 16 ms.
-_TIMEOUT_S = 0.15
+_TIMEOUT_S = 0.08
 # One of this many questions goes to another zone, whose VMs may reach the
 # store when none of this zone does.
 _OTHER_ZONE_TURN = 3
--- a/src/bronzewall/edge/settings.py
+++ b/src/bronzewall/edge/settings.py
@@ -16,6 +16,12 @@
 
 _COMMENT = '#'
 _DISCOVERY_INTERVAL_S = 1.5
+_FLAGS_BY_TEXT: Mapping[bool | str, bool] = {
+    'true': True,
+    'false': False,
+    True: True,
+    False: False,
+}
 _ANSWER_BYTES = 4_194_304
 _TOTAL_ANSWER_BYTES = 33_554_432
 
@@ -24,6 +30,12 @@
     return attrs.field(default=default, converter=float, validator=positive)
 
 
+def _flag(given: bool | str) -> bool:
+    if given in _FLAGS_BY_TEXT:
+        return _FLAGS_BY_TEXT[given]
+    raise ValueError(f'{given!r} is neither true nor false')
+
+
 def _text() -> Any:
     return attrs.field(validator=not_empty)
 
@@ -46,6 +58,7 @@
     :param zones: regions by zone, as ``zone=region`` joined by commas.
     :param strength: relative processing power of this VM.
     :param config_bound: seconds within which a configuration must be in force.
+    :param first_start: whether the whole fleet starts for the first time.
     :param drain_bound: seconds within which requests to a leaving instance
         must stop.
     :param revoke_bound: seconds within which a withdrawn key must stop
@@ -74,6 +87,7 @@
     zones: str = ''
     peer_address: str = ''
     strength: float = _seconds(1)
+    first_start: bool = attrs.field(default=False, converter=_flag)
     config_bound: float = _seconds(2)
     drain_bound: float = _seconds(2)
     revoke_bound: float = _seconds(5)
--- a/src/bronzewall/edge/store_reader.py
+++ b/src/bronzewall/edge/store_reader.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import attrs
 import structlog
@@ -12,7 +13,9 @@
 from bronzewall.edge.fleet_view import FleetView
 from bronzewall.edge.freshness import KeyFreshness
 from bronzewall.edge.leader_election import LeaderElection
+from bronzewall.edge.model import EdgeInstance
 from bronzewall.edge.ports import ConfigurationReading, FleetStore
+from bronzewall.edge.watch_schedule import WatchSchedule
 from bronzewall.edge.zone_leader import ZoneLeader
 from bronzewall.errors import (
     StoreEntryError,
@@ -20,12 +23,16 @@
     StoreHistoryLostError,
 )
 from bronzewall.ports import Clock
+from bronzewall.types import InstanceId
 
-# Fraction of ``revoke_bound`` for which one watch waits; each end of a watch
-# confirms the configuration.
-_WATCH_FRACTION = 0.3
-# Fraction of ``drain_bound`` between two reads of the instances.
-_READ_FRACTION = 0.35
+# Fraction of the smallest bound for which one watch waits. With two watches the
+# store is heard twice in this time.
+WATCH_FRACTION = 0.6
+# Pause after changes of instances, seconds. They often come in series, and
+# each call reports those that have come until then.
+_CHANGES_PAUSE_S = 0.25
+_CONFIGURATION = 'configuration'
+_INSTANCES = 'instances'
 # Pause after one failed call and after consecutive failures, seconds.
 _RETRY_PAUSE_S = 0.02
 _FAILURE_PAUSE_S = 0.4
@@ -35,6 +42,11 @@
 _WATCH_PAUSE_S = 0.05
 # VMs that start together register within this time, seconds.
 _JOIN_WAIT_S = 0.5
+# At the first start, VMs below this strength leave leadership to others for a
+# time, seconds, which is well below the time until callers come.
+_STRONG = 0.6
+_FIRST_START_WAIT_S = 2.5
+_FIRST_START_CHECK_S = 0.05
 # A leader answers the first report of a VM within this time, seconds.
 _LEADER_ANSWER_S = 0.25
 # A VM that started earlier by more than this did not start together with this
@@ -45,16 +57,15 @@
 _VMS_WATCH_S = 20.0
 _VMS_PAUSE_S = 2.0
 _LOG = structlog.get_logger()
+_ReadingT = TypeVar('_ReadingT')
 
 
 @attrs.define(kw_only=True, eq=False)
 class StoreReader:
     """Background loops that read the store for the zone.
 
-    :param drain_bound: seconds within which requests to a leaving instance
-        must stop.
-    :param revoke_bound: seconds within which a withdrawn key must stop
-        working.
+    :param first_start: whether the whole fleet starts for the first time.
+    :param schedule: lengths of the watches.
     :param active: set while this VM reads the store as a leader.
     """
 
@@ -66,11 +77,13 @@
     directory: Directory
     catalog: Catalog
     freshness: KeyFreshness
-    drain_bound: float
-    revoke_bound: float
+    first_start: bool
+    schedule: WatchSchedule
     active: asyncio.Event = attrs.field(factory=asyncio.Event)
     _activated: asyncio.Event = attrs.field(factory=asyncio.Event)
     _configuration_revision: int = -1
+    _instances_revision: int = -1
+    _listed_by_id: dict[InstanceId, EdgeInstance] = attrs.field(factory=dict)
     _vms_revision: int = -1
 
     def update_role(self, is_leader: bool) -> None:
@@ -79,7 +92,7 @@
             _LOG.info('hub_started')
             # The configuration is read and not watched: what the leader
             # before has missed must be known at once.
-            self._configuration_revision = -1
+            self._forget_revisions()
             self._activated.set()
             self._activated = asyncio.Event()
             # Whether this VM reaches the store is known after its first
@@ -99,7 +112,8 @@
         now = self.clock.now()
         self.election.started_at = now + _JOIN_WAIT_S
         is_registered = await self._call_store(self._register)
-        await self._call_store(self._read_vms)
+        if not await self._is_found_by_leader():
+            await self._call_store(self._read_vms)
         started = [
             entry.started_ms
             for entry in self.fleet.entries_by_id.values()
@@ -119,9 +133,7 @@
         """Return the loops to run."""
         return [
             self._repeat(self._follow_configuration, 0),
-            self._repeat(
-                self._read_instances, self.drain_bound * _READ_FRACTION
-            ),
+            self._repeat(self._follow_instances, 0),
             self._repeat(self._watch_vms, _VMS_PAUSE_S),
         ]
 
@@ -146,17 +158,38 @@
         try:
             await step()
         except StoreError as exc:
-            if self.leader.has_store or self.election.store_failed_at < 0:
-                _LOG.warning('store_lost', error=str(exc))
-            self.election.store_failed_at = self.clock.now()
-            self.leader.has_store = False
-            self._configuration_revision = -1
+            self._record_failure(exc)
             return False
         if not self.leader.has_store:
             _LOG.info('store_reached')
             self.leader.has_store = True
         return True
 
+    def _record_failure(self, exc: StoreError) -> None:
+        if self.leader.has_store or self.election.store_failed_at < 0:
+            _LOG.warning('store_lost', error=str(exc))
+        self.election.store_failed_at = self.clock.now()
+        self.leader.has_store = False
+        self.leader.has_updates = True
+        self.leader.has_urgent_updates = True
+        self._forget_revisions()
+
+    async def _is_found_by_leader(self) -> bool:
+        """Wait at the first start for a leader; return whether one came.
+
+        Leaders watch the registrations, so that only the strong VMs, which
+        lead, need to read them.
+        """
+        if not self.first_start or self.fleet.own.strength >= _STRONG:
+            return False
+        ends_at = self.clock.now() + _FIRST_START_WAIT_S
+        self.election.started_at = ends_at + _JOIN_WAIT_S
+        while self.clock.now() < ends_at:
+            await self.clock.sleep(_FIRST_START_CHECK_S)
+            if self.election.current_leader(now=self.clock.now()) is not None:
+                return True
+        return False
+
     async def _read_without_leader(self) -> None:
         """Read the store if no leader answers after a restart.
 
@@ -195,30 +228,80 @@
 
     async def _read_instances(self) -> None:
         reading = await self.store.read_instances()
+        self._listed_by_id = {
+            item.instance_id: item for item in reading.instances
+        }
+        self._instances_revision = reading.revision
+        self._accept_instances(reading.confirmed_at)
+
+    async def _follow_instances(self) -> None:
+        if self._instances_revision < 0 or self.catalog.is_in_grace():
+            await self._read_instances()
+            await self._pause(_CHANGES_PAUSE_S)
+            return
+        changes = await self._watch(
+            _INSTANCES, self.store.watch_instances, self._instances_revision
+        )
+        for instance_id in changes.gone:
+            self._listed_by_id.pop(instance_id, None)
+        for item in changes.listed:
+            self._listed_by_id[item.instance_id] = item
+        self._instances_revision = changes.revision
+        self._accept_instances(changes.confirmed_at)
+        if self.schedule.is_open_since(_CONFIGURATION, changes.confirmed_at):
+            self.freshness.confirm(changes.confirmed_at)
+        if changes.listed or changes.gone:
+            await self._pause(_CHANGES_PAUSE_S)
+
+    def _accept_instances(self, confirmed_at: float) -> None:
         revision = self.catalog.revision
         self.catalog.accept(
-            reading.instances, confirmed_at=reading.confirmed_at
+            self._listed_by_id.values(), confirmed_at=confirmed_at
         )
         self._mark_updates(is_new=revision != self.catalog.revision)
 
+    async def _watch(
+        self,
+        name: str,
+        watch: Callable[..., Awaitable[_ReadingT]],
+        after: int,
+    ) -> _ReadingT:
+        """Watch a table for as long as the schedule says."""
+        wait = self.schedule.start(name, now=self.clock.now())
+        try:
+            return await watch(after=after, wait=wait)
+        finally:
+            self.schedule.stop(name)
+
+    def _forget_revisions(self) -> None:
+        """Read the tables before they are watched again."""
+        self._configuration_revision = -1
+        self._instances_revision = -1
+
     async def _follow_configuration(self) -> None:
         if self._configuration_revision < 0:
             await self._read_configuration()
             return
         try:
-            self._apply_reading(
-                await self.store.watch_configuration(
-                    after=self._configuration_revision,
-                    wait=self.revoke_bound * _WATCH_FRACTION,
-                )
+            reading = await self._watch(
+                _CONFIGURATION,
+                self.store.watch_configuration,
+                self._configuration_revision,
             )
         except StoreError as exc:
             # A watch also ends when the store drops its history. A change
             # may have been missed, so the rows are read at once.
             _LOG.info('watch_ended', error=str(exc))
             self._configuration_revision = -1
+            if not isinstance(exc, StoreHistoryLostError):
+                # Others may take over while this VM tries again.
+                self._record_failure(exc)
             await self._read_configuration()
             await self.clock.sleep(_WATCH_PAUSE_S)
+            return
+        self._apply_reading(reading)
+        if self.schedule.is_open_since(_INSTANCES, reading.confirmed_at):
+            self.catalog.confirm(reading.confirmed_at)
 
     async def _read_configuration(self) -> None:
         try:
--- a/src/bronzewall/platform/store.py
+++ b/src/bronzewall/platform/store.py
@@ -11,6 +11,7 @@
 from bronzewall.edge.model import EdgeConfiguration, EdgeInstance, VmEntry
 from bronzewall.edge.ports import (
     ConfigurationReading,
+    InstanceChanges,
     InstancesReading,
     VmsReading,
 )
@@ -23,6 +24,7 @@
 from bronzewall.platform import decoding, names
 from bronzewall.platform.configuration import ConfigurationDecoder
 from bronzewall.ports import Clock
+from bronzewall.types import InstanceId
 
 _STATUS_OK = 200
 _STATUS_GONE = 410
@@ -33,8 +35,10 @@
 _CALL_TIMEOUT_S = 0.8
 _CONNECT_TIMEOUT_S = 0.4
 # A read is abandoned after this time, seconds, so that one lost packet does not
-# make keys stale; after a failure the next read gets the whole call timeout.
+# make keys stale; after a failure or a slow answer the next read gets the whole
+# call timeout.
 _READ_TIMEOUT_S = 0.35
+_SLOW_ANSWER_S = 0.15
 # A watch without changes lasts at least this fraction of its wait.
 _WATCH_MIN_FRACTION = 0.9
 _PAGE_ROWS = 500
@@ -107,7 +111,30 @@
         sent_at = self.clock.now()
         page = await self._read(names.INSTANCES_TABLE)
         found = self._decode_rows(page, self._decode_instance)
-        return InstancesReading(instances=found, confirmed_at=sent_at)
+        return InstancesReading(
+            instances=found, revision=page.revision, confirmed_at=sent_at
+        )
+
+    async def watch_instances(
+        self, *, after: int, wait: float
+    ) -> InstanceChanges:
+        """Wait for the next changes of instances.
+
+        An entry changes when more than its count of reports does.
+        """
+        sent_at = self.clock.now()
+        page = await self._watch(names.INSTANCES_TABLE, after, wait)
+        listed = self._decode_rows(page, self._decode_instance)
+        kept = {item.instance_id for item in listed}
+        held = 0 if page.rows else wait * _WATCH_MIN_FRACTION
+        return InstanceChanges(
+            listed=listed,
+            gone=tuple(
+                InstanceId(row.key) for row in page.rows if row.key not in kept
+            ),
+            revision=page.revision,
+            confirmed_at=min(sent_at + held, self.clock.now()),
+        )
 
     async def register(self, entry: VmEntry) -> None:
         """Write this VM's entry."""
@@ -184,16 +211,18 @@
     async def _read(self, table: str) -> _Page:
         """Return all rows of a table; each page is a consistent snapshot."""
         rows: list[_Row] = []
+        revision = 0
         start = ''
         while True:
             page = await self._get(
                 names.READ_PATH,
                 {'table': table, 'part': '', 'from': start},
-                self._read_timeout,
             )
             rows.extend(page.rows)
+            revision = min(revision or page.revision, page.revision)
             if not page.has_more or not page.rows:
-                return attrs.evolve(page, rows=tuple(rows))
+                # A row of an earlier page may have changed since.
+                return attrs.evolve(page, rows=tuple(rows), revision=revision)
             # The next page starts after the last key.
             start = f'{page.rows[-1].key}\0'
 
@@ -205,20 +234,29 @@
                 'after': str(after),
                 'waitMs': str(int(wait * _MS_PER_S)),
             },
-            wait + _CALL_TIMEOUT_S,
+            wait=wait,
         )
 
     async def _get(
-        self, path: str, query: dict[str, str], timeout: float
+        self, path: str, query: dict[str, str], *, wait: float = 0
     ) -> _Page:
-        self._read_timeout = _CALL_TIMEOUT_S
-        wire = await self._call(
-            'GET',
-            path,
-            query={name: text for name, text in query.items() if text},
-            timeout=timeout,
-        )
-        self._read_timeout = _READ_TIMEOUT_S
+        """Return one page.
+
+        :param wait: seconds for which the store may hold the call.
+        """
+        sent_at = self.clock.now()
+        try:
+            wire = await self._call(
+                'GET',
+                path,
+                query={name: text for name, text in query.items() if text},
+                timeout=wait + self._read_timeout,
+            )
+        except StoreUnavailableError:
+            self._read_timeout = _CALL_TIMEOUT_S
+            raise
+        is_slow = self.clock.now() - sent_at - wait > _SLOW_ANSWER_S
+        self._read_timeout = _CALL_TIMEOUT_S if is_slow else _READ_TIMEOUT_S
         try:
             return _decode_page(wire)
         except (KeyError, TypeError, ValueError) as exc:
--- a/src/bronzewall/standins/memory_store.py
+++ b/src/bronzewall/standins/memory_store.py
@@ -9,18 +9,19 @@
 from bronzewall.edge.ports import (
     ConfigurationReading,
     InstanceAnswer,
+    InstanceChanges,
     InstanceRequest,
     InstancesReading,
     VmsReading,
 )
 from bronzewall.errors import StoreHistoryLostError, StoreUnavailableError
 from bronzewall.ports import Clock
+from bronzewall.types import InstanceId
 
 _POLL_S = 0.01
 _STATUS_OK = 200
 # Seconds after which a hung read, and a hung watch after its wait, fail.
 _HUNG_READ_S = 0.35
-_HUNG_WATCH_S = 0.8
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -39,6 +40,7 @@
     omits_changes: bool = False
     is_hung: bool = False
     calls: int = 0
+    _seen_by_id: dict[str, EdgeInstance] = attrs.field(factory=dict)
 
     async def read_configuration(self) -> ConfigurationReading:
         """Return the configuration."""
@@ -66,7 +68,7 @@
             await asyncio.sleep(_POLL_S)
             self._check_available()
         if self.is_hung:
-            await self._time_out(_HUNG_WATCH_S)
+            await self._time_out(_HUNG_READ_S)
         return ConfigurationReading(
             raw=None,
             revision=self.shared.revision,
@@ -79,14 +81,41 @@
         if self.is_hung:
             await self._time_out(_HUNG_READ_S)
         return InstancesReading(
-            instances=tuple(self.shared.instances_by_id.values()),
+            instances=tuple(self._see_instances().values()),
+            revision=self.shared.revision,
+            confirmed_at=self.clock.now(),
+        )
+
+    async def watch_instances(
+        self, *, after: int, wait: float
+    ) -> InstanceChanges:
+        """Return the changes since the last reading or when the wait ends."""
+        self._begin_call()
+        ends_at = self.clock.now() + wait
+        before = self._seen_by_id
+        while self.clock.now() < ends_at:
+            if after < self.shared.history_from:
+                raise StoreHistoryLostError('history')
+            if before != self.shared.instances_by_id and not self.is_hung:
+                break
+            await asyncio.sleep(_POLL_S)
+            self._check_available()
+        if self.is_hung:
+            await self._time_out(_HUNG_READ_S)
+        found = self._see_instances()
+        return InstanceChanges(
+            listed=tuple(
+                item for name, item in found.items() if before.get(name) != item
+            ),
+            gone=tuple(InstanceId(name) for name in set(before) - set(found)),
+            revision=self.shared.revision,
             confirmed_at=self.clock.now(),
         )
 
     async def register(self, entry: VmEntry) -> None:
         """Store the entry of a VM."""
         self._begin_call()
-        self.shared.vms.append(entry)
+        self.shared.register(entry)
 
     async def read_vms(self) -> VmsReading:
         """Return the VMs."""
@@ -96,10 +125,12 @@
         )
 
     async def watch_vms(self, *, after: int, wait: float) -> VmsReading:
-        """Return the VMs after the whole wait."""
+        """Return the VMs when one registers or the wait ends."""
         self._begin_call()
-        await asyncio.sleep(wait)
-        self._check_available()
+        ends_at = self.clock.now() + wait
+        while self.clock.now() < ends_at and self.shared.registered_at <= after:
+            await asyncio.sleep(_POLL_S)
+            self._check_available()
         return VmsReading(
             entries=tuple(self.shared.vms), revision=self.shared.revision
         )
@@ -111,6 +142,11 @@
         """Return the configuration that was published as ``raw``."""
         return self.shared.configurations[raw]
 
+    def _see_instances(self) -> dict[str, EdgeInstance]:
+        """Return the instances and note that this VM knows them."""
+        self._seen_by_id = dict(self.shared.instances_by_id)
+        return self._seen_by_id
+
     async def _time_out(self, seconds: float) -> None:
         """Fail after the time limit of a call without an answer."""
         await asyncio.sleep(seconds)
@@ -140,6 +176,7 @@
     :param is_unavailable: every call of every VM fails.
     :param configurations: configurations by their stored form.
     :param changed_at: revision of the last change of the configuration.
+    :param registered_at: revision of the last registration of a VM.
     :param history_from: least revision after which changes can be read.
     """
 
@@ -149,6 +186,7 @@
     history_from: int = 0
     is_unavailable: bool = False
     vms: list[VmEntry] = attrs.field(factory=list)
+    registered_at: int = 0
     instances_by_id: dict[str, EdgeInstance] = attrs.field(factory=dict)
     configurations: dict[bytes, EdgeConfiguration] = attrs.field(factory=dict)
 
@@ -160,6 +198,12 @@
         self.revision += 1
         self.changed_at = self.revision
 
+    def register(self, entry: VmEntry) -> None:
+        """Add the entry of a VM."""
+        self.vms.append(entry)
+        self.revision += 1
+        self.registered_at = self.revision
+
     def drop_history(self) -> None:
         """Remove the history of changes."""
         self.revision += 1
--- a/tests/edge_builders.py
+++ b/tests/edge_builders.py
@@ -184,7 +184,9 @@
         )
 
 
-def some_settings(entry: VmEntry, *, zones: int = 1) -> EdgeSettings:
+def some_settings(
+    entry: VmEntry, *, zones: int = 1, **changes: Any
+) -> EdgeSettings:
     """Return the settings of a VM in a fleet of ``zones`` zones."""
     others = [f'other-{number}=other' for number in range(zones - 1)]
     return EdgeSettings(
@@ -199,6 +201,7 @@
         store='127.0.0.1:5',
         retry_ratio=0.2,
         retry_slack=60,
+        **changes,
     )
 
 
@@ -208,8 +211,12 @@
     shared: SharedStore | None = None,
     network: MemoryNetwork | None = None,
     zones: int = 1,
+    **changes: Any,
 ) -> EdgeVm:
-    """Return a VM; an event loop with virtual time must be running."""
+    """Return a VM; an event loop with virtual time must be running.
+
+    :param changes: settings that differ from the usual ones.
+    """
     entry = entry or a_vm()
     clock = VirtualClock()
     network = network or MemoryNetwork(random=random.Random(1))
@@ -227,7 +234,7 @@
             names=NAMES,
             metrics=Metrics(),
         ),
-        some_settings(entry, zones=zones),
+        some_settings(entry, zones=zones, **changes),
     )
     return EdgeVm(
         **attrs.asdict(parts, recurse=False),
--- a/tests/edge_fleet.py
+++ b/tests/edge_fleet.py
@@ -31,12 +31,22 @@
         self.shared.publish(an_edge_configuration())
         self.list_instances(an_edge_instance())
 
-    def add(self, name, *, zone='muscat-a', started_ms=0, zones=1):
+    def add(
+        self,
+        name,
+        *,
+        zone='muscat-a',
+        started_ms=0,
+        zones=1,
+        strength=1,
+        **changes,
+    ):
         vm = an_edge_vm(
-            a_vm(name, zone, started_ms=started_ms),
+            a_vm(name, zone, started_ms=started_ms, strength=strength),
             shared=self.shared,
             network=self.network,
             zones=zones,
+            **changes,
         )
         self.vms[name] = vm
         return vm
--- /dev/null
+++ b/tests/test_edge_store_reader.py
@@ -0,0 +1,81 @@
+"""Tests of what a VM reads from the store when it starts."""
+
+import asyncio
+
+import pytest
+from edge_builders import a_vm, some_settings
+from edge_fleet import Fleet
+
+from bronzewall.edge.settings import edge_settings
+from bronzewall.errors import SettingsError
+from bronzewall.standins.virtual_time import run_virtual
+
+
+async def first_start(strong: int, weak: int) -> tuple[Fleet, int]:
+    """Start a zone for the first time; return it and the calls made."""
+    fleet = Fleet()
+    for number in range(strong + weak):
+        fleet.add(
+            f'vm-{number:02}',
+            started_ms=number,
+            strength=0.7 if number < strong else 0.4,
+            first_start=True,
+        )
+    for name, vm in fleet.vms.items():
+        fleet._run(
+            name,
+            vm.reader.join(),
+            *vm.reader.loops(),
+            vm.refresher.run(),
+            fleet._tick(vm),
+        )
+    await asyncio.sleep(5)
+    return fleet, sum(vm.store.calls for vm in fleet.vms.values())
+
+
+@pytest.mark.parametrize('weak', [10, 30])
+def test_calls_at_the_first_start_are_one_for_each_weak_vm(weak: int) -> None:
+    # Pattern: 292 VMs start together where a call costs as much as a good part
+    # of a request. Each VM read the list of all others.
+    async def main() -> None:
+        fleet, calls = await first_start(2, weak)
+        assert all(vm.directory.version == 1 for vm in fleet.vms.values())
+        assert all(vm.catalog.usable('drafts') for vm in fleet.vms.values())
+        known = [len(vm.fleet.entries_by_id) for vm in fleet.vms.values()]
+        assert set(known) == {weak + 2}
+        # Both strong VMs read the list of VMs, and their leader the rest.
+        assert calls - weak < 40
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_first_start_of_weak_vms_only() -> None:
+    async def main() -> None:
+        fleet, _ = await first_start(0, 5)
+        assert all(vm.directory.version == 1 for vm in fleet.vms.values())
+        assert len(fleet.leaders()) == 1
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize(('text', 'flag'), [('true', True), ('false', False)])
+def test_flag(text: str, flag: bool) -> None:
+    settings = some_settings(a_vm(), first_start=text)
+    assert settings.first_start is flag
+
+
+def test_other_flag_is_rejected() -> None:
+    given = {
+        'vm_id': 'a',
+        'region': 'r',
+        'zone': 'z',
+        'listen': 'a:1',
+        'ready_listen': 'a:2',
+        'peer_listen': 'a:3',
+        'admin_listen': 'a:4',
+        'store': 'a:5',
+    }
+    with pytest.raises(SettingsError):
+        edge_settings({**given, 'first_start': 'perhaps'})
