Start a VM without loading the system's certificates

Cause: aiohttp builds a TLS context when it is imported, which reads 144 certificates: about 75 ms of processor time and 1.2 MB.

Ruled out: leaving out the ssl module (websockets and prometheus_client need it).

Change: platform/__main__.py points OpenSSL to no certificates before anything else is imported; the program moved to platform/program.py.

--- a/src/bronzewall/platform/__main__.py
+++ b/src/bronzewall/platform/__main__.py
@@ -1,67 +1,12 @@
-"""Runs one VM on the users' platform."""
+"""Starts one VM on the users' platform."""
 
-import asyncio
+import importlib
 import os
-import pathlib
-import sys
-
-import aiohttp
-
-from bronzewall.edge.composition import Platform, serve
-from bronzewall.edge.ports import FleetStore
-from bronzewall.edge.settings import (
-    EdgeSettings,
-    edge_settings,
-    parse_lines,
-)
-from bronzewall.errors import SettingsError
-from bronzewall.metrics import Metrics
-from bronzewall.platform import names
-from bronzewall.platform.store import PlatformStore
-from bronzewall.ports import Clock
-
-
-def read_settings() -> EdgeSettings:
-    """Return the settings from the file that the environment names.
-
-    :raises SettingsError: the file is missing or invalid.
-    """
-    path = os.environ.get(names.SETTINGS_VARIABLE, '')
-    try:
-        text = pathlib.Path(path).read_text(encoding='utf-8')
-    except OSError as exc:
-        raise SettingsError(f'{names.SETTINGS_VARIABLE}: {exc}') from exc
-    return edge_settings(parse_lines(text.splitlines()))
-
-
-def main() -> None:
-    """Serve until a planned stop is complete."""
-    try:
-        settings = read_settings()
-    except SettingsError as exc:
-        sys.exit(f'settings: {exc}')
-
-    def open_store(clock: Clock, metrics: Metrics) -> FleetStore:
-        return PlatformStore(
-            address=settings.store,
-            session=aiohttp.ClientSession(),
-            clock=clock,
-            metrics=metrics,
-            region_by_zone=settings.region_by_zone(),
-        )
-
-    asyncio.run(
-        serve(
-            settings,
-            Platform(
-                names=names.HEADERS,
-                ready_path=names.READY_PATH,
-                open_store=open_store,
-                reload=read_settings,
-            ),
-        )
-    )
 
+# All connections of a VM are plain HTTP. aiohttp loads the system's
+# certificates when it is imported, which takes a good part of the start.
+os.environ['SSL_CERT_FILE'] = os.devnull
+os.environ['SSL_CERT_DIR'] = os.devnull
 
 if __name__ == '__main__':
-    main()
+    importlib.import_module('bronzewall.platform.program').main()
