Keep the quota of VMs that are only out of reach

Cause: a leader counted VMs without a report for 15 s as departed and used their quota share.

Ruled out: never giving the share of a silent VM to others, because a zone that lost VMs for good would refuse requests within its rates for ever; taking the share from the lesser part, which would refuse callers of VMs that work.

Change: only a leader that hears most of the zone does so after 15 s, any other one after 60 s.

Conclusion: kept; a cut of several zones in this way for over 15 s may exceed the rate.

--- a/src/bronzewall/edge/zone_leader.py
+++ b/src/bronzewall/edge/zone_leader.py
@@ -32,8 +32,11 @@
 # counts, seconds.
 REPORT_TIMEOUT_S = 1.5
 # A VM of the zone without a report for this long counts as departed, and the
-# others use its quota share, seconds.
+# others use its quota share, seconds. The first time applies to a leader that
+# hears most of the zone, the second one to any other: the VMs that it does not
+# hear may be the greater part, with a leader of their own.
 _DEPARTURE_TIMEOUT_S = 15.0
+_MINORITY_DEPARTURE_TIMEOUT_S = 60.0
 # Data that a VM lacks is resent if its reports do not confirm it, seconds.
 _RESEND_INTERVAL_S = 0.5
 # An instance is announced to other zones as suspected above the first and
@@ -326,11 +329,16 @@
         self._missing_since = {
             vm_id: self._missing_since.get(vm_id, now) for vm_id in missing
         }
+        present = len(zone_vm_ids) - len(missing)
+        timeout = (
+            _DEPARTURE_TIMEOUT_S
+            if present > len(missing)
+            else _MINORITY_DEPARTURE_TIMEOUT_S
+        )
         partitioned = sum(
-            REPORT_TIMEOUT_S <= now - since < _DEPARTURE_TIMEOUT_S
+            REPORT_TIMEOUT_S <= now - since < timeout
             for since in self._missing_since.values()
         )
-        present = len(zone_vm_ids) - len(missing)
         return present / (present + partitioned)
 
     def _in_flight_totals(self) -> Counter[str]:
--- a/tests/test_edge_zone.py
+++ b/tests/test_edge_zone.py
@@ -243,6 +243,31 @@
     run_virtual(main())
 
 
+def test_parts_of_a_zone_that_is_cut_for_long_share_its_rate() -> None:
+    # VMs that are only out of reach must not have their quota share used by
+    # others. Each part counted the VMs of the other one as departed.
+    async def main() -> None:
+        fleet = await settled('a', 'b', 'c', 'd', 'e')
+        for one in ('a', 'b'):
+            for other in ('c', 'd', 'e'):
+                fleet.network.block(sender=VmId(one), receiver=VmId(other))
+                fleet.network.block(sender=VmId(other), receiver=VmId(one))
+        await asyncio.sleep(3)
+        for _ in range(37):
+            await asyncio.sleep(1)
+            leaders = [fleet.vms[name].leader for name in fleet.leaders()]
+            fractions = [
+                one._quota_fraction(one.clock.now()) for one in leaders
+            ]
+            assert len(leaders) == 2
+            assert sum(fractions) <= 1.41
+        # The greater part counts the two others as departed after a time.
+        assert sorted(fractions) == pytest.approx([0.4, 1.0])
+        await fleet.stop()
+
+    run_virtual(main())
+
+
 def test_leader_that_leaves_is_no_longer_a_candidate() -> None:
     # A VM that still counts it waits longer before it becomes leader, and
     # leaves its quota share of the accounts unused.
