Give request bodies a byte budget and refuse large ones unread

Cause: each upload was read as a whole with no limit over the VM: 100 uploads of 360 kB take 36 MB, and at the default limit of 1 MiB more than a VM of 200 MB has. A body beyond the limit was read until it exceeded it, and a caller that waits for "100 Continue" never got it.

Weighed: streaming the body to the instance holds little, but the connection to the instance is then occupied for as long as a slow caller sends (instances have 2 slots), and no second try is possible after the first byte. Reading first holds at most the body, which the budget bounds. Reading first stays.

Change: body_budget.py counts the bytes of bodies until their request has ended; the stated length is checked and reserved before the first byte is read. No room is refused as not run (503, 0.3 s), too large as 413. A body that the caller announced with Expect is invited when it will be read.

--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -1,14 +1,16 @@
 """HTTP server for callers over aiohttp."""
 
 import asyncio
+import math
 from collections.abc import Mapping
 from typing import Any
 
 import attrs
-from aiohttp import HttpVersion10, web
+from aiohttp import HttpVersion10, HttpVersion11, web
 from aiohttp.http_parser import RawRequestMessage
 from multidict import CIMultiDict
 
+from bronzewall.adapters.body_budget import BodyBudget, BodyBytes
 from bronzewall.adapters.buffered_answers import (
     BufferedAnswer,
     start_buffered_answer,
@@ -28,6 +30,7 @@
 
 _BODY_TIMEOUT_S = 10.0
 _MAX_LINE_BYTES = 8192
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
 class _DelayedHeadersResponse(web.StreamResponse):
@@ -99,6 +102,7 @@
     :param on_bad_input: counts a request that cannot be parsed and
         returns the answer to it.
     :param max_body_bytes: largest request body.
+    :param max_total_body_bytes: bytes of all request bodies in progress.
     :param max_line_bytes: largest line of a header block.
     :param is_parallel: handle pipelined requests without a body
         concurrently and buffer their answers until they may be sent.
@@ -109,9 +113,16 @@
     handler: CallerHandler
     on_bad_input: BadInputReporter
     max_body_bytes: int
+    max_total_body_bytes: float = math.inf
     max_line_bytes: int = _MAX_LINE_BYTES
     is_parallel: bool = False
     options: Mapping[str, Any] = attrs.field(factory=dict)
+    _bodies: BodyBudget = attrs.field(
+        default=attrs.Factory(
+            lambda server: BodyBudget(limit=server.max_total_body_bytes),
+            takes_self=True,
+        )
+    )
     _is_draining: bool = False
     _runner: web.ServerRunner | None = None
 
@@ -160,7 +171,10 @@
         writer = AiohttpAnswerWriter(request=request, is_last=self._is_draining)
         if pending.answer_task is None:
             waited = protocol.queueing_time(pending)
-            await self.handler(self._caller_request(request, waited), writer)
+            with self._bodies.body() as counted:
+                await self.handler(
+                    self._caller_request(request, waited, counted), writer
+                )
         else:
             await _send_buffered_answer(pending.answer_task, writer)
         assert writer.response is not None
@@ -179,12 +193,12 @@
         return start_buffered_answer(self.handler, request)
 
     def _caller_request(
-        self, request: web.BaseRequest, waited: float
+        self, request: web.BaseRequest, waited: float, counted: BodyBytes
     ) -> CallerRequest:
         async def read_body() -> bytes:
             try:
                 async with asyncio.timeout(_BODY_TIMEOUT_S):
-                    return await self._read_body(request)
+                    return await self._read_body(request, counted)
             except TimeoutError:
                 raise BodyTimeoutError(
                     f'body not received in {_BODY_TIMEOUT_S} s'
@@ -199,18 +213,34 @@
             waited=waited,
         )
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes:
+    async def _read_body(
+        self, request: web.BaseRequest, counted: BodyBytes
+    ) -> bytes:
         if not request.can_read_body:
             return b''
+        # The stated length is checked before the first byte is read.
+        self._check_size(request.content_length or 0, counted)
+        await _invite_body(request)
         body = bytearray()
         async for chunk in request.content.iter_any():
             body.extend(chunk)
-            if len(body) > self.max_body_bytes:
-                raise BodyTooLargeError(
-                    f'body exceeds {self.max_body_bytes} bytes'
-                )
+            self._check_size(len(body), counted)
         return bytes(body)
 
+    def _check_size(self, size: int, counted: BodyBytes) -> None:
+        if size > self.max_body_bytes:
+            raise BodyTooLargeError(f'body exceeds {self.max_body_bytes} bytes')
+        counted.reserve(size)
+
+
+async def _invite_body(request: web.BaseRequest) -> None:
+    """Tell a caller that waits for it that its body will be read."""
+    expected = request.headers.get('Expect', '').lower()
+    if expected != '100-continue' or request.version < HttpVersion11:
+        return
+    if request.transport is not None:
+        request.transport.write(_CONTINUE)
+
 
 async def _no_body() -> bytes:
     return b''
--- a/src/bronzewall/edge/composition.py
+++ b/src/bronzewall/edge/composition.py
@@ -105,6 +105,7 @@
         handler=components.path.handle,
         on_bad_input=components.path.bad_input,
         max_body_bytes=limits.body_bytes,
+        max_total_body_bytes=settings.total_body_bytes,
         max_line_bytes=limits.header_bytes * 2,
         is_parallel=True,
         options={'keepalive_timeout': _KEEPALIVE_S},
--- a/src/bronzewall/edge/settings.py
+++ b/src/bronzewall/edge/settings.py
@@ -24,6 +24,7 @@
 }
 _ANSWER_BYTES = 4_194_304
 _TOTAL_ANSWER_BYTES = 33_554_432
+_TOTAL_BODY_BYTES = 33_554_432
 
 
 def _seconds(default: float) -> Any:
@@ -73,6 +74,7 @@
         the fleet may admit in a few seconds.
     :param answer_bytes: largest body of an instance's answer.
     :param total_answer_bytes: bytes of all answers that are being received.
+    :param total_body_bytes: bytes of all request bodies that are held.
     :param log_level: name of the lowest level that is logged.
     """
 
@@ -109,6 +111,9 @@
     total_answer_bytes: int = attrs.field(
         default=_TOTAL_ANSWER_BYTES, converter=int, validator=positive
     )
+    total_body_bytes: int = attrs.field(
+        default=_TOTAL_BODY_BYTES, converter=int, validator=positive
+    )
     log_level: str = attrs.field(
         default='info', validator=attrs.validators.in_(LEVELS_BY_NAME)
     )
--- a/src/bronzewall/errors.py
+++ b/src/bronzewall/errors.py
@@ -105,6 +105,10 @@
     """The request body exceeds the limit."""
 
 
+class BodiesTooLargeError(CallerError):
+    """The request bodies in progress leave no room for another one."""
+
+
 class BodyTimeoutError(CallerError):
     """The caller did not send the request body in time."""
 
--- a/src/bronzewall/ports.py
+++ b/src/bronzewall/ports.py
@@ -189,7 +189,8 @@
     :param target: path and query in wire form.
     :param path: decoded path without the query.
     :param read_body: reads the whole body, or raises
-        :class:`BodyTooLargeError` or :class:`BodyTimeoutError`.
+        :class:`BodyTooLargeError`, :class:`BodiesTooLargeError` or
+        :class:`BodyTimeoutError`.
     :param waited: seconds since the request arrived on its connection.
     """
 
--- a/src/bronzewall/refusals.py
+++ b/src/bronzewall/refusals.py
@@ -2,6 +2,7 @@
 
 from bronzewall.errors import (
     AttemptAbandonedError,
+    BodiesTooLargeError,
     BodyTimeoutError,
     BodyTooLargeError,
     ConnectFailedError,
@@ -20,6 +21,10 @@
 )
 from bronzewall.types import RequestId
 
+# Retry-After while the bodies in progress leave no room, seconds; another VM
+# may have room.
+_BODIES_RETRY_AFTER_S = 0.3
+
 
 async def read_whole_body(request: CallerRequest) -> bytes:
     """Return the body of a request.
@@ -30,6 +35,12 @@
         return await request.read_body()
     except BodyTooLargeError as exc:
         raise RefusalError(reason=Reason.BODY_TOO_LARGE) from exc
+    except BodiesTooLargeError as exc:
+        raise RefusalError(
+            reason=Reason.OVERLOADED,
+            retry_after=_BODIES_RETRY_AFTER_S,
+            detail=str(exc),
+        ) from exc
     except BodyTimeoutError as exc:
         raise RefusalError(reason=Reason.BODY_TIMEOUT) from exc
 
