--- a/src/bronzewall/edge/composition.py
+++ b/src/bronzewall/edge/composition.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import aiohttp
 import attrs
 import structlog
 
@@ -12,6 +13,7 @@
 from bronzewall.adapters.instance_http import open_instance_client
 from bronzewall.adapters.receive_limits import ReceiveLimits
 from bronzewall.adapters.report_http import Page, readiness_page
+from bronzewall.adapters.safe_reuse_connector import SafeReuseConnector
 from bronzewall.adapters.system_clock import SystemClock
 from bronzewall.adapters.websocket_link import WebSocketLink
 from bronzewall.collector import configure_collector
@@ -31,6 +33,10 @@
 # Idle connections are kept open for longer than callers reuse them, seconds.
 _KEEPALIVE_S = 75.0
 _BACKLOG = 512
+# Largest answer of the store and sum of those in progress, bytes. A page of
+# rows holds 1 MB.
+_STORE_ANSWER_BYTES = 4_194_304
+_STORE_TOTAL_BYTES = 16_777_216
 
 
 @attrs.frozen(kw_only=True)
@@ -38,13 +44,14 @@
     """What the adapter of a platform provides.
 
     :param ready_path: path of the load balancer's health check.
-    :param open_store: builds the store client for a clock and the metrics.
+    :param open_store: builds the store client for a clock, the metrics and a
+        session whose answers are bounded.
     :param reload: reads the settings again.
     """
 
     names: HeaderNames
     ready_path: str
-    open_store: Callable[[Clock, Metrics], FleetStore]
+    open_store: Callable[[Clock, Metrics, aiohttp.ClientSession], FleetStore]
     reload: Callable[[], EdgeSettings]
 
 
@@ -63,6 +70,13 @@
         sink.stop()
 
 
+def _open_store_session() -> aiohttp.ClientSession:
+    limits = ReceiveLimits(
+        answer_bytes=_STORE_ANSWER_BYTES, total_bytes=_STORE_TOTAL_BYTES
+    )
+    return aiohttp.ClientSession(connector=SafeReuseConnector(limits=limits))
+
+
 def build_daemon(
     settings: EdgeSettings, platform: Platform, sink: LogSink
 ) -> EdgeDaemon:
@@ -92,7 +106,7 @@
             endpoint=PeerEndpoint(
                 vm_id=vm_id, incarnation=time.time_ns(), link=link
             ),
-            store=platform.open_store(clock, metrics),
+            store=platform.open_store(clock, metrics, _open_store_session()),
             instances=client,
             names=platform.names,
             metrics=metrics,
--- a/src/bronzewall/edge/member.py
+++ b/src/bronzewall/edge/member.py
@@ -1,7 +1,5 @@
 """Zone member: reports to the zone leader and applies its status."""
 
-import zlib
-
 import attrs
 import structlog
 
@@ -13,7 +11,11 @@
 from bronzewall.edge.ports import FleetStore
 from bronzewall.edge.zone_leader import ZoneLeader
 from bronzewall.edge.zone_messages import MemberReport, ZoneStatus
-from bronzewall.edge.zone_packing import unpack_instances, unpack_vms
+from bronzewall.edge.zone_packing import (
+    unpack_configuration,
+    unpack_instances,
+    unpack_vms,
+)
 from bronzewall.edge.zone_state import ZoneState
 from bronzewall.errors import StoreEntryError
 from bronzewall.messages import Envelope
@@ -134,7 +136,7 @@
     def _apply_configuration(self, status: ZoneStatus) -> None:
         if status.raw is None:
             return
-        raw = zlib.decompress(status.raw)
+        raw = unpack_configuration(status.raw)
         try:
             configuration = self.store.decode_configuration(raw)
         except StoreEntryError as exc:
--- a/src/bronzewall/edge/refresh.py
+++ b/src/bronzewall/edge/refresh.py
@@ -2,7 +2,6 @@
 
 import math
 import random
-import zlib
 
 import attrs
 import structlog
@@ -14,7 +13,12 @@
 from bronzewall.edge.knowledge_age import KnowledgeAge
 from bronzewall.edge.ports import FleetStore
 from bronzewall.edge.zone_messages import RefreshReply, RefreshRequest
-from bronzewall.edge.zone_packing import pack_instances, unpack_instances
+from bronzewall.edge.zone_packing import (
+    pack_configuration,
+    pack_instances,
+    unpack_configuration,
+    unpack_instances,
+)
 from bronzewall.errors import (
     PeerMessageError,
     PeerTimeoutError,
@@ -67,7 +71,7 @@
         return RefreshReply(
             version=self.directory.version,
             store_age=_finite(self.freshness.age()),
-            raw=zlib.compress(self.directory.raw) if is_newer else None,
+            raw=pack_configuration(self.directory.raw) if is_newer else None,
             list_age=_finite(list_age),
             catalog=pack_instances(self.catalog.instances_by_id.values())
             if is_list_newer
@@ -137,7 +141,7 @@
         answered later.
         """
         if reply.raw is not None:
-            raw = zlib.decompress(reply.raw)
+            raw = unpack_configuration(reply.raw)
             self.directory.accept(
                 self.store.decode_configuration(raw), raw=raw, source='vm'
             )
--- a/src/bronzewall/edge/zone_leader.py
+++ b/src/bronzewall/edge/zone_leader.py
@@ -1,6 +1,5 @@
 """Zone leader: aggregates member reports, sends statuses and summaries."""
 
-import zlib
 from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import Any
@@ -21,7 +20,11 @@
     ZoneStatus,
     ZoneSummary,
 )
-from bronzewall.edge.zone_packing import pack_instances, pack_vms
+from bronzewall.edge.zone_packing import (
+    pack_configuration,
+    pack_instances,
+    pack_vms,
+)
 from bronzewall.edge.zone_state import ZoneState
 from bronzewall.messages import Envelope
 from bronzewall.peer_calls import PeerEndpoint
@@ -397,7 +400,7 @@
             return pack_instances(self.catalog.instances_by_id.values())
         if name == 'members':
             return pack_vms(self.fleet.entries_by_id.values())
-        return zlib.compress(self.directory.raw)
+        return pack_configuration(self.directory.raw)
 
     def _find_suspects(self, now: float) -> frozenset[str]:
         """Return the suspected instances of the own zone."""
--- a/src/bronzewall/edge/zone_packing.py
+++ b/src/bronzewall/edge/zone_packing.py
@@ -13,6 +13,7 @@
 
 _DAMAGE = (zlib.error, ValueError, TypeError, cbor2.CBORDecodeError)
 _PLACEMENT = 'placement'
+_MAX_CONFIGURATION_BYTES = 33_554_432
 _Item = TypeVar('_Item', EdgeInstance, VmEntry)
 
 
@@ -42,6 +43,29 @@
     return _unpack(packed, VmEntry)
 
 
+def pack_configuration(raw: bytes) -> bytes:
+    """Return the compact encoding of a stored configuration."""
+    return zlib.compress(raw)
+
+
+def unpack_configuration(packed: bytes) -> bytes:
+    """Return the stored form of a packed configuration.
+
+    :raises PeerMessageError: it is damaged or too large.
+    """
+    unpacker = zlib.decompressobj()
+    try:
+        raw = unpacker.decompress(packed, _MAX_CONFIGURATION_BYTES)
+    except zlib.error as exc:
+        raise PeerMessageError(f'packed configuration: {exc}') from exc
+    if not unpacker.eof:
+        raise PeerMessageError(
+            f'packed configuration: cut off or over {_MAX_CONFIGURATION_BYTES}'
+            ' bytes'
+        )
+    return raw
+
+
 def _pack(items: Iterable[EdgeInstance | VmEntry]) -> bytes:
     """Encode items as rows of field values, without field names."""
     rows = [attrs.astuple(item) for item in items]
--- a/src/bronzewall/platform/program.py
+++ b/src/bronzewall/platform/program.py
@@ -41,10 +41,12 @@
     except SettingsError as exc:
         sys.exit(f'settings: {exc}')
 
-    def open_store(clock: Clock, metrics: Metrics) -> FleetStore:
+    def open_store(
+        clock: Clock, metrics: Metrics, session: aiohttp.ClientSession
+    ) -> FleetStore:
         return PlatformStore(
             address=settings.store,
-            session=aiohttp.ClientSession(),
+            session=session,
             clock=clock,
             metrics=metrics,
             region_by_zone=settings.region_by_zone(),
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -168,7 +168,7 @@
             Platform(
                 names=NAMES,
                 ready_path='/ready',
-                open_store=lambda clock, _metrics: MemoryFleetStore(
+                open_store=lambda clock, _metrics, _session: MemoryFleetStore(
                     clock=clock, shared=shared
                 ),
                 reload=lambda: settings,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import base64
+import contextlib
 import json
+import resource
 
 import aiohttp
 import pytest
@@ -12,6 +14,7 @@
 from hypothesis import strategies as st
 
 from bronzewall.adapters.system_clock import SystemClock
+from bronzewall.edge.composition import _open_store_session
 from bronzewall.edge.model import CallerLimits, EdgeConfiguration
 from bronzewall.errors import (
     StoreEntryError,
@@ -22,6 +25,7 @@
 from bronzewall.platform import decoding
 from bronzewall.platform.configuration import ConfigurationDecoder
 from bronzewall.platform.store import PlatformStore
+from bronzewall.standins.raw_upstream import RawUpstream
 
 REGIONS = {'muscat-a': 'muscat'}
 ENTRY = {
@@ -378,6 +382,44 @@
         assert stand_in.queries[0]['waitMs'] == '1000'
 
 
+@pytest.mark.parametrize(
+    'start',
+    [
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\nX-More: ',
+        b'',
+    ],
+)
+async def test_endless_answer_of_the_store_ends(start: bytes) -> None:
+    chunk = b'10000\r\n' + b' ' * 65_536 + b'\r\n'
+
+    async def script(connection, _number):
+        await connection.read_request()
+        with contextlib.suppress(OSError):
+            await connection.send(start)
+            while True:
+                await connection.send(chunk if start else b'x' * 65_536)
+
+    async with RawUpstream(script=script) as upstream:
+        session = _open_store_session()
+        store = PlatformStore(
+            address=upstream.address,
+            session=session,
+            clock=SystemClock(),
+            metrics=Metrics(),
+            region_by_zone=REGIONS,
+        )
+        before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        with pytest.raises(StoreUnavailableError):
+            await store.watch_instances(after=1, wait=5)
+        grown_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before
+        # The watch of 5 s has not waited for its time limit.
+        assert grown_kb < 50_000
+        async with asyncio.timeout(1):
+            await upstream.connections[0].closed.wait()
+        await store.close()
+
+
 async def test_read_timeout_is_longer_after_a_failure() -> None:
     async with StoreStandIn() as stand_in:
         stand_in.delay = 0.5
