Let candidates try a lost store in turn, with one call each

Cause: when a zone leader lost the store, all VMs from the seventh candidate on took over together after 0.6 s, each with three loops that retried, and again each 2 s.

Ruled out: a longer pause for all (a turned-away leader must be replaced within the bound).

Change: further candidates follow 0.4 s apart, and a candidate that failed waits longer by its rank. While the store does not answer, only the loop of the configuration calls it. A VM reads beyond the bound only if the leader that it hears reaches the store, and not in the first 0.7 s after the leader regained it. Questions to other VMs come less often while they bring nothing.

--- a/src/bronzewall/edge/leader_election.py
+++ b/src/bronzewall/edge/leader_election.py
@@ -18,20 +18,27 @@
 _STORE_TAKEOVER_DELAY_S = 0.1
 # Further preceding candidates do not lengthen the delay.
 _MAX_PRECEDING_CANDIDATES = 6
-# Wait of a candidate that failed to reach the store itself, seconds.
+# Delay of each further candidate while the leader does not reach the store: if
+# so many failed, the store probably answers nobody, and each call is billed.
+_STORE_OUTAGE_DELAY_S = 0.4
+# A leader that reaches the store again tells all VMs within this time, seconds.
+_NEWS_S = 0.7
+# Wait of a candidate that failed to reach the store itself, and its addition
+# for each candidate that precedes it, seconds.
 _STORE_RETRY_S = 2.0
+_STORE_RETRY_DELAY_S = 0.4
 
 
 @attrs.define(kw_only=True)
 class _LeaderContact:
     """Last status message of a leader.
 
-    :param lost_store_at: since when it has not reached the store.
+    :param changed_at: since when it reaches the store, or does not.
     """
 
     received_at: float
     has_store: bool
-    lost_store_at: float
+    changed_at: float
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -59,11 +66,11 @@
         if vm_id not in self.fleet.entries_by_id:
             return
         previous = self._contacts_by_id.get(vm_id)
-        lost_at = now
-        if previous is not None and not previous.has_store:
-            lost_at = previous.lost_store_at
+        changed_at = now
+        if previous is not None and previous.has_store == has_store:
+            changed_at = previous.changed_at
         self._contacts_by_id[vm_id] = _LeaderContact(
-            received_at=now, has_store=has_store, lost_store_at=lost_at
+            received_at=now, has_store=has_store, changed_at=changed_at
         )
         self._last_contact_at = now
 
@@ -92,17 +99,22 @@
         if self.is_leaving:
             self.is_leader = False
             return False
-        reaches_store = now - self.store_failed_at > _STORE_RETRY_S
-        if reaches_store and self.age.is_read_due(preceding=self._preceding()):
+        preceding = self._preceding()
+        reaches_store = now - self.store_failed_at > (
+            _STORE_RETRY_S + _STORE_RETRY_DELAY_S * preceding
+        )
+        leader = self.current_leader(now=now)
+        if reaches_store and self._must_read(leader, preceding, now):
             self.is_leader = True
             return True
-        leader = self.current_leader(now=now)
         if leader is None:
             waiting_since = max(
                 self.started_at, self._last_contact_at + LEADER_TIMEOUT_S
             )
             self.is_leader = self.is_leader or (
-                now - waiting_since >= self._takeover_delay()
+                now - waiting_since
+                >= _CANDIDATE_DELAY_S
+                * min(preceding, _MAX_PRECEDING_CANDIDATES)
             )
             return self.is_leader
         contact = self._contacts_by_id[leader]
@@ -115,18 +127,24 @@
                 not ranks_higher,
             )
         elif not contact.has_store and reaches_store:
-            waited = now - contact.lost_store_at
-            self.is_leader = waited >= self._takeover_delay(
-                _STORE_TAKEOVER_DELAY_S
-            )
+            waited = now - contact.changed_at
+            self.is_leader = waited >= _store_takeover_delay(preceding)
         return self.is_leader
 
-    def _takeover_delay(self, delay: float = _CANDIDATE_DELAY_S) -> float:
-        """Return how long this VM waits for candidates that rank higher.
+    def _must_read(
+        self, leader: VmId | None, preceding: int, now: float
+    ) -> bool:
+        """Return whether this VM must read although others may lead.
 
-        :param delay: seconds for each of them.
+        While the leader says that it does not reach the store, candidates
+        take over one after the other; when it reaches it again, this VM gets
+        its data soon.
         """
-        return delay * min(self._preceding(), _MAX_PRECEDING_CANDIDATES)
+        if leader is not None:
+            contact = self._contacts_by_id[leader]
+            if not contact.has_store or now - contact.changed_at < _NEWS_S:
+                return False
+        return self.age.is_read_due(preceding=preceding)
 
     def _preceding(self) -> int:
         """Return the number of VMs of the zone that rank higher."""
@@ -136,3 +154,15 @@
                 break
             preceding += 1
         return preceding
+
+
+def _store_takeover_delay(preceding: int) -> float:
+    """Return how long a candidate waits after the leader lost the store.
+
+    :param preceding: candidates that rank higher.
+    """
+    further = max(0, preceding - _MAX_PRECEDING_CANDIDATES)
+    return (
+        _STORE_TAKEOVER_DELAY_S * min(preceding, _MAX_PRECEDING_CANDIDATES)
+        + _STORE_OUTAGE_DELAY_S * further
+    )
--- a/src/bronzewall/edge/refresh.py
+++ b/src/bronzewall/edge/refresh.py
@@ -31,6 +31,9 @@
 
 # Time between two checks of the ages, seconds.
 _CHECK_INTERVAL_S = 0.05
+# Factor by which the time grows after each question, and its limit, seconds.
+_BACKOFF_FACTOR = 1.3
+_MAX_INTERVAL_S = 1.0
 # Time limit of a question to another VM, seconds; a round trip between regions
 # takes 16 ms.
 _TIMEOUT_S = 0.08
@@ -80,10 +83,15 @@
 
     async def run(self) -> None:
         """Ask one VM after the other for as long as the data is too old."""
+        pause = _CHECK_INTERVAL_S
         while True:
-            await self.clock.sleep(_CHECK_INTERVAL_S)
-            if self.age.is_ask_due():
-                await self._ask()
+            await self.clock.sleep(pause)
+            if not self.age.is_ask_due():
+                pause = _CHECK_INTERVAL_S
+                continue
+            await self._ask()
+            # While the store answers nobody, no VM has newer data.
+            pause = min(_MAX_INTERVAL_S, pause * _BACKOFF_FACTOR)
 
     async def _ask(self) -> None:
         to = self._next_vm()
--- a/src/bronzewall/edge/store_reader.py
+++ b/src/bronzewall/edge/store_reader.py
@@ -80,6 +80,8 @@
     first_start: bool
     schedule: WatchSchedule
     active: asyncio.Event = attrs.field(factory=asyncio.Event)
+    # Set while the last call to the store was answered.
+    _reached: asyncio.Event = attrs.field(factory=asyncio.Event)
     _activated: asyncio.Event = attrs.field(factory=asyncio.Event)
     _configuration_revision: int = -1
     _instances_revision: int = -1
@@ -93,6 +95,7 @@
             # The configuration is read and not watched: what the leader
             # before has missed must be known at once.
             self._forget_revisions()
+            self._reached.clear()
             self._activated.set()
             self._activated = asyncio.Event()
             # Whether this VM reaches the store is known after its first
@@ -133,17 +136,29 @@
         """Return the loops to run."""
         return [
             self._repeat(self._follow_configuration, 0),
-            self._repeat(self._follow_instances, 0),
-            self._repeat(self._watch_vms, _VMS_PAUSE_S),
+            self._repeat(self._follow_instances, 0, is_probe=False),
+            self._repeat(self._watch_vms, _VMS_PAUSE_S, is_probe=False),
         ]
 
     async def _repeat(
-        self, step: Callable[[], Awaitable[None]], pause: float
+        self,
+        step: Callable[[], Awaitable[None]],
+        pause: float,
+        *,
+        is_probe: bool = True,
     ) -> None:
+        """Run a step again and again while this VM is a leader.
+
+        :param is_probe: run it also while the store does not answer.
+        """
         pauses = (pause, _RETRY_PAUSE_S, _FAILURE_PAUSE_S)
         failures = 0
         while True:
             await self.active.wait()
+            if not is_probe:
+                await self._reached.wait()
+                if not self.active.is_set():
+                    continue
             failures = 0 if await self._call_store(step) else failures + 1
             await self._pause(pauses[min(failures, len(pauses) - 1)])
 
@@ -163,12 +178,14 @@
         if not self.leader.has_store:
             _LOG.info('store_reached')
             self.leader.has_store = True
+        self._reached.set()
         return True
 
     def _record_failure(self, exc: StoreError) -> None:
         if self.leader.has_store or self.election.store_failed_at < 0:
             _LOG.warning('store_lost', error=str(exc))
         self.election.store_failed_at = self.clock.now()
+        self._reached.clear()
         self.leader.has_store = False
         self.leader.has_updates = True
         self.leader.has_urgent_updates = True
--- a/tests/test_edge_store_reader.py
+++ b/tests/test_edge_store_reader.py
@@ -79,3 +79,39 @@
     }
     with pytest.raises(SettingsError):
         edge_settings({**given, 'first_start': 'perhaps'})
+
+
+async def outage_calls(size: int, *, is_silent: bool) -> int:
+    """Return the calls of a zone in an outage of the store of 6 s."""
+    names = [f'vm-{number:02}' for number in range(size)]
+    fleet = Fleet(*names)
+    await fleet.start()
+    await asyncio.sleep(3)
+    before = sum(vm.store.calls for vm in fleet.vms.values())
+    for vm in fleet.vms.values():
+        vm.store.is_hung = is_silent
+        vm.store.is_unavailable = not is_silent
+    await asyncio.sleep(6)
+    calls = sum(vm.store.calls for vm in fleet.vms.values()) - before
+    for vm in fleet.vms.values():
+        vm.store.is_hung = False
+        vm.store.is_unavailable = False
+    await asyncio.sleep(1.2)
+    assert all(vm.freshness.is_fresh() for vm in fleet.vms.values())
+    await fleet.stop()
+    return calls
+
+
+@pytest.mark.parametrize('is_silent', [False, True])
+def test_calls_in_an_outage_do_not_grow_with_the_vms(is_silent: bool) -> None:
+    # Pattern: the store is down for all. Each VM of a zone took over in turn
+    # and tried three calls, again every two seconds; each call is billed.
+    calls: dict[int, int] = {}
+
+    async def main(size: int) -> None:
+        calls[size] = await outage_calls(size, is_silent=is_silent)
+
+    for size in (17, 34):
+        run_virtual(main(size))
+    assert calls[34] <= calls[17] * 1.2
+    assert calls[17] < 80
