Date answers of the store by its own clock

Ages seemed higher than they were, so that VMs asked others and, at 9.8 s, all read the store themselves.

Change: every answer states the store's clock. The least difference of that and the time at which a call was sent bounds the offset of the two clocks (store_clock.py), so each answer is dated to within a short call. A jump of either clock starts the bound anew and dates the answer when it was sent.

--- a/soak/store.py
+++ b/soak/store.py
@@ -132,6 +132,6 @@
                 'tableRows': rows,
                 'hasMore': False,
                 'schemaVersion': self.revision,
-                'now': 0,
+                'now': asyncio.get_running_loop().time(),
             }
         )
--- a/src/bronzewall/platform/store.py
+++ b/src/bronzewall/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's store: rows, transactions, watches over HTTP."""
 
 import base64
+import math
 from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 
@@ -23,6 +24,7 @@
 from bronzewall.metrics import Metrics
 from bronzewall.platform import decoding, names
 from bronzewall.platform.configuration import ConfigurationDecoder
+from bronzewall.platform.store_clock import StoreClock
 from bronzewall.ports import Clock
 from bronzewall.types import InstanceId
 
@@ -39,8 +41,6 @@
 # call timeout.
 _READ_TIMEOUT_S = 0.35
 _SLOW_ANSWER_S = 0.15
-# A watch without changes lasts at least this fraction of its wait.
-_WATCH_MIN_FRACTION = 0.9
 _PAGE_ROWS = 500
 _LOG = structlog.get_logger()
 _EntryT = TypeVar('_EntryT')
@@ -56,11 +56,15 @@
 
 @attrs.frozen(kw_only=True)
 class _Page:
-    """Page of rows and the newest revision of the whole store."""
+    """Page of rows and the newest revision of the whole store.
+
+    :param written_at: clock time at which it was certainly up to date.
+    """
 
     rows: tuple[_Row, ...]
     revision: int
     has_more: bool
+    written_at: float
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -76,6 +80,7 @@
     clock: Clock
     metrics: Metrics
     region_by_zone: Mapping[str, str]
+    store_clock: StoreClock = attrs.field(factory=StoreClock)
     _read_timeout: float = _READ_TIMEOUT_S
     _bad_entries: dict[str, bytes] = attrs.field(factory=dict)
 
@@ -85,9 +90,9 @@
 
     async def read_configuration(self) -> ConfigurationReading:
         """Read the configuration."""
-        sent_at = self.clock.now()
-        page = await self._read(names.CONFIGURATION_TABLE)
-        return _configuration_reading(page, confirmed_at=sent_at)
+        return _configuration_reading(
+            await self._read(names.CONFIGURATION_TABLE)
+        )
 
     async def watch_configuration(
         self, *, after: int, wait: float
@@ -97,22 +102,18 @@
         :param after: revision after which changes are reported.
         :param wait: longest wait in seconds.
         """
-        sent_at = self.clock.now()
-        page = await self._watch(names.CONFIGURATION_TABLE, after, wait)
-        # Without a change the store holds the call for nearly the whole
-        # wait, so the configuration was still current near its end.
-        held = 0 if page.rows else wait * _WATCH_MIN_FRACTION
         return _configuration_reading(
-            page, confirmed_at=min(sent_at + held, self.clock.now())
+            await self._watch(names.CONFIGURATION_TABLE, after, wait)
         )
 
     async def read_instances(self) -> InstancesReading:
         """Read the instances."""
-        sent_at = self.clock.now()
         page = await self._read(names.INSTANCES_TABLE)
         found = self._decode_rows(page, self._decode_instance)
         return InstancesReading(
-            instances=found, revision=page.revision, confirmed_at=sent_at
+            instances=found,
+            revision=page.revision,
+            confirmed_at=page.written_at,
         )
 
     async def watch_instances(
@@ -122,18 +123,16 @@
 
         An entry changes when more than its count of reports does.
         """
-        sent_at = self.clock.now()
         page = await self._watch(names.INSTANCES_TABLE, after, wait)
         listed = self._decode_rows(page, self._decode_instance)
         kept = {item.instance_id for item in listed}
-        held = 0 if page.rows else wait * _WATCH_MIN_FRACTION
         return InstanceChanges(
             listed=listed,
             gone=tuple(
                 InstanceId(row.key) for row in page.rows if row.key not in kept
             ),
             revision=page.revision,
-            confirmed_at=min(sent_at + held, self.clock.now()),
+            confirmed_at=page.written_at,
         )
 
     async def register(self, entry: VmEntry) -> None:
@@ -212,6 +211,7 @@
         """Return all rows of a table; each page is a consistent snapshot."""
         rows: list[_Row] = []
         revision = 0
+        written_at = math.inf
         start = ''
         while True:
             page = await self._get(
@@ -220,9 +220,15 @@
             )
             rows.extend(page.rows)
             revision = min(revision or page.revision, page.revision)
+            written_at = min(written_at, page.written_at)
             if not page.has_more or not page.rows:
                 # A row of an earlier page may have changed since.
-                return attrs.evolve(page, rows=tuple(rows), revision=revision)
+                return attrs.evolve(
+                    page,
+                    rows=tuple(rows),
+                    revision=revision,
+                    written_at=written_at,
+                )
             # The next page starts after the last key.
             start = f'{page.rows[-1].key}\0'
 
@@ -255,10 +261,14 @@
         except StoreUnavailableError:
             self._read_timeout = _CALL_TIMEOUT_S
             raise
-        is_slow = self.clock.now() - sent_at - wait > _SLOW_ANSWER_S
+        received_at = self.clock.now()
+        is_slow = received_at - sent_at - wait > _SLOW_ANSWER_S
         self._read_timeout = _CALL_TIMEOUT_S if is_slow else _READ_TIMEOUT_S
         try:
-            return _decode_page(wire)
+            written_at = self.store_clock.date(
+                float(wire['now']), sent_at=sent_at, received_at=received_at
+            )
+            return _decode_page(wire, written_at)
         except (KeyError, TypeError, ValueError) as exc:
             raise StoreUnavailableError(
                 f'malformed answer to {path}: {exc!r}'
@@ -298,7 +308,7 @@
             raise StoreUnavailableError(f'{path}: {exc!r}') from exc
 
 
-def _decode_page(wire: Any) -> _Page:
+def _decode_page(wire: Any, written_at: float) -> _Page:
     return _Page(
         rows=tuple(
             _Row(
@@ -312,16 +322,15 @@
         # Despite its name this is the newest revision of the whole store.
         revision=int(wire['schemaVersion']),
         has_more=wire.get('hasMore') is True,
+        written_at=written_at,
     )
 
 
-def _configuration_reading(
-    page: _Page, *, confirmed_at: float
-) -> ConfigurationReading:
+def _configuration_reading(page: _Page) -> ConfigurationReading:
     raw = None
     for row in page.rows:
         if row.key == names.CONFIGURATION_KEY:
             raw = row.raw
     return ConfigurationReading(
-        raw=raw, revision=page.revision, confirmed_at=confirmed_at
+        raw=raw, revision=page.revision, confirmed_at=page.written_at
     )
