Read configuration and instances at once at a restart

Cause: a restarted VM registered, read the list of VMs, waited 0.25 s for a leader and only then read what it needs to serve.

Ruled out: doing so at the first start, when no callers are there yet and each VM would pay two calls.

Change: unless the fleet starts for the first time, the configuration and the instances are read before anything else.

Measured: the test of a restart of the whole fleet serves 0.02 s after the start (0.3 s before).

--- a/src/bronzewall/edge/store_reader.py
+++ b/src/bronzewall/edge/store_reader.py
@@ -114,6 +114,9 @@
         """
         now = self.clock.now()
         self.election.started_at = now + _JOIN_WAIT_S
+        if not self.first_start:
+            # Callers may be waiting for this VM.
+            await self._read_at_restart()
         is_registered = await self._call_store(self._register)
         if not await self._is_found_by_leader():
             await self._call_store(self._read_vms)
@@ -191,6 +194,16 @@
         self.leader.has_urgent_updates = True
         self._forget_revisions()
 
+    async def _read_at_restart(self) -> None:
+        """Read what is needed to serve, without waiting for a leader.
+
+        The leader may be gone as well, or its data may be older.
+        """
+        await asyncio.gather(
+            self._call_store(self._read_instances),
+            self._call_store(self._read_configuration),
+        )
+
     async def _is_found_by_leader(self) -> bool:
         """Wait at the first start for a leader; return whether one came.
 
--- a/tests/test_edge_zone.py
+++ b/tests/test_edge_zone.py
@@ -212,9 +212,10 @@
             a_vm(f'vm-{number}', started_ms=number) for number in range(8)
         ]
         vm = fleet.add('vm-7', started_ms=100_000)
-        await fleet.start()
-        await asyncio.sleep(0.3)
+        start = asyncio.create_task(fleet.start())
+        await asyncio.sleep(0.02)
         assert (await vm.ask()).status == 200
+        await start
         await fleet.stop()
 
     run_virtual(main())
