Apply changes of instances that a confirmation has overtaken

A leaving instance could have stayed in use. Also, a watch of the instances that ended because the store had dropped its history counted as a lost store, so that other VMs took over.

Change: changes of the own watch are always applied. Lost history leads to a read and nothing else. While entries may return after an outage, the list is read each 0.6 s in place of 0.25 s.

--- a/src/bronzewall/edge/catalog.py
+++ b/src/bronzewall/edge/catalog.py
@@ -87,7 +87,7 @@
 
         :param confirmed_at: clock time at which the list was current.
         """
-        if confirmed_at <= self.confirmed_at:
+        if confirmed_at < self.confirmed_at:
             return
         listed = {item.instance_id: item for item in instances}
         now = self.clock.now()
--- a/src/bronzewall/edge/store_reader.py
+++ b/src/bronzewall/edge/store_reader.py
@@ -31,6 +31,9 @@
 # Pause after changes of instances, seconds. They often come in series, and
 # each call reports those that have come until then.
 _CHANGES_PAUSE_S = 0.25
+# Pause after a read of all instances, seconds. While entries may return after
+# an outage, they are read again and again.
+_READ_PAUSE_S = 0.6
 _CONFIGURATION = 'configuration'
 _INSTANCES = 'instances'
 # Pause after one failed call and after consecutive failures, seconds.
@@ -267,17 +270,26 @@
     async def _follow_instances(self) -> None:
         if self._instances_revision < 0 or self.catalog.is_in_grace():
             await self._read_instances()
-            await self._pause(_CHANGES_PAUSE_S)
+            await self._pause(_READ_PAUSE_S)
+            return
+        try:
+            changes = await self._watch(
+                _INSTANCES, self.store.watch_instances, self._instances_revision
+            )
+        except StoreHistoryLostError as exc:
+            _LOG.info('watch_ended', error=str(exc))
+            self._instances_revision = -1
             return
-        changes = await self._watch(
-            _INSTANCES, self.store.watch_instances, self._instances_revision
-        )
         for instance_id in changes.gone:
             self._listed_by_id.pop(instance_id, None)
         for item in changes.listed:
             self._listed_by_id[item.instance_id] = item
         self._instances_revision = changes.revision
-        self._accept_instances(changes.confirmed_at)
+        # The other watch may have confirmed the list while these changes were
+        # on their way; they must not be taken for older ones.
+        self._accept_instances(
+            max(changes.confirmed_at, self.catalog.confirmed_at)
+        )
         if self.schedule.is_open_since(_CONFIGURATION, changes.confirmed_at):
             self.freshness.confirm(changes.confirmed_at)
         if changes.listed or changes.gone:
--- a/tests/test_edge_store_reader.py
+++ b/tests/test_edge_store_reader.py
@@ -3,8 +3,8 @@
 import asyncio
 
 import pytest
-from edge_builders import a_vm, some_settings
-from edge_fleet import Fleet
+from edge_builders import a_vm, an_edge_instance, some_settings
+from edge_fleet import Fleet, settled
 
 from bronzewall.edge.settings import edge_settings
 from bronzewall.errors import SettingsError
@@ -81,6 +81,37 @@
         edge_settings({**given, 'first_start': 'perhaps'})
 
 
+def test_changes_that_were_overtaken_are_applied() -> None:
+    # Pattern: a configuration changes just after an instance leaves. The answer
+    # of the configuration's watch comes first and confirms the list.
+    async def main() -> None:
+        fleet = await settled('a')
+        vm = fleet.vms['a']
+        fleet.list_instances(an_edge_instance(is_leaving=True))
+        vm.catalog.confirm(vm.clock.now() + 0.1)
+        await asyncio.sleep(0.05)
+        assert not vm.catalog.usable('drafts')
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_lost_history_is_no_lost_store() -> None:
+    async def main() -> None:
+        fleet = await settled('a', 'b')
+        vm = fleet.vms['a']
+        fleet.shared.drop_history()
+        fleet.list_instances(an_edge_instance(is_leaving=True))
+        for _ in range(10):
+            await asyncio.sleep(0.02)
+            assert vm.leader.has_store
+        assert not vm.catalog.usable('drafts')
+        assert fleet.leaders() == ['a']
+        await fleet.stop()
+
+    run_virtual(main())
+
+
 async def outage_calls(size: int, *, is_silent: bool) -> int:
     """Return the calls of a zone in an outage of the store of 6 s."""
     names = [f'vm-{number:02}' for number in range(size)]
