Read a chunked answer that follows interim answers

Cause, found by reading the diff: an interim answer set the bytes of the body that are still to come to none, and a chunked final answer did not reset them, so its body was dropped and the request waited until its deadline.

Change: only the final header block says how long the body is.

--- a/src/bronzewall/adapters/safe_reuse_connector.py
+++ b/src/bronzewall/adapters/safe_reuse_connector.py
@@ -60,9 +60,11 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Receive the header block of an answer, which may be interim."""
         message, payload = data
-        self._has_head = self._has_head or message.code >= HTTPStatus.OK
+        self._has_head = message.code >= HTTPStatus.OK
         length = message.headers.get('Content-Length', '')
-        if payload is EMPTY_PAYLOAD:
+        if not self._has_head:
+            self._body_left = None
+        elif payload is EMPTY_PAYLOAD:
             self._body_left = 0
         elif length.isdigit() and not message.chunked:
             self._body_left = int(length)
--- a/tests/test_instance_http.py
+++ b/tests/test_instance_http.py
@@ -200,6 +200,26 @@
     await client.session.close()
 
 
+@pytest.mark.parametrize(
+    'framing',
+    [
+        b'Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n',
+        b'Content-Length: 4\r\n\r\nbody',
+    ],
+)
+@pytest.mark.parametrize('cut', [0, 20, 27, 30])
+async def test_answer_after_interim_answers(framing: bytes, cut: int) -> None:
+    text = b'HTTP/1.1 102 Wait\r\n\r\n' * 2 + HEAD + framing
+
+    async def script(connection, _number):
+        await connection.read_request()
+        await connection.send(text[:cut])
+        await asyncio.sleep(0.01)
+        await connection.send(text[cut:])
+
+    assert (await exchange(script)).body == b'body'
+
+
 async def test_switch_of_protocols_is_no_answer() -> None:
     switch = b'HTTP/1.1 101 Switch\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n'
     with pytest.raises(UpstreamBrokenError):
