--- a/src/bronzewall/platform/fields.py
+++ b/src/bronzewall/platform/fields.py
@@ -1,7 +1,6 @@
 """Reads typed fields of the platform's JSON documents."""
 
 import json
-import math
 from collections.abc import Mapping
 from typing import Any, TypeVar
 
@@ -9,6 +8,8 @@
 
 _FieldT = TypeVar('_FieldT')
 _NUMBER = (int, float)
+# Numbers beyond this are mistakes; arithmetic with them may fail.
+_MAX_NUMBER = 1e15
 
 
 def document(raw: bytes) -> dict[str, Any]:
@@ -50,7 +51,7 @@
     :raises StoreEntryError: the field is missing or holds something else.
     """
     value = _typed(wire, name, _NUMBER)
-    if not 0 <= value < math.inf:
+    if not 0 <= value < _MAX_NUMBER:
         raise StoreEntryError(f'{name} is {value!r}')
     return value
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -182,6 +182,7 @@
         {'serviceName': None},
         {'timeout': 'soon'},
         {'timeout': -1},
+        {'timeout': 10**400},
         {'targetLatency': []},
         {'attempts': 'two'},
         {'trafficSplit': []},
