Let each VM begin with instances of its own order

An instance that a VM has not used yet counted as last used at 0, so every VM began with the first one of the list: in the new test 40 VMs send their first requests to one of 8, and one of 30, instances.

Ruled out: missing instances in the lists (each zone's list is read whole and watched).

Change: unused instances come in an order that is drawn from the ids of VM and instance.

Measured: the test's 40 VMs use at least 0.7 of as many instances as random draws would; 1 before.

--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -88,7 +88,10 @@
     )
     election = LeaderElection(fleet=fleet, age=age, started_at=clock.now())
     selector = Selector(
-        own_placement=own.placement, catalog=catalog, state=state
+        own_id=own.vm_id,
+        own_placement=own.placement,
+        catalog=catalog,
+        state=state,
     )
 
     def on_removed(removed: Iterable[EdgeInstance]) -> None:
--- a/src/bronzewall/edge/selection.py
+++ b/src/bronzewall/edge/selection.py
@@ -1,5 +1,6 @@
 """Chooses the instance with the least expected loss for a request."""
 
+import zlib
 from collections.abc import Collection, Iterable
 
 import attrs
@@ -9,7 +10,7 @@
 from bronzewall.edge.model import EdgeInstance
 from bronzewall.edge.zone_state import ZoneState
 from bronzewall.locality import Locality, locality_of
-from bronzewall.types import InstanceId, Placement, ServiceName
+from bronzewall.types import InstanceId, Placement, ServiceName, VmId
 
 # A loss is a fraction of the value that an answer in time has for the caller.
 # Traffic between zones and regions is billed by volume; the traffic of one
@@ -67,6 +68,7 @@
 class Selector:
     """Chooses among the usable instances of a service."""
 
+    own_id: VmId
     own_placement: Placement
     catalog: Catalog
     state: ZoneState
@@ -109,7 +111,14 @@
             self.state.forget(item.instance_id)
 
     def _last_use(self, candidate: Candidate) -> float:
-        return self._last_used_at.get(candidate.instance.instance_id, 0)
+        instance_id = candidate.instance.instance_id
+        last_used_at = self._last_used_at.get(instance_id)
+        if last_used_at is not None:
+            return last_used_at
+        # Each VM has an order of its own, so that not all of them begin with
+        # the same instance.
+        order = zlib.crc32(f'{self.own_id} {instance_id}'.encode())
+        return -float(order)
 
     def _candidate(
         self, item: EdgeInstance, profile: RequestProfile, now: float
--- a/tests/test_edge_patterns.py
+++ b/tests/test_edge_patterns.py
@@ -1,12 +1,14 @@
 """Tests of load patterns: queueing, refusals and choice of instances."""
 
 import asyncio
+import math
 import random
 
 import pytest
 from edge_builders import (
     HOST,
     a_caller_request,
+    a_vm,
     an_edge_account,
     an_edge_configuration,
     an_edge_instance,
@@ -261,3 +263,23 @@
         assert statuses.count(504) <= 6
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize('instances', [8, 30])
+def test_vms_begin_with_different_instances(instances: int) -> None:
+    # Pattern: a day begins and each VM sends its first requests. All VMs began
+    # with the first instances of the list, and the others got nothing.
+    async def main() -> None:
+        used = set()
+        for number in range(40):
+            vm = an_edge_vm(a_vm(f'vm-{number}'))
+            vm.serve_alone(
+                *(an_edge_instance(f'i-{one}') for one in range(instances))
+            )
+            assert (await vm.ask()).status == 200
+            used.add(vm.instances.requests[0].instance_id)
+        # Distinct instances if each VM drew one at random.
+        expected = instances * (1 - math.exp(-40 / instances))
+        assert len(used) > 0.7 * expected
+
+    run_virtual(main())
