--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -220,7 +220,7 @@
             return b''
         # The stated length is checked before the first byte is read.
         self._check_size(request.content_length or 0, counted)
-        await _invite_body(request)
+        _invite_body(request)
         body = bytearray()
         async for chunk in request.content.iter_any():
             body.extend(chunk)
@@ -233,7 +233,7 @@
         counted.reserve(size)
 
 
-async def _invite_body(request: web.BaseRequest) -> None:
+def _invite_body(request: web.BaseRequest) -> None:
     """Tell a caller that waits for it that its body will be read."""
     expected = request.headers.get('Expect', '').lower()
     if expected != '100-continue' or request.version < HttpVersion11:
--- a/src/bronzewall/adapters/instance_http.py
+++ b/src/bronzewall/adapters/instance_http.py
@@ -12,7 +12,7 @@
 from bronzewall.adapters.receive_limits import ReceiveLimits
 from bronzewall.adapters.safe_reuse_connector import (
     SafeReuseConnector,
-    SafeReuseHandler,
+    handler_of,
 )
 from bronzewall.adapters.upstream_calls import (
     open_no_retry_session,
@@ -20,6 +20,7 @@
     translate_errors,
 )
 from bronzewall.edge.ports import HeaderNames, InstanceAnswer, InstanceRequest
+from bronzewall.edge.settings import ANSWER_BYTES, TOTAL_ANSWER_BYTES
 from bronzewall.errors import (
     UpstreamBrokenError,
     UpstreamShedError,
@@ -40,10 +41,8 @@
 _USER_TIMEOUT_MS = 1500
 _TIMEOUT_PARAMETER = 'timeout='
 # Answers are received as a whole before they are passed on, bytes.
-_ANSWER_BYTES = 4_194_304
-_TOTAL_ANSWER_BYTES = 33_554_432
 _LIMITS = ReceiveLimits(
-    answer_bytes=_ANSWER_BYTES, total_bytes=_TOTAL_ANSWER_BYTES
+    answer_bytes=ANSWER_BYTES, total_bytes=TOTAL_ANSWER_BYTES
 )
 
 
@@ -69,7 +68,7 @@
             self.session, request, connect_timeout=request.connect_timeout
         ) as response:
             is_sent = _is_request_sent(response)
-            is_first = _is_first_exchange(response)
+            is_first = handler_of(response).is_first
             body = await response.read()
             if not is_sent:
                 # The instance answered before it had the whole request body.
@@ -165,12 +164,6 @@
     return InstanceClient(names=names, session=session, connector=connector)
 
 
-def _is_first_exchange(response: aiohttp.ClientResponse) -> bool:
-    """Return whether the connection had no request before."""
-    protocol = response._protocol  # noqa: SLF001, WPS437
-    return isinstance(protocol, SafeReuseHandler) and protocol.is_first
-
-
 def _is_request_sent(response: aiohttp.ClientResponse) -> bool:
     """Return whether the whole request was written."""
     writer = response._writer  # noqa: SLF001, WPS437
--- a/src/bronzewall/adapters/safe_reuse_connector.py
+++ b/src/bronzewall/adapters/safe_reuse_connector.py
@@ -162,6 +162,13 @@
         return data[:end], data[end:]
 
 
+def handler_of(response: aiohttp.ClientResponse) -> SafeReuseHandler:
+    """Return the connection of an answer, also after it was released."""
+    protocol = response._protocol  # noqa: SLF001, WPS437
+    assert isinstance(protocol, SafeReuseHandler)
+    return protocol
+
+
 class SafeReuseConnector(aiohttp.TCPConnector):
     """Connector without limits; the dispatcher limits connections."""
 
--- a/src/bronzewall/adapters/upstream_http.py
+++ b/src/bronzewall/adapters/upstream_http.py
@@ -8,7 +8,7 @@
 from bronzewall import headers as header_rules
 from bronzewall.adapters.safe_reuse_connector import (
     SafeReuseConnector,
-    SafeReuseHandler,
+    handler_of,
 )
 from bronzewall.adapters.upstream_calls import (
     open_no_retry_session,
@@ -111,10 +111,10 @@
     sent = header_rules.find(request.headers, header_rules.REQUEST_ID)
     if echoed == sent and echoed is not None:
         return None
-    protocol = response._protocol  # noqa: SLF001, WPS437
-    if echoed is None and isinstance(protocol, SafeReuseHandler):
-        protocol.force_close()
-        if protocol.is_first:
+    if echoed is None:
+        handler = handler_of(response)
+        handler.force_close()
+        if handler.is_first:
             return None
     return 'the answer belongs to another request'
 
--- a/src/bronzewall/edge/selection.py
+++ b/src/bronzewall/edge/selection.py
@@ -112,13 +112,12 @@
 
     def _last_use(self, candidate: Candidate) -> float:
         instance_id = candidate.instance.instance_id
-        last_used_at = self._last_used_at.get(instance_id)
-        if last_used_at is not None:
-            return last_used_at
-        # Each VM has an order of its own, so that not all of them begin with
-        # the same instance.
-        order = zlib.crc32(f'{self.own_id} {instance_id}'.encode())
-        return -float(order)
+        if instance_id not in self._last_used_at:
+            # Each VM has an order of its own, so that not all of them begin
+            # with the same instance.
+            order = zlib.crc32(f'{self.own_id} {instance_id}'.encode())
+            self._last_used_at[instance_id] = -float(order)
+        return self._last_used_at[instance_id]
 
     def _candidate(
         self, item: EdgeInstance, profile: RequestProfile, now: float
--- a/src/bronzewall/edge/settings.py
+++ b/src/bronzewall/edge/settings.py
@@ -22,8 +22,8 @@
     True: True,
     False: False,
 }
-_ANSWER_BYTES = 4_194_304
-_TOTAL_ANSWER_BYTES = 33_554_432
+ANSWER_BYTES = 4_194_304
+TOTAL_ANSWER_BYTES = 33_554_432
 _TOTAL_BODY_BYTES = 33_554_432
 
 
@@ -106,10 +106,10 @@
     )
 
     answer_bytes: int = attrs.field(
-        default=_ANSWER_BYTES, converter=int, validator=positive
+        default=ANSWER_BYTES, converter=int, validator=positive
     )
     total_answer_bytes: int = attrs.field(
-        default=_TOTAL_ANSWER_BYTES, converter=int, validator=positive
+        default=TOTAL_ANSWER_BYTES, converter=int, validator=positive
     )
     total_body_bytes: int = attrs.field(
         default=_TOTAL_BODY_BYTES, converter=int, validator=positive
