Log and count the limits that instances state

Change: the adapter reads the header of an answer, also of one that says that the request has not run. instance_limit_changed is logged when a VM learns of a limit or of its end; answers_with_limit and sent_to_limited_instance are counted; /status lists the limits; explain shows the last change before a request. No request is handled differently.

--- a/src/bronzewall/adapters/instance_http.py
+++ b/src/bronzewall/adapters/instance_http.py
@@ -1,5 +1,6 @@
 """Exchanges with discovered instances over aiohttp's client."""
 
+import math
 import socket
 from collections.abc import Sequence
 from http import HTTPStatus
@@ -7,6 +8,7 @@
 
 import aiohttp
 import attrs
+import structlog
 from multidict import CIMultiDictProxy
 
 from bronzewall.adapters.receive_limits import ReceiveLimits
@@ -40,6 +42,7 @@
 # peer is then unreachable. TCP retransmits lost packets after 0.2 s.
 _USER_TIMEOUT_MS = 1500
 _TIMEOUT_PARAMETER = 'timeout='
+_LOG = structlog.get_logger()
 # Answers are received as a whole before they are passed on, bytes.
 _LIMITS = ReceiveLimits(
     answer_bytes=ANSWER_BYTES, total_bytes=TOTAL_ANSWER_BYTES
@@ -81,8 +84,25 @@
                 status=response.status,
                 headers=tuple(response.headers.items()),
                 body=body,
+                request_limit=self._request_limit(request, response),
             )
 
+    def _request_limit(
+        self, request: InstanceRequest, response: aiohttp.ClientResponse
+    ) -> float | None:
+        """Return the limit that an answer states; a malformed one is none."""
+        text = response.headers.get(self.names.request_limit)
+        if text is None:
+            return None
+        try:
+            limit = float(text)
+        except ValueError:
+            limit = math.nan
+        if 0 <= limit < math.inf:
+            return limit
+        _LOG.warning('limit_not_valid', instance=request.instance_id, text=text)
+        return None
+
     def _check_request(
         self,
         request: InstanceRequest,
@@ -123,7 +143,8 @@
             raise WrongInstanceError(f'{instance_id}: answered by {responder}')
         if self.names.not_run in headers:
             raise UpstreamShedError(
-                f'{instance_id}: request not run, status {response.status}'
+                f'{instance_id}: request not run, status {response.status}',
+                request_limit=self._request_limit(request, response),
             )
         lengths = set(headers.getall('Content-Length', ()))
         if len(lengths) + ('Transfer-Encoding' in headers) > 1:
--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -10,6 +10,7 @@
 from bronzewall.edge.fleet_view import FleetView
 from bronzewall.edge.freshness import KeyFreshness
 from bronzewall.edge.gate import Gate
+from bronzewall.edge.instance_limits import InstanceLimits
 from bronzewall.edge.knowledge_age import KnowledgeAge
 from bronzewall.edge.leader_election import LeaderElection
 from bronzewall.edge.member import Member
@@ -56,6 +57,7 @@
     catalog: Catalog
     freshness: KeyFreshness
     state: ZoneState
+    limits: InstanceLimits
     leader: ZoneLeader
     member: Member
     reader: StoreReader
@@ -87,6 +89,7 @@
         list_bound=min(settings.drain_bound, settings.config_bound),
     )
     election = LeaderElection(fleet=fleet, age=age, started_at=clock.now())
+    limits = InstanceLimits()
     selector = Selector(
         own_id=own.vm_id,
         own_placement=own.placement,
@@ -96,6 +99,7 @@
 
     def on_removed(removed: Iterable[EdgeInstance]) -> None:
         removed = tuple(removed)
+        limits.forget(removed)
         selector.forget(removed)
         ports.instances.close_idle([item.address for item in removed])
 
@@ -173,6 +177,7 @@
             ratio=settings.retry_ratio, slack=settings.retry_slack
         ),
         metrics=ports.metrics,
+        limits=limits,
     )
     path = EdgeRequestHandler(
         clock=clock,
@@ -189,6 +194,7 @@
         catalog=catalog,
         freshness=freshness,
         state=state,
+        limits=limits,
         leader=leader,
         member=member,
         reader=reader,
--- a/src/bronzewall/edge/ports.py
+++ b/src/bronzewall/edge/ports.py
@@ -130,6 +130,8 @@
     :param target_instance: the only instance that may run the request.
     :param not_run: states that the instance did not run the request.
     :param instance_id: the instance that answered.
+    :param request_limit: requests a second that the instance accepts from
+        all VMs together.
     """
 
     attempt_id: str
@@ -139,6 +141,7 @@
     target_instance: str
     not_run: str
     instance_id: str
+    request_limit: str
 
 
 @attrs.frozen(kw_only=True)
@@ -155,11 +158,16 @@
 
 @attrs.frozen(kw_only=True)
 class InstanceAnswer:
-    """A complete answer of an instance."""
+    """A complete answer of an instance.
+
+    :param request_limit: requests a second that the instance accepts from
+        all VMs together, or ``None`` if it states no limit.
+    """
 
     status: int
     headers: Headers
     body: bytes
+    request_limit: float | None = None
 
 
 class InstanceHttp(Protocol):
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -11,6 +11,7 @@
 from bronzewall.edge.exchange import EdgeExchange
 from bronzewall.edge.failure_estimates import Observation
 from bronzewall.edge.gate import Gate
+from bronzewall.edge.instance_limits import InstanceLimits
 from bronzewall.edge.ports import (
     HeaderNames,
     InstanceAnswer,
@@ -34,6 +35,7 @@
 from bronzewall.metrics import Metrics
 from bronzewall.ports import Clock, Headers
 from bronzewall.problems import Reason
+from bronzewall.types import InstanceId
 
 _MS_PER_S = 1000
 _STATUS_SERVER_ERROR = 500
@@ -93,6 +95,7 @@
     instances: InstanceHttp
     budget: RetryBudget
     metrics: Metrics
+    limits: InstanceLimits
     response_times: ResponseTimes = attrs.field(factory=ResponseTimes)
     recent_ranks: RecentRanks = attrs.field(factory=RecentRanks)
 
@@ -223,6 +226,8 @@
         exchange.tried_ids.add(instance_id)
         exchange.runs += 1
         sent_at = self.clock.now()
+        if self.limits.limit(instance_id) is not None:
+            self.metrics.events['sent_to_limited_instance'] += 1
         self.metrics.record_ages(
             configuration=self.gate.freshness.age(),
             instances=sent_at - self.catalog.confirmed_at,
@@ -336,6 +341,8 @@
             exchange.rejections += 1
         if isinstance(exc, WrongInstanceError):
             self.catalog.reject(candidate.instance)
+        if isinstance(exc, UpstreamShedError):
+            self._record_limit(instance_id, exc.request_limit, sent_at)
         observation = _OBSERVATIONS_BY_ERROR.get(type(exc))
         if observation is not None:
             self.state.record_observation(instance_id, observation, now=now)
@@ -365,6 +372,7 @@
     ) -> None:
         instance_id = candidate.instance.instance_id
         now = self.clock.now()
+        self._record_limit(instance_id, answer.request_limit, sent_at)
         is_good = answer.status < _STATUS_SERVER_ERROR
         # A healthy instance answers 504 when the deadline of a request passes.
         is_timeout = (
@@ -399,6 +407,16 @@
             ),
         )
 
+    def _record_limit(
+        self, instance_id: InstanceId, limit: float | None, sent_at: float
+    ) -> None:
+        """Record the limit that an answer states, ``None`` for none."""
+        if limit is not None:
+            self.metrics.events['answers_with_limit'] += 1
+        self.limits.record(
+            instance_id, limit, sent_at=sent_at, now=self.clock.now()
+        )
+
     def _may_run_again(self, exchange: EdgeExchange, *, sent: int) -> bool:
         """Return whether one more instance may run the request.
 
--- a/src/bronzewall/errors.py
+++ b/src/bronzewall/errors.py
@@ -78,7 +78,18 @@
 
 
 class UpstreamShedError(UpstreamError):
-    """The instance refused the request explicitly; it has not run."""
+    """The instance refused the request explicitly; it has not run.
+
+    :param request_limit: requests a second that the instance accepts from
+        all VMs together, if it stated a limit.
+    """
+
+    def __init__(
+        self, detail: str = '', *, request_limit: float | None = None
+    ) -> None:
+        """Store the limit that the refusal stated."""
+        super().__init__(detail)
+        self.request_limit = request_limit
 
 
 class UpstreamTimeoutError(UpstreamError):
--- a/src/bronzewall/log_explain.py
+++ b/src/bronzewall/log_explain.py
@@ -13,6 +13,7 @@
     (
         'configuration_in_force',
         'hub_followed',
+        'instance_limit_changed',
         'instances_changed',
         'keys_not_trusted',
         'keys_trusted',
--- a/src/bronzewall/platform/names.py
+++ b/src/bronzewall/platform/names.py
@@ -10,6 +10,7 @@
     target_instance='X-Target-Instance',
     not_run='X-Not-Executed',
     instance_id='X-Instance-Id',
+    request_limit='Server-Limit',
 )
 READY_PATH = '/bronzewall/readiness'
 # Environment variable with the path of the settings file.
--- a/tests/edge_builders.py
+++ b/tests/edge_builders.py
@@ -52,6 +52,7 @@
     target_instance='T-Target',
     not_run='T-Not-Run',
     instance_id='T-Instance',
+    request_limit='T-Limit',
 )
 
 
--- a/tests/test_instance_http.py
+++ b/tests/test_instance_http.py
@@ -266,3 +266,32 @@
         client.close_idle([upstream.address])
         await asyncio.wait_for(upstream.connections[0].closed.wait(), 2)
     await client.session.close()
+
+
+@pytest.mark.parametrize(
+    ('text', 'limit'),
+    [
+        (b'2.5', 2.5),
+        (b'0', 0),
+        (b'1e3', 1000),
+        (b'-1', None),
+        (b'nan', None),
+        (b'inf', None),
+        (b'many', None),
+        (b'', None),
+    ],
+)
+async def test_stated_limit_is_read(text: bytes, limit: float | None) -> None:
+    stated = b'T-Limit: ' + text + b'\r\n'
+    answer = WHOLE.replace(b'T-Seal', stated + b'T-Seal')
+    assert (await exchange(respond_with(answer))).request_limit == limit
+
+
+async def test_limit_of_a_request_that_was_not_run_is_read() -> None:
+    answer = (
+        b'HTTP/1.1 503 Busy\r\nT-Attempt: a-1\r\nT-Not-Run: 1\r\n'
+        b'T-Limit: 1.4\r\nContent-Length: 0\r\n\r\n'
+    )
+    with pytest.raises(UpstreamShedError) as raised:
+        await exchange(respond_with(answer))
+    assert raised.value.request_limit == 1.4
