Keep the limits that instances state over all VMs

Callers saw nothing; an instance in need that had named 1.4 requests a second got 34 in 4 s (allowed 13) and went on getting as many as before.

Class: a limit that an upstream states for the whole fleet is unknown to it, or is kept by each VM for itself.

Change: a request to an instance with a limit needs a permit, which the leader of the instance's zone grants. Permits are spaced evenly, two at once after a pause. A request waits for one at most while its answer can still meet the target latency and no other instance is better; if all instances are at their limit it is refused at once, with the time after which one may take it. Changes of limits reach all VMs through the zone leaders. A limit ends with an answer that does not state it, to a request that was sent after the limit was known. Hedged requests avoid such instances. If no instance is left for a retry, the answer of the first one is delivered.

Ruled out as mechanism: a share for each VM (20 VMs with a whole request each are 20 at once), tokens in the zone status (all VMs see the same one).

--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -10,9 +10,12 @@
 from bronzewall.edge.fleet_view import FleetView
 from bronzewall.edge.freshness import KeyFreshness
 from bronzewall.edge.gate import Gate
+from bronzewall.edge.instance_choice import InstanceChooser
 from bronzewall.edge.instance_limits import InstanceLimits
 from bronzewall.edge.knowledge_age import KnowledgeAge
 from bronzewall.edge.leader_election import LeaderElection
+from bronzewall.edge.limit_permits import LimitPermits
+from bronzewall.edge.limit_sharing import LimitSharing
 from bronzewall.edge.member import Member
 from bronzewall.edge.model import EdgeInstance, VmEntry
 from bronzewall.edge.ports import FleetStore, HeaderNames, InstanceHttp
@@ -58,6 +61,7 @@
     freshness: KeyFreshness
     state: ZoneState
     limits: InstanceLimits
+    limit_sharing: LimitSharing
     leader: ZoneLeader
     member: Member
     reader: StoreReader
@@ -95,6 +99,7 @@
         own_placement=own.placement,
         catalog=catalog,
         state=state,
+        limits=limits,
     )
 
     def on_removed(removed: Iterable[EdgeInstance]) -> None:
@@ -155,7 +160,21 @@
         age=age,
         store=ports.store,
     )
-    for component in (leader, member, transfers, refresher):
+    limit_sharing = LimitSharing(limits=limits, leader=leader)
+    permits = LimitPermits(
+        limits=limits,
+        leader=leader,
+        find_instance=lambda name: catalog.instances_by_id.get(name),
+    )
+    components = (
+        leader,
+        member,
+        transfers,
+        refresher,
+        limit_sharing,
+        permits,
+    )
+    for component in components:
         component.serve()
     gate = Gate(
         clock=clock,
@@ -177,7 +196,13 @@
             ratio=settings.retry_ratio, slack=settings.retry_slack
         ),
         metrics=ports.metrics,
-        limits=limits,
+        chooser=InstanceChooser(
+            clock=clock,
+            selector=selector,
+            permits=permits,
+            metrics=ports.metrics,
+        ),
+        limits=limit_sharing,
     )
     path = EdgeRequestHandler(
         clock=clock,
@@ -195,6 +220,7 @@
         freshness=freshness,
         state=state,
         limits=limits,
+        limit_sharing=limit_sharing,
         leader=leader,
         member=member,
         reader=reader,
--- a/src/bronzewall/edge/composition.py
+++ b/src/bronzewall/edge/composition.py
@@ -134,6 +134,7 @@
         member=components.member,
         leader=components.leader,
         transfers=components.transfers,
+        limit_sharing=components.limit_sharing,
         reader=components.reader,
         refresher=components.refresher,
         fleet=components.fleet,
--- a/src/bronzewall/edge/daemon.py
+++ b/src/bronzewall/edge/daemon.py
@@ -14,6 +14,7 @@
 from bronzewall.adapters.report_http import Page, PageBuilder, ReportServer
 from bronzewall.adapters.websocket_link import WebSocketLink
 from bronzewall.edge.fleet_view import FleetView
+from bronzewall.edge.limit_sharing import LimitSharing
 from bronzewall.edge.member import Member
 from bronzewall.edge.refresh import Refresher
 from bronzewall.edge.request_path import EdgeRequestHandler
@@ -64,6 +65,7 @@
     member: Member
     leader: ZoneLeader
     transfers: TokenTransfers
+    limit_sharing: LimitSharing
     reader: StoreReader
     refresher: Refresher
     fleet: FleetView
@@ -144,6 +146,7 @@
                 self.path.gate.directory.limits.body_bytes
             )
             self.reader.update_role(self.member.election.decide(now=now))
+            self.limit_sharing.send_updates()
             state = self.member.state
             if state.has_updates or now - reported_at >= _REPORT_INTERVAL_S:
                 reported_at = now
--- a/src/bronzewall/edge/instance_limits.py
+++ b/src/bronzewall/edge/instance_limits.py
@@ -1,55 +1,76 @@
-"""Request limits that instances state in their answers."""
+"""Request limits that instances state for all VMs together."""
 
 from collections.abc import Iterable
 
 import attrs
 import structlog
 
+from bronzewall.edge.limit_messages import LimitUpdate
 from bronzewall.edge.model import EdgeInstance
 from bronzewall.types import InstanceId
 
+# An update of another VM does not replace what an answer told this VM within
+# this time, seconds; the update may be older.
+_OWN_ANSWER_S = 0.5
 _LOG = structlog.get_logger()
 
 
-@attrs.frozen(kw_only=True)
-class StatedLimit:
+@attrs.define(kw_only=True)
+class _Limit:
     """Limit of one instance.
 
-    :param rate: requests a second from all VMs together.
-    :param at: clock time at which this VM last learned of it.
+    :param rate: requests a second.
+    :param known_at: clock time at which an answer last stated it, or at
+        which another VM told this one.
+    :param next_permit_at: clock time before which no permit is expected.
     """
 
     rate: float
-    at: float
+    known_at: float
+    next_permit_at: float = 0
 
 
 @attrs.define(kw_only=True, eq=False)
 class InstanceLimits:
-    """Stated limits by instance."""
+    """Limits by instance as this VM knows them."""
 
-    _by_id: dict[InstanceId, StatedLimit] = attrs.field(factory=dict)
+    _by_id: dict[InstanceId, _Limit] = attrs.field(factory=dict)
+    _answered_at: dict[InstanceId, float] = attrs.field(factory=dict)
 
     def limit(self, instance_id: InstanceId) -> float | None:
         """Return an instance's limit in requests a second, if it has one."""
-        stated = self._by_id.get(instance_id)
-        return None if stated is None else stated.rate
+        known = self._by_id.get(instance_id)
+        return None if known is None else known.rate
 
     def limits_by_id(self) -> dict[InstanceId, float]:
         """Return all limits in requests a second."""
         return {
-            instance_id: stated.rate
-            for instance_id, stated in self._by_id.items()
+            instance_id: known.rate
+            for instance_id, known in self._by_id.items()
         }
 
-    def record(
+    def wait(self, instance_id: InstanceId, *, now: float) -> float:
+        """Return the seconds until a permit for an instance is expected."""
+        known = self._by_id.get(instance_id)
+        return 0 if known is None else max(0, known.next_permit_at - now)
+
+    def expect_wait(
+        self, instance_id: InstanceId, wait: float, *, now: float
+    ) -> None:
+        """Record that no permit is expected for some seconds."""
+        known = self._by_id.get(instance_id)
+        if known is not None:
+            known.next_permit_at = now + wait
+
+    def record_answer(
         self,
         instance_id: InstanceId,
         limit: float | None,
         *,
         sent_at: float,
         now: float,
-    ) -> None:
-        """Record what an answer states.
+    ) -> bool:
+        """Record what an answer states; return whether this is a change.
 
         An answer without a limit ends the limit only if its request was sent
         after this VM learned of the limit; an older answer may have been
@@ -58,24 +79,75 @@
         :param limit: requests a second, ``None`` for no limit.
         :param sent_at: clock time at which the request was sent.
         """
-        stated = self._by_id.get(instance_id)
-        before = None if stated is None else stated.rate
+        known = self._by_id.get(instance_id)
         if limit is None:
-            if stated is None or sent_at <= stated.at:
-                return
-            self._by_id.pop(instance_id)
-        else:
-            self._by_id[instance_id] = StatedLimit(rate=limit, at=now)
-        if limit != before:
-            _LOG.info(
-                'instance_limit_changed',
-                instance=instance_id,
-                limit=limit,
-                before=before,
-                source='answer',
-            )
+            if known is None or sent_at <= known.known_at:
+                return False
+            self._answered_at[instance_id] = now
+            return self._end(instance_id, source='answer')
+        self._answered_at[instance_id] = now
+        is_changed = self._set(instance_id, limit, now=now, source='answer')
+        self._by_id[instance_id].known_at = now
+        return is_changed
+
+    def apply_update(self, update: LimitUpdate, *, now: float) -> LimitUpdate:
+        """Apply what another VM knows; return what has changed by it."""
+        limits = {
+            instance_id: limit
+            for instance_id, limit in update.limits.items()
+            if not self._has_own_answer(instance_id, now)
+            and self._set(instance_id, limit, now=now, source='peer')
+        }
+        ended = [
+            instance_id
+            for instance_id in update.ended
+            if not self._has_own_answer(instance_id, now)
+            and self._end(instance_id, source='peer')
+        ]
+        return LimitUpdate(limits=limits, ended=ended)
 
     def forget(self, removed: Iterable[EdgeInstance]) -> None:
         """Drop the limits of removed instances."""
         for item in removed:
             self._by_id.pop(item.instance_id, None)
+            self._answered_at.pop(item.instance_id, None)
+
+    def _has_own_answer(self, instance_id: InstanceId, now: float) -> bool:
+        answered_at = self._answered_at.get(instance_id)
+        return answered_at is not None and now - answered_at < _OWN_ANSWER_S
+
+    def _set(
+        self, instance_id: InstanceId, rate: float, *, now: float, source: str
+    ) -> bool:
+        known = self._by_id.get(instance_id)
+        before = None if known is None else known.rate
+        if before == rate:
+            return False
+        next_permit_at = 0 if known is None else known.next_permit_at
+        self._by_id[instance_id] = _Limit(
+            rate=rate, known_at=now, next_permit_at=next_permit_at
+        )
+        _log_change(instance_id, rate, before, source)
+        return True
+
+    def _end(self, instance_id: InstanceId, *, source: str) -> bool:
+        known = self._by_id.pop(instance_id, None)
+        if known is None:
+            return False
+        _log_change(instance_id, None, known.rate, source)
+        return True
+
+
+def _log_change(
+    instance_id: InstanceId,
+    limit: float | None,
+    before: float | None,
+    source: str,
+) -> None:
+    _LOG.info(
+        'instance_limit_changed',
+        instance=instance_id,
+        limit=limit,
+        before=before,
+        source=source,
+    )
--- a/src/bronzewall/edge/selection.py
+++ b/src/bronzewall/edge/selection.py
@@ -1,5 +1,6 @@
 """Chooses the instance with the least expected loss for a request."""
 
+import math
 import zlib
 from collections.abc import Collection, Iterable
 
@@ -7,6 +8,7 @@
 
 from bronzewall.edge.catalog import Catalog
 from bronzewall.edge.failure_estimates import failure_rate
+from bronzewall.edge.instance_limits import InstanceLimits
 from bronzewall.edge.model import EdgeInstance
 from bronzewall.edge.zone_state import ZoneState
 from bronzewall.locality import Locality, locality_of
@@ -56,7 +58,8 @@
 
     :param loss: expected loss as a fraction of the value of an answer in
         time.
-    :param queue_time: expected seconds in the instance's queue.
+    :param queue_time: expected seconds until the instance begins to run the
+        request, in its queue or because of its limit.
     """
 
     instance: EdgeInstance
@@ -72,6 +75,7 @@
     own_placement: Placement
     catalog: Catalog
     state: ZoneState
+    limits: InstanceLimits = attrs.field(factory=InstanceLimits)
     _last_used_at: dict[InstanceId, float] = attrs.field(factory=dict)
 
     def choose(
@@ -85,11 +89,7 @@
 
         :param excluded: instances that the request was already sent to.
         """
-        candidates = [
-            self._candidate(item, profile, now)
-            for item in self.catalog.usable(profile.service)
-            if item.instance_id not in excluded
-        ]
+        candidates = self._candidates(profile, excluded=excluded, now=now)
         if not candidates:
             return None
         min_loss = min(candidate.loss for candidate in candidates)
@@ -104,12 +104,53 @@
         self._last_used_at[best.instance.instance_id] = now
         return best
 
+    def tolerable_wait(
+        self,
+        profile: RequestProfile,
+        candidate: Candidate,
+        *,
+        excluded: Collection[InstanceId],
+        now: float,
+    ) -> float:
+        """Return the wait at which another instance is as good, seconds.
+
+        It is infinite if there is no other instance.
+
+        :param excluded: instances that the request was already sent to.
+        """
+        others = self._candidates(
+            profile,
+            excluded={*excluded, candidate.instance.instance_id},
+            now=now,
+        )
+        best = min((other.loss for other in others), default=math.inf)
+        return candidate.queue_time + max(0, best - candidate.loss) * (
+            _target_latency(profile) / _QUEUE_TIME_WEIGHT
+        )
+
+    def is_usable(self, instance: EdgeInstance) -> bool:
+        """Return whether an instance may still get new requests."""
+        return instance in self.catalog.usable(instance.service)
+
     def forget(self, removed: Iterable[EdgeInstance]) -> None:
         """Drop the state of removed instances."""
         for item in removed:
             self._last_used_at.pop(item.instance_id, None)
             self.state.forget(item.instance_id)
 
+    def _candidates(
+        self,
+        profile: RequestProfile,
+        *,
+        excluded: Collection[InstanceId],
+        now: float,
+    ) -> list[Candidate]:
+        return [
+            self._candidate(item, profile, now)
+            for item in self.catalog.usable(profile.service)
+            if item.instance_id not in excluded
+        ]
+
     def _last_use(self, candidate: Candidate) -> float:
         instance_id = candidate.instance.instance_id
         if instance_id not in self._last_used_at:
@@ -131,13 +172,17 @@
             in_flight = max(in_flight, item.slots)
         queued = max(0, in_flight + 1 - item.slots)
         queue_time = queued / item.slots * profile.expected_time
-        target_latency = profile.target_latency or _DEFAULT_TARGET_S
+        queue_time += self.limits.wait(item.instance_id, now=now)
         loss = (
             failure_rate(failure_probability) * weight
             + _LOCALITY_LOSS[locality_of(self.own_placement, item.placement)]
             + _IN_FLIGHT_WEIGHT * min(1, in_flight / item.slots)
-            + _QUEUE_TIME_WEIGHT * queue_time / target_latency
+            + _QUEUE_TIME_WEIGHT * queue_time / _target_latency(profile)
         )
         if item.warmup:
             loss += _WARMUP_LOSS
         return Candidate(instance=item, loss=loss, queue_time=queue_time)
+
+
+def _target_latency(profile: RequestProfile) -> float:
+    return profile.target_latency or _DEFAULT_TARGET_S
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -11,14 +11,14 @@
 from bronzewall.edge.exchange import EdgeExchange
 from bronzewall.edge.failure_estimates import Observation
 from bronzewall.edge.gate import Gate
-from bronzewall.edge.instance_limits import InstanceLimits
+from bronzewall.edge.instance_choice import RETRY_AFTER_S, InstanceChooser
+from bronzewall.edge.limit_sharing import LimitSharing
 from bronzewall.edge.ports import (
     HeaderNames,
     InstanceAnswer,
     InstanceHttp,
     InstanceRequest,
 )
-from bronzewall.edge.recent_ranks import RecentRanks
 from bronzewall.edge.response_times import ResponseTimes
 from bronzewall.edge.retry_budget import RetryBudget
 from bronzewall.edge.selection import Candidate, RequestProfile, Selector
@@ -34,7 +34,7 @@
 from bronzewall.locality import locality_of
 from bronzewall.metrics import Metrics
 from bronzewall.ports import Clock, Headers
-from bronzewall.problems import Reason
+from bronzewall.problems import Reason, RefusalError
 from bronzewall.types import InstanceId
 
 _MS_PER_S = 1000
@@ -60,11 +60,6 @@
 # An overdue request is also sent to a second instance if the expected loss
 # there is at most this fraction of the value of the answer.
 _MAX_HEDGE_LOSS = 0.25
-# A request is refused if less than this fraction of the expected response
-# time is left before its deadline.
-_MIN_RESPONSE_TIME_FRACTION = 0.3
-# Retry-After of requests that no instance accepted, seconds.
-_RETRY_AFTER_S = 0.5
 _LOG = structlog.get_logger()
 
 _OBSERVATIONS_BY_ERROR: dict[type[UpstreamError], Observation] = {
@@ -95,9 +90,9 @@
     instances: InstanceHttp
     budget: RetryBudget
     metrics: Metrics
-    limits: InstanceLimits
+    chooser: InstanceChooser
+    limits: LimitSharing
     response_times: ResponseTimes = attrs.field(factory=ResponseTimes)
-    recent_ranks: RecentRanks = attrs.field(factory=RecentRanks)
 
     async def run(self, exchange: EdgeExchange) -> InstanceAnswer:
         """Return the answer to deliver to the caller.
@@ -105,56 +100,41 @@
         :raises RefusalError: no instance has answered.
         """
         self.budget.credit(exchange.service)
-        self.recent_ranks.record(
+        self.chooser.recent_ranks.record(
             exchange.service, exchange.rank, now=self.clock.now()
         )
-        while True:
-            candidate = self._choose(exchange)
-            try:
-                answer = await self._send_with_hedge(exchange, candidate)
-            except UpstreamError as exc:
-                if not self._may_retry_error(exchange, exc):
-                    return self._fallback_answer(exchange, exc)
-                self._count_retry(exchange, type(exc).__name__)
-                continue
-            if not self._may_retry_answer(exchange, answer):
-                return answer
-            exchange.last_answer = answer
-            self._count_retry(exchange, f'status_{answer.status}')
+        answer: InstanceAnswer | None = None
+        while answer is None:
+            answer = await self._try_next_instance(exchange)
+        return answer
 
-    def _choose(self, exchange: EdgeExchange) -> Candidate:
-        now = self.clock.now()
-        profile = self._profile(exchange)
-        candidate = self.selector.choose(
-            profile, excluded=exchange.tried_ids, now=now
-        )
-        remaining = exchange.deadline - now
-        if candidate is None:
-            raise exchange.refusal(
-                Reason.NO_INSTANCE,
-                detail=f'{exchange.service}: no further instance',
-                retry_after=_RETRY_AFTER_S,
-            )
-        fraction = self.recent_ranks.queue_fraction(
-            exchange.service, exchange.rank, now=now
-        )
-        spare_time = (
-            remaining - profile.expected_time * _MIN_RESPONSE_TIME_FRACTION
-        )
-        if spare_time <= 0 or candidate.queue_time > fraction * spare_time:
-            raise exchange.refusal(
-                Reason.UPSTREAM_TIMEOUT
-                if remaining <= 0
-                else Reason.OVERLOADED,
-                detail=(
-                    f'{remaining:.2f} s left before the deadline,'
-                    f' {candidate.queue_time:.2f} s expected in the queue,'
-                    f' rank {exchange.rank} may queue for a fraction of'
-                    f' {fraction:g} of the time left'
-                ),
-                retry_after=max(_RETRY_AFTER_S, candidate.queue_time),
+    async def _try_next_instance(
+        self, exchange: EdgeExchange
+    ) -> InstanceAnswer | None:
+        """Return the answer to deliver, or ``None`` to try another instance.
+
+        :raises RefusalError: no instance has answered, and none is left.
+        """
+        try:
+            candidate = await self.chooser.choose(
+                exchange, self._profile(exchange)
             )
-        return candidate
+        except RefusalError:
+            if exchange.last_answer is None:
+                raise
+            return exchange.last_answer
+        try:
+            answer = await self._send_with_hedge(exchange, candidate)
+        except UpstreamError as exc:
+            if not self._may_retry_error(exchange, exc):
+                return self._fallback_answer(exchange, exc)
+            self._count_retry(exchange, type(exc).__name__)
+            return None
+        if not self._may_retry_answer(exchange, answer):
+            return answer
+        exchange.last_answer = answer
+        self._count_retry(exchange, f'status_{answer.status}')
+        return None
 
     def _profile(self, exchange: EdgeExchange) -> RequestProfile:
         return RequestProfile(
@@ -200,12 +180,18 @@
         return task
 
     def _choose_hedge(self, exchange: EdgeExchange) -> Candidate | None:
-        """Return a second instance for an overdue request, if any."""
+        """Return a second instance for an overdue request, if any.
+
+        Instances that state a limit get no hedged requests.
+        """
         if not self._may_run_again(exchange, sent=0):
             return None
         candidate = self.selector.choose(
             self._profile(exchange),
-            excluded=exchange.tried_ids,
+            excluded={
+                *exchange.tried_ids,
+                *self.limits.limits.limits_by_id(),
+            },
             now=self.clock.now(),
         )
         if (
@@ -226,7 +212,7 @@
         exchange.tried_ids.add(instance_id)
         exchange.runs += 1
         sent_at = self.clock.now()
-        if self.limits.limit(instance_id) is not None:
+        if self.limits.limits.limit(instance_id) is not None:
             self.metrics.events['sent_to_limited_instance'] += 1
         self.metrics.record_ages(
             configuration=self.gate.freshness.age(),
@@ -413,9 +399,7 @@
         """Record the limit that an answer states, ``None`` for none."""
         if limit is not None:
             self.metrics.events['answers_with_limit'] += 1
-        self.limits.record(
-            instance_id, limit, sent_at=sent_at, now=self.clock.now()
-        )
+        self.limits.record_answer(instance_id, limit, sent_at=sent_at)
 
     def _may_run_again(self, exchange: EdgeExchange, *, sent: int) -> bool:
         """Return whether one more instance may run the request.
@@ -476,7 +460,7 @@
         if exchange.last_answer is not None:
             return exchange.last_answer
         reason = _REASONS_BY_ERROR[type(exc)]
-        retry_after = None if exchange.runs else _RETRY_AFTER_S
+        retry_after = None if exchange.runs else RETRY_AFTER_S
         raise exchange.refusal(
             reason, detail=str(exc), retry_after=retry_after
         ) from exc
--- a/src/bronzewall/edge/zone_leader.py
+++ b/src/bronzewall/edge/zone_leader.py
@@ -98,6 +98,8 @@
     :param has_store: the last call to the store was answered.
     :param has_updates: changes wait to be sent to the zone.
     :param has_urgent_updates: they are more than changed in-flight counts.
+    :param quota_fraction: fraction of the zone's quota that this leader may
+        use.
     """
 
     clock: Clock
@@ -114,6 +116,7 @@
     has_store: bool = False
     has_updates: bool = False
     has_urgent_updates: bool = False
+    quota_fraction: float = 1
     _reporters_by_id: dict[VmId, _Reporter] = attrs.field(factory=dict)
     _packed_by_name: dict[str, tuple[int, bytes]] = attrs.field(factory=dict)
     _statuses_sent_at: float = 0
@@ -188,8 +191,9 @@
         now = self.clock.now()
         self._drop_timed_out(now)
         accounts = self.directory.accounts_by_id
+        self.quota_fraction = self._quota_fraction(now)
         quota = self.pools.quota(
-            accounts, fraction=self._quota_fraction(now), now=now
+            accounts, fraction=self.quota_fraction, now=now
         )
         self.state.admission.update_from_leader(
             tokens=quota.levels(accounts),
@@ -269,15 +273,17 @@
         """
         return [vm_id for _, vm_id in self._zone_leaders()]
 
+    def leader_of(self, zone: str) -> VmId:
+        """Return the leader of another zone that has VMs.
+
+        The first candidate is used where the leader is not known.
+        """
+        return self._leader_by_zone.get(zone, self.fleet.ranked(zone)[0].vm_id)
+
     def _zone_leaders(self) -> list[tuple[str, VmId]]:
         own = self.fleet.own.placement.zone
         return [
-            (
-                zone,
-                self._leader_by_zone.get(
-                    zone, self.fleet.ranked(zone)[0].vm_id
-                ),
-            )
+            (zone, self.leader_of(zone))
             for zone in sorted(self.fleet.zones() - {own})
         ]
 
