Log when a VM reaches no instance

Cause sought: whether a VM reaches any instance had to be derived from lines that are missing.

Change: instances_unreachable is logged and counted when three instances in a row gave a VM no answer, with the time since the last one, and instances_reached when one answers again; /status shows the state and explain the last change. No request is handled differently.

--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -12,6 +12,7 @@
 from bronzewall.edge.gate import Gate
 from bronzewall.edge.instance_choice import InstanceChooser
 from bronzewall.edge.instance_limits import InstanceLimits
+from bronzewall.edge.instance_path import InstancePath
 from bronzewall.edge.knowledge_age import KnowledgeAge
 from bronzewall.edge.leader_election import LeaderElection
 from bronzewall.edge.limit_permits import LimitPermits
@@ -69,6 +70,7 @@
     transfers: TokenTransfers
     selector: Selector
     gate: Gate
+    instance_path: InstancePath
     sender: Sender
     path: EdgeRequestHandler
 
@@ -160,6 +162,7 @@
         age=age,
         store=ports.store,
     )
+    instance_path = InstancePath(metrics=ports.metrics)
     limit_sharing = LimitSharing(limits=limits, leader=leader)
     permits = LimitPermits(
         limits=limits,
@@ -196,6 +199,7 @@
             ratio=settings.retry_ratio, slack=settings.retry_slack
         ),
         metrics=ports.metrics,
+        path=instance_path,
         chooser=InstanceChooser(
             clock=clock,
             selector=selector,
@@ -228,6 +232,7 @@
         transfers=transfers,
         selector=selector,
         gate=gate,
+        instance_path=instance_path,
         sender=sender,
         path=path,
     )
--- a/src/bronzewall/edge/composition.py
+++ b/src/bronzewall/edge/composition.py
@@ -159,6 +159,7 @@
             'suspected': components.state.zone_estimates.significant(
                 now=clock.now()
             ),
+            'reaches_instances': not components.instance_path.is_lost,
             'limits': components.limits.limits_by_id(),
             'in_flight': components.path.in_flight,
             'log_lines_left_out': dict(sink.dropped_by_reason),
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -12,6 +12,7 @@
 from bronzewall.edge.failure_estimates import Observation
 from bronzewall.edge.gate import Gate
 from bronzewall.edge.instance_choice import RETRY_AFTER_S, InstanceChooser
+from bronzewall.edge.instance_path import InstancePath
 from bronzewall.edge.limit_sharing import LimitSharing
 from bronzewall.edge.ports import (
     HeaderNames,
@@ -74,6 +75,7 @@
     UpstreamBrokenError: Reason.ANSWER_LOST,
     UpstreamTimeoutError: Reason.UPSTREAM_TIMEOUT,
 }
+_ANSWER_ERRORS = (UpstreamShedError, WrongInstanceError)
 _NOT_RUN_ERRORS = (ConnectFailedError, UpstreamShedError, WrongInstanceError)
 
 
@@ -90,6 +92,7 @@
     instances: InstanceHttp
     budget: RetryBudget
     metrics: Metrics
+    path: InstancePath
     chooser: InstanceChooser
     limits: LimitSharing
     response_times: ResponseTimes = attrs.field(factory=ResponseTimes)
@@ -327,6 +330,10 @@
             exchange.rejections += 1
         if isinstance(exc, WrongInstanceError):
             self.catalog.reject(candidate.instance)
+        if isinstance(exc, _ANSWER_ERRORS):
+            self.path.record_answer(now=now)
+        else:
+            self.path.record_no_answer(instance_id, now=now)
         if isinstance(exc, UpstreamShedError):
             self._record_limit(instance_id, exc.request_limit, sent_at)
         observation = _OBSERVATIONS_BY_ERROR.get(type(exc))
@@ -359,6 +366,7 @@
         instance_id = candidate.instance.instance_id
         now = self.clock.now()
         self._record_limit(instance_id, answer.request_limit, sent_at)
+        self.path.record_answer(now=now)
         is_good = answer.status < _STATUS_SERVER_ERROR
         # A healthy instance answers 504 when the deadline of a request passes.
         is_timeout = (
--- a/src/bronzewall/log_explain.py
+++ b/src/bronzewall/log_explain.py
@@ -15,6 +15,8 @@
         'hub_followed',
         'instance_limit_changed',
         'instances_changed',
+        'instances_reached',
+        'instances_unreachable',
         'keys_not_trusted',
         'keys_trusted',
         'store_lost',
