Do not count a VM's own lost path as failures of instances

In the same way connections that the cut broke counted as crashes of instances by the requests sent on them. Class: a fault of the observer is taken for one of the observed.

Change: a failure is recorded if an instance has answered since the attempt began, or if a probe connects to one of up to four instances, one after the other until one succeeds; otherwise it is dropped, and the path counts as lost until a probe succeeds. Idle connections are closed then.

Callers of the VMs without one are still refused; that is the other fault.

--- a/src/bronzewall/adapters/instance_http.py
+++ b/src/bronzewall/adapters/instance_http.py
@@ -16,6 +16,7 @@
     SafeReuseConnector,
     handler_of,
 )
+from bronzewall.adapters.tcp_probe import accepts_connections
 from bronzewall.adapters.upstream_calls import (
     open_no_retry_session,
     start_request,
@@ -62,6 +63,10 @@
         with translate_errors(request.timeout):
             return await self._send(request)
 
+    async def can_connect(self, address: str) -> bool:
+        """Return whether an address accepts a connection in time."""
+        return await accepts_connections(address)
+
     def close_idle(self, addresses: Sequence[str]) -> None:
         """Close idle connections to addresses that are no longer in use."""
         self.connector.close_idle(addresses)
--- a/src/bronzewall/adapters/tcp_probe.py
+++ b/src/bronzewall/adapters/tcp_probe.py
@@ -1,4 +1,4 @@
-"""TCP check of whether an upstream instance accepts connections."""
+"""TCP checks of whether upstream instances accept connections."""
 
 import asyncio
 
@@ -13,13 +13,30 @@
     A timeout does not mean that the instance has stopped: a full listen
     backlog causes it too.
     """
-    host, _, port = instance.address.rpartition(':')
     try:
-        async with asyncio.timeout(_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(host, int(port))
+        await _connect(instance.address)
     except TimeoutError:
         return False
     except OSError:
         return True
-    writer.close()
     return False
+
+
+async def accepts_connections(address: str) -> bool:
+    """Return whether an address accepts a connection in time.
+
+    :param address: ``host:port``.
+    """
+    try:
+        await _connect(address)
+    except OSError:
+        return False
+    return True
+
+
+async def _connect(address: str) -> None:
+    """Open a connection and close it."""
+    host, _, port = address.rpartition(':')
+    async with asyncio.timeout(_TIMEOUT_S):
+        _, writer = await asyncio.open_connection(host, int(port))
+    writer.close()
--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -162,7 +162,13 @@
         age=age,
         store=ports.store,
     )
-    instance_path = InstancePath(metrics=ports.metrics)
+    instance_path = InstancePath(
+        clock=clock,
+        random=ports.random,
+        catalog=catalog,
+        instances=ports.instances,
+        metrics=ports.metrics,
+    )
     limit_sharing = LimitSharing(limits=limits, leader=leader)
     permits = LimitPermits(
         limits=limits,
--- a/src/bronzewall/edge/composition.py
+++ b/src/bronzewall/edge/composition.py
@@ -135,6 +135,7 @@
         leader=components.leader,
         transfers=components.transfers,
         limit_sharing=components.limit_sharing,
+        instance_path=components.instance_path,
         reader=components.reader,
         refresher=components.refresher,
         fleet=components.fleet,
--- a/src/bronzewall/edge/ports.py
+++ b/src/bronzewall/edge/ports.py
@@ -183,5 +183,8 @@
         :raises UpstreamBrokenError: the connection broke, outcome unknown.
         """
 
+    async def can_connect(self, address: str) -> bool:
+        """Return whether an address accepts a connection in time."""
+
     def close_idle(self, addresses: Sequence[str]) -> None:
         """Close idle connections to addresses that are no longer used."""
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -1,6 +1,7 @@
 """Sends requests to instances, with retries and hedged requests."""
 
 import asyncio
+import functools
 from collections.abc import Sequence
 
 import attrs
@@ -63,11 +64,6 @@
 _MAX_HEDGE_LOSS = 0.25
 _LOG = structlog.get_logger()
 
-_OBSERVATIONS_BY_ERROR: dict[type[UpstreamError], Observation] = {
-    ConnectFailedError: Observation.UNREACHABLE,
-    UpstreamBrokenError: Observation.FAILED,
-    UpstreamShedError: Observation.OVERDUE,
-}
 _REASONS_BY_ERROR: dict[type[UpstreamError], Reason] = {
     ConnectFailedError: Reason.NO_INSTANCE,
     UpstreamShedError: Reason.OVERLOADED,
@@ -132,6 +128,7 @@
             if not self._may_retry_error(exchange, exc):
                 return self._fallback_answer(exchange, exc)
             self._count_retry(exchange, type(exc).__name__)
+            await self.path.settle()
             return None
         if not self._may_retry_answer(exchange, answer):
             return answer
@@ -226,6 +223,7 @@
             self._record_overdue,
             exchange,
             candidate,
+            sent_at,
         )
         try:
             answer = await self.instances.send(
@@ -301,14 +299,16 @@
         return max(_MIN_OVERDUE_S, mean * _MIN_OVERDUE_FACTOR, delay)
 
     def _record_overdue(
-        self, exchange: EdgeExchange, candidate: Candidate
+        self, exchange: EdgeExchange, candidate: Candidate, sent_at: float
     ) -> None:
-        now = self.clock.now()
         instance_id = candidate.instance.instance_id
         observation = Observation.OVERDUE
         if self.response_times.is_rarely_late(exchange.service):
             observation = Observation.SILENT
-        self.state.record_observation(instance_id, observation, now=now)
+        self.path.record_if_intact(
+            functools.partial(self._observe, instance_id, observation),
+            sent_at=sent_at,
+        )
         self.metrics.events['overdue'] += 1
         _LOG.info(
             'answer_overdue',
@@ -324,25 +324,25 @@
         sent_at: float,
     ) -> None:
         instance_id = candidate.instance.instance_id
-        now = self.clock.now()
         if isinstance(exc, _NOT_RUN_ERRORS):
             exchange.runs -= 1
             exchange.rejections += 1
         if isinstance(exc, WrongInstanceError):
             self.catalog.reject(candidate.instance)
-        if isinstance(exc, _ANSWER_ERRORS):
-            self.path.record_answer(now=now)
-        else:
-            self.path.record_no_answer(instance_id, now=now)
         if isinstance(exc, UpstreamShedError):
             self._record_limit(instance_id, exc.request_limit, sent_at)
-        observation = _OBSERVATIONS_BY_ERROR.get(type(exc))
-        if observation is not None:
-            self.state.record_observation(instance_id, observation, now=now)
-        if isinstance(exc, UpstreamBrokenError):
-            self.state.record_broken_request(
-                exchange.fingerprint, instance_id, now=now
+            self._observe(instance_id, Observation.OVERDUE)
+        if isinstance(exc, _ANSWER_ERRORS):
+            self.path.record_answer()
+        else:
+            self.path.record_if_intact(
+                functools.partial(
+                    self._record_failure, exchange, instance_id, exc
+                ),
+                sent_at=sent_at,
+                is_connected=not isinstance(exc, ConnectFailedError),
             )
+        now = self.clock.now()
         self.metrics.events[f'attempt_{type(exc).__name__}'] += 1
         _LOG.info(
             'attempt_failed',
@@ -356,6 +356,28 @@
             ),
         )
 
+    def _record_failure(
+        self,
+        exchange: EdgeExchange,
+        instance_id: InstanceId,
+        exc: UpstreamError,
+    ) -> None:
+        """Record that an instance was not reached or broke an exchange."""
+        if isinstance(exc, ConnectFailedError):
+            self._observe(instance_id, Observation.UNREACHABLE)
+        elif isinstance(exc, UpstreamBrokenError):
+            self._observe(instance_id, Observation.FAILED)
+            self.state.record_broken_request(
+                exchange.fingerprint, instance_id, now=self.clock.now()
+            )
+
+    def _observe(
+        self, instance_id: InstanceId, observation: Observation
+    ) -> None:
+        self.state.record_observation(
+            instance_id, observation, now=self.clock.now()
+        )
+
     def _record_answer(
         self,
         exchange: EdgeExchange,
@@ -366,7 +388,7 @@
         instance_id = candidate.instance.instance_id
         now = self.clock.now()
         self._record_limit(instance_id, answer.request_limit, sent_at)
-        self.path.record_answer(now=now)
+        self.path.record_answer()
         is_good = answer.status < _STATUS_SERVER_ERROR
         # A healthy instance answers 504 when the deadline of a request passes.
         is_timeout = (
--- a/src/bronzewall/standins/memory_store.py
+++ b/src/bronzewall/standins/memory_store.py
@@ -225,11 +225,17 @@
 
     :param behaviours_by_id: functions that answer for single instances.
     :param response_time: seconds until any other instance answers.
+    :param connect_time: seconds until a connection succeeds or fails.
+    :param accepts: returns whether an address accepts connections.
+    :param closed: addresses to which idle connections were closed.
     """
 
     response_time: float = 0.1
+    connect_time: float = 0.001
+    accepts: Callable[[str], bool] = lambda _address: True
     behaviours_by_id: dict[str, Behaviour] = attrs.field(factory=dict)
     requests: list[InstanceRequest] = attrs.field(factory=list)
+    closed: list[str] = attrs.field(factory=list)
 
     async def send(self, request: InstanceRequest) -> InstanceAnswer:
         """Return the answer of an instance."""
@@ -240,8 +246,14 @@
         await asyncio.sleep(self.response_time)
         return answer_of(request)
 
+    async def can_connect(self, address: str) -> bool:
+        """Return whether an address accepts connections."""
+        await asyncio.sleep(self.connect_time)
+        return self.accepts(address)
+
     def close_idle(self, addresses: Sequence[str]) -> None:
-        """Do nothing; there are no connections."""
+        """Record the addresses; there are no connections."""
+        self.closed.extend(addresses)
 
 
 def answer_of(
--- a/tests/edge_path_world.py
+++ b/tests/edge_path_world.py
@@ -114,6 +114,10 @@
         async def behave(request: InstanceRequest) -> InstanceAnswer:
             return await self._answer(vm, request)
 
+        vm.instances.connect_time = 0.3 if self.how == 'silent' else 0.001
+        vm.instances.accepts = lambda _address: (
+            vm.fleet.own.vm_id not in self.cut_at
+        )
         for name in self.fleet.shared.instances_by_id:
             vm.instances.behaviours_by_id[name] = behave
 
