Know the path to the instances of each service

A VM that reached no instance of one service, but those of others, counted its path as intact, because a probe reached an instance of another service; its callers were refused as before.

Change: there is a path for each service, with its own probes; when one is lost the others are probed at once. VMs are asked whether they reach the service of the request.

Whole service down: 95 % of the refusals within 0.1 s, at most one detour a request.

--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -12,7 +12,7 @@
 from bronzewall.edge.gate import Gate
 from bronzewall.edge.instance_choice import InstanceChooser
 from bronzewall.edge.instance_limits import InstanceLimits
-from bronzewall.edge.instance_path import InstancePath
+from bronzewall.edge.instance_paths import InstancePaths
 from bronzewall.edge.knowledge_age import KnowledgeAge
 from bronzewall.edge.leader_election import LeaderElection
 from bronzewall.edge.limit_permits import LimitPermits
@@ -74,7 +74,7 @@
     transfers: TokenTransfers
     selector: Selector
     gate: Gate
-    instance_path: InstancePath
+    instance_paths: InstancePaths
     sender: Sender
     path: EdgeRequestHandler
 
@@ -166,7 +166,7 @@
         age=age,
         store=ports.store,
     )
-    instance_path = InstancePath(
+    instance_paths = InstancePaths(
         clock=clock,
         random=ports.random,
         catalog=catalog,
@@ -201,7 +201,7 @@
         clock=clock,
         random=ports.random,
         directory=directory,
-        path=instance_path,
+        paths=instance_paths,
         address=settings.entry_address(),
         is_leaving=lambda: member.is_leaving,
     )
@@ -218,7 +218,7 @@
             ratio=settings.retry_ratio, slack=settings.retry_slack
         ),
         metrics=ports.metrics,
-        path=instance_path,
+        paths=instance_paths,
         relay=Relay(
             clock=clock,
             names=ports.names,
@@ -265,7 +265,7 @@
         transfers=transfers,
         selector=selector,
         gate=gate,
-        instance_path=instance_path,
+        instance_paths=instance_paths,
         sender=sender,
         path=path,
     )
--- a/src/bronzewall/edge/composition.py
+++ b/src/bronzewall/edge/composition.py
@@ -135,7 +135,7 @@
         leader=components.leader,
         transfers=components.transfers,
         limit_sharing=components.limit_sharing,
-        instance_path=components.instance_path,
+        instance_paths=components.instance_paths,
         reader=components.reader,
         refresher=components.refresher,
         fleet=components.fleet,
@@ -160,7 +160,7 @@
             'suspected': components.state.zone_estimates.significant(
                 now=clock.now()
             ),
-            'reaches_instances': not components.instance_path.is_lost,
+            'services_out_of_reach': components.instance_paths.lost_services(),
             'limits': components.limits.limits_by_id(),
             'in_flight': components.path.in_flight,
             'log_lines_left_out': dict(sink.dropped_by_reason),
--- a/src/bronzewall/edge/daemon.py
+++ b/src/bronzewall/edge/daemon.py
@@ -14,7 +14,7 @@
 from bronzewall.adapters.report_http import Page, PageBuilder, ReportServer
 from bronzewall.adapters.websocket_link import WebSocketLink
 from bronzewall.edge.fleet_view import FleetView
-from bronzewall.edge.instance_path import InstancePath
+from bronzewall.edge.instance_paths import InstancePaths
 from bronzewall.edge.limit_sharing import LimitSharing
 from bronzewall.edge.member import Member
 from bronzewall.edge.refresh import Refresher
@@ -67,7 +67,7 @@
     leader: ZoneLeader
     transfers: TokenTransfers
     limit_sharing: LimitSharing
-    instance_path: InstancePath
+    instance_paths: InstancePaths
     reader: StoreReader
     refresher: Refresher
     fleet: FleetView
@@ -132,7 +132,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self.instance_path.stop()
+        await self.instance_paths.stop()
         await self.link.stop()
         await self.client.session.close()
         await self.reader.store.close()
--- a/src/bronzewall/edge/instance_path.py
+++ b/src/bronzewall/edge/instance_path.py
@@ -1,4 +1,4 @@
-"""Network path of this VM to the instances.
+"""Network path of this VM to the instances of a service.
 
 A VM that reaches no instance must not take the instances for failing: the
 other VMs of its zone may reach all of them.
@@ -17,6 +17,7 @@
 from bronzewall.edge.ports import InstanceHttp
 from bronzewall.metrics import Metrics
 from bronzewall.ports import Clock
+from bronzewall.types import ServiceName
 
 # Instances to which a probe connects, and the delay from one to the next,
 # seconds. Each connection is billed, and the first one usually succeeds.
@@ -31,18 +32,21 @@
 
 @attrs.define(kw_only=True, eq=False)
 class InstancePath:
-    """Whether this VM reaches any instance.
+    """Whether this VM reaches any instance of a service.
 
+    :param on_lost: called when the path is lost.
     :param is_lost: the last probe reached no instance.
     :param answered_at: clock time of the last answer of an instance.
     :param connected_at: clock time of the last successful probe.
     """
 
+    service: ServiceName
     clock: Clock
     random: random.Random
     catalog: Catalog
     instances: InstanceHttp
     metrics: Metrics
+    on_lost: Callable[[], None] = lambda: None
     is_lost: bool = False
     answered_at: float = -math.inf
     connected_at: float = -math.inf
@@ -84,6 +88,12 @@
         self._held_records.append(record)
         self._start_probe()
 
+    def suspect(self) -> None:
+        """Probe the path, unless this has just been done."""
+        is_recent = self.clock.now() - self.connected_at < _PROBE_VALIDITY_S
+        if not self.is_lost and not is_recent:
+            self._start_probe()
+
     async def check(self, *, sent_at: float) -> bool:
         """Return whether the path is intact, after a probe if unknown.
 
@@ -128,12 +138,13 @@
         seconds = self.clock.now() - self.answered_at
         _LOG.warning(
             'instances_unreachable',
+            service=self.service,
             instances=[item.instance_id for item in chosen],
             seconds=None if math.isinf(seconds) else round(seconds, 3),
         )
-        listed = self.catalog.instances_by_id.values()
-        self.instances.close_idle([item.address for item in listed])
+        self.instances.close_idle([item.address for item in self._listed()])
         self._watch = asyncio.create_task(self._watch_lost_path())
+        self.on_lost()
 
     async def _watch_lost_path(self) -> None:
         """Probe until an instance is reached."""
@@ -143,11 +154,20 @@
         self.connected_at = self.clock.now()
         self.is_lost = False
         _LOG.info(
-            'instances_reached', seconds=round(self.connected_at - lost_at, 3)
+            'instances_reached',
+            service=self.service,
+            seconds=round(self.connected_at - lost_at, 3),
         )
 
+    def _listed(self) -> list[EdgeInstance]:
+        return [
+            item
+            for item in self.catalog.instances_by_id.values()
+            if item.service == self.service
+        ]
+
     def _choose_instances(self) -> list[EdgeInstance]:
-        listed = list(self.catalog.instances_by_id.values())
+        listed = self._listed()
         return self.random.sample(listed, min(_PROBED_INSTANCES, len(listed)))
 
     async def _reaches_any(self, chosen: Sequence[EdgeInstance]) -> bool:
--- a/src/bronzewall/edge/relay.py
+++ b/src/bronzewall/edge/relay.py
@@ -71,7 +71,7 @@
             'no VM that reaches the instances has answered'
         )
         for _ in range(_MAX_PEERS):
-            peer = await self.peers.find()
+            peer = await self.peers.find(exchange.service)
             if peer is None:
                 break
             try:
--- a/src/bronzewall/edge/relay_messages.py
+++ b/src/bronzewall/edge/relay_messages.py
@@ -3,6 +3,7 @@
 import attrs
 
 from bronzewall.messages import message
+from bronzewall.types import ServiceName
 
 
 @message('edge-relay-request')
@@ -10,9 +11,11 @@
 class RelayRequest:
     """Asks whether a VM takes requests of callers of the sender.
 
+    :param service: service that the requests are for.
     :param version: version of the sender's configuration.
     """
 
+    service: ServiceName
     version: int
 
 
--- a/src/bronzewall/edge/relay_peers.py
+++ b/src/bronzewall/edge/relay_peers.py
@@ -18,7 +18,7 @@
 from bronzewall.locality import locality_of
 from bronzewall.peer_calls import PeerEndpoint
 from bronzewall.ports import Clock
-from bronzewall.types import VmId
+from bronzewall.types import ServiceName, VmId
 
 # VMs that are asked at the same time, and how many are asked for one request.
 _BATCH = 3
@@ -38,11 +38,12 @@
 
 @attrs.frozen(kw_only=True)
 class RelayPeer:
-    """A VM that has agreed to serve requests.
+    """A VM that has agreed to serve requests for a service.
 
     :param used_until: clock time until which its ticket is used.
     """
 
+    service: ServiceName
     vm_id: VmId
     address: str
     ticket: str
@@ -58,34 +59,39 @@
     endpoint: PeerEndpoint
     fleet: FleetView
     directory: Directory
-    _current: RelayPeer | None = None
-    _paused_until: dict[VmId, float] = attrs.field(factory=dict)
-
-    async def find(self) -> RelayPeer | None:
-        """Return a VM that serves requests, if one answers."""
-        current = self._current
-        if current is not None and self.clock.now() < current.used_until:
-            return current
-        for batch in self._batches():
-            found = await self._ask_any(batch)
+    _peer_by_service: dict[ServiceName, RelayPeer] = attrs.field(factory=dict)
+    _paused_until: dict[tuple[ServiceName, VmId], float] = attrs.field(
+        factory=dict
+    )
+
+    async def find(self, service: ServiceName) -> RelayPeer | None:
+        """Return a VM that serves requests for a service, if one answers."""
+        found = self._peer_by_service.get(service)
+        if found is not None and self.clock.now() < found.used_until:
+            return found
+        for batch in self._batches(service):
+            found = await self._ask_any(service, batch)
             if found is not None:
-                self._current = found
+                self._peer_by_service[service] = found
                 return found
         return None
 
     def drop(self, peer: RelayPeer) -> None:
         """Stop using a VM for a time, after it did not serve a request."""
-        self._paused_until[peer.vm_id] = self.clock.now() + _PAUSE_S
-        if self._current == peer:
-            self._current = None
+        self._pause(peer.service, peer.vm_id)
+        if self._peer_by_service.get(peer.service) == peer:
+            self._peer_by_service.pop(peer.service)
 
-    def _batches(self) -> Iterator[list[VmEntry]]:
+    def _pause(self, service: ServiceName, vm_id: VmId) -> None:
+        self._paused_until[service, vm_id] = self.clock.now() + _PAUSE_S
+
+    def _batches(self, service: ServiceName) -> Iterator[list[VmEntry]]:
         """Yield VMs to ask, the nearest and among them the strongest first."""
         now = self.clock.now()
         own = self.fleet.own
         by_locality: dict[int, list[VmEntry]] = {}
         for entry in self._shuffled():
-            is_paused = now < self._paused_until.get(entry.vm_id, 0)
+            is_paused = now < self._paused_until.get((service, entry.vm_id), 0)
             if entry.vm_id != own.vm_id and not is_paused:
                 locality = locality_of(own.placement, entry.placement)
                 by_locality.setdefault(locality.value, []).append(entry)
@@ -109,9 +115,13 @@
             entries, key=lambda entry: weights[entry.vm_id], reverse=True
         )
 
-    async def _ask_any(self, batch: list[VmEntry]) -> RelayPeer | None:
+    async def _ask_any(
+        self, service: ServiceName, batch: list[VmEntry]
+    ) -> RelayPeer | None:
         """Return the first VM of a batch that agrees."""
-        tasks = [asyncio.create_task(self._ask(entry)) for entry in batch]
+        tasks = [
+            asyncio.create_task(self._ask(service, entry)) for entry in batch
+        ]
         try:
             for task in asyncio.as_completed(tasks):
                 found = await task
@@ -122,22 +132,32 @@
                 pending.cancel()
         return None
 
-    async def _ask(self, entry: VmEntry) -> RelayPeer | None:
+    async def _ask(
+        self, service: ServiceName, entry: VmEntry
+    ) -> RelayPeer | None:
         asked_at = self.clock.now()
         try:
             reply: RelayReply = await self.endpoint.call(
                 to=entry.vm_id,
-                message=RelayRequest(version=self.directory.version),
+                message=RelayRequest(
+                    service=service, version=self.directory.version
+                ),
                 timeout=_TIMEOUT_S,
             )
         except PeerTimeoutError:
             self.endpoint.counters['relay_request_lost'] += 1
             reply = RelayReply()
         if not reply.address:
-            self._paused_until[entry.vm_id] = self.clock.now() + _PAUSE_S
+            self._pause(service, entry.vm_id)
             return None
-        _LOG.info('relay_found', vm=entry.vm_id, address=reply.address)
+        _LOG.info(
+            'relay_found',
+            service=service,
+            vm=entry.vm_id,
+            address=reply.address,
+        )
         return RelayPeer(
+            service=service,
             vm_id=entry.vm_id,
             address=reply.address,
             ticket=reply.ticket,
--- a/src/bronzewall/edge/relay_tickets.py
+++ b/src/bronzewall/edge/relay_tickets.py
@@ -6,7 +6,7 @@
 import attrs
 
 from bronzewall.edge.directory import Directory
-from bronzewall.edge.instance_path import InstancePath
+from bronzewall.edge.instance_paths import InstancePaths
 from bronzewall.edge.relay_messages import RelayReply, RelayRequest
 from bronzewall.messages import Envelope
 from bronzewall.ports import Clock
@@ -27,7 +27,7 @@
     clock: Clock
     random: random.Random
     directory: Directory
-    path: InstancePath
+    paths: InstancePaths
     address: str
     is_leaving: Callable[[], bool]
     _valid_until: dict[str, float] = attrs.field(factory=dict)
@@ -36,7 +36,8 @@
         """Issue a ticket if this VM can serve the sender's requests."""
         request: RelayRequest = envelope.body
         is_behind = self.directory.version < request.version
-        if self.path.is_lost or self.is_leaving() or is_behind:
+        path = self.paths.path_to(request.service)
+        if path.is_lost or is_behind or self.is_leaving():
             return RelayReply()
         now = self.clock.now()
         self._valid_until = {
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -14,6 +14,7 @@
 from bronzewall.edge.gate import Gate
 from bronzewall.edge.instance_choice import RETRY_AFTER_S, InstanceChooser
 from bronzewall.edge.instance_path import InstancePath
+from bronzewall.edge.instance_paths import InstancePaths
 from bronzewall.edge.limit_sharing import LimitSharing
 from bronzewall.edge.ports import (
     HeaderNames,
@@ -89,7 +90,7 @@
     instances: InstanceHttp
     budget: RetryBudget
     metrics: Metrics
-    path: InstancePath
+    paths: InstancePaths
     relay: Relay
     chooser: InstanceChooser
     limits: LimitSharing
@@ -106,7 +107,7 @@
         )
         answer: InstanceAnswer | None = None
         while answer is None:
-            if self.path.is_lost:
+            if self._path(exchange).is_lost:
                 return await self._relay(exchange)
             answer = await self._try_next_instance(exchange)
         return answer
@@ -132,7 +133,7 @@
             if not self._may_retry_error(exchange, exc):
                 return self._fallback_answer(exchange, exc)
             self._count_retry(exchange, type(exc).__name__)
-            await self.path.settle()
+            await self._path(exchange).settle()
             return None
         if not self._may_retry_answer(exchange, answer):
             return answer
@@ -150,11 +151,16 @@
         self.gate.check(exchange)
         try:
             if exchange.is_relayed:
-                raise ConnectFailedError('this VM reaches no instance')
+                raise ConnectFailedError(
+                    f'this VM reaches no instance of {exchange.service}'
+                )
             return await self.relay.send(exchange)
         except UpstreamError as exc:
             return self._fallback_answer(exchange, exc)
 
+    def _path(self, exchange: EdgeExchange) -> InstancePath:
+        return self.paths.path_to(exchange.service)
+
     def _profile(self, exchange: EdgeExchange) -> RequestProfile:
         return RequestProfile(
             service=exchange.service,
@@ -177,9 +183,9 @@
         tasks = [self._start_attempt(exchange, candidate)]
         try:
             await asyncio.wait(tasks, timeout=self._overdue_after(exchange))
-            is_path_intact = tasks[0].done() or await self.path.check(
-                sent_at=sent_at
-            )
+            is_path_intact = tasks[0].done() or await self._path(
+                exchange
+            ).check(sent_at=sent_at)
             if not tasks[0].done():
                 tasks.extend(self._hedges(exchange, is_path_intact))
             return await _first_answer(tasks)
@@ -317,7 +323,7 @@
         observation = Observation.OVERDUE
         if self.response_times.is_rarely_late(exchange.service):
             observation = Observation.SILENT
-        self.path.record_if_intact(
+        self._path(exchange).record_if_intact(
             functools.partial(self._observe, instance_id, observation),
             sent_at=sent_at,
         )
@@ -345,9 +351,9 @@
             self._record_limit(instance_id, exc.request_limit, sent_at)
             self._observe(instance_id, Observation.OVERDUE)
         if isinstance(exc, _ANSWER_ERRORS):
-            self.path.record_answer()
+            self._path(exchange).record_answer()
         else:
-            self.path.record_if_intact(
+            self._path(exchange).record_if_intact(
                 functools.partial(
                     self._record_failure, exchange, instance_id, exc
                 ),
@@ -400,7 +406,7 @@
         instance_id = candidate.instance.instance_id
         now = self.clock.now()
         self._record_limit(instance_id, answer.request_limit, sent_at)
-        self.path.record_answer()
+        self._path(exchange).record_answer()
         is_good = answer.status < _STATUS_SERVER_ERROR
         # A healthy instance answers 504 when the deadline of a request passes.
         is_timeout = (
--- a/tests/edge_path_world.py
+++ b/tests/edge_path_world.py
@@ -14,6 +14,7 @@
 )
 from edge_fleet import Fleet
 
+from bronzewall.edge.model import EdgeInstance
 from bronzewall.edge.ports import InstanceAnswer, InstanceRequest
 from bronzewall.errors import ConnectFailedError, UpstreamBrokenError
 from bronzewall.standins.memory_store import Behaviour
@@ -48,6 +49,7 @@
 
     :param how: what happens to connections of a VM that is cut: ``silent``,
         ``reset``, or ``new`` if only new ones fail.
+    :param cut_service: only instances of this service are cut off.
     :param has_one_target: all requests are for the same path.
     :param cut_at: clock time of the cut by VM.
     """
@@ -55,6 +57,7 @@
     fleet: Fleet
     random: random.Random
     how: str = 'silent'
+    cut_service: str | None = None
     has_one_target: bool = False
     response_time: float = 0.25
     cut_at: dict[str, float] = attrs.field(factory=dict)
@@ -119,14 +122,21 @@
             return await self._answer(vm, request)
 
         vm.instances.connect_time = 0.3 if self.how == 'silent' else 0.001
-        vm.instances.accepts = lambda _address: (
+        listed = self.fleet.shared.instances_by_id.values()
+        cut_addresses = {item.address for item in listed if self._is_cut(item)}
+        vm.instances.accepts = lambda address: (
             vm.fleet.own.vm_id not in self.cut_at
+            or address not in cut_addresses
         )
         for name in self.fleet.shared.instances_by_id:
             vm.instances.behaviours_by_id[name] = behave
         for name in self.fleet.vms:
             vm.instances.behaviours_by_id[name] = self._relay_to(name)
 
+    def _is_cut(self, instance: EdgeInstance) -> bool:
+        """Return whether a cut VM does not reach an instance."""
+        return self.cut_service in {None, instance.service}
+
     def _relay_to(self, name: str) -> Behaviour:
         """Return how requests that another VM relays to a VM are handled."""
 
@@ -156,7 +166,8 @@
         self, vm: EdgeVm, request: InstanceRequest
     ) -> InstanceAnswer:
         cut_at = self.cut_at.get(vm.fleet.own.vm_id)
-        if cut_at is not None:
+        listed = self.fleet.shared.instances_by_id[request.instance_id]
+        if cut_at is not None and self._is_cut(listed):
             await self._meet_cut(cut_at)
         attempt_id = request.attempt_id
         self.runs_by_id[attempt_id] = self.runs_by_id.get(attempt_id, 0) + 1
@@ -203,10 +214,16 @@
 
 
 async def a_path_world(
-    vms_by_zone: dict[str, int], *, seed: int, how: str = 'silent'
+    vms_by_zone: dict[str, int],
+    *,
+    seed: int,
+    how: str = 'silent',
+    cut_service: str | None = None,
 ) -> PathWorld:
     """Return a settled fleet with three instances in each zone.
 
+    Each zone has as many instances of another service, which get no requests.
+
     Requests to ``/drafts/`` may run once only, those to ``/pages/`` may be
     sent again.
     """
@@ -229,9 +246,19 @@
             an_edge_instance(f'{zone}/i-{number}', zone=zone, slots=8)
             for zone in vms_by_zone
             for number in range(3)
-        )
+        ),
+        *(
+            an_edge_instance(f'{zone}/n-{number}', zone=zone, service='notes')
+            for zone in vms_by_zone
+            for number in range(3)
+        ),
+    )
+    world = PathWorld(
+        fleet=fleet,
+        random=random.Random(seed),
+        how=how,
+        cut_service=cut_service,
     )
-    world = PathWorld(fleet=fleet, random=random.Random(seed), how=how)
     for vm in fleet.vms.values():
         world.install(vm)
     await fleet.start()
--- a/tests/test_edge_instance_path.py
+++ b/tests/test_edge_instance_path.py
@@ -13,6 +13,7 @@
 from bronzewall.metrics import Metrics
 from bronzewall.standins.memory_store import MemoryInstances
 from bronzewall.standins.virtual_time import VirtualClock, run_virtual
+from bronzewall.types import ServiceName
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -33,6 +34,7 @@
         )
         instances = MemoryInstances(accepts=self.accept)
         return InstancePath(
+            service=ServiceName('drafts'),
             clock=clock,
             random=random.Random(1),
             catalog=catalog,
--- a/tests/test_edge_relay.py
+++ b/tests/test_edge_relay.py
@@ -18,6 +18,7 @@
 from bronzewall.ports import CallerRequest
 from bronzewall.standins.memory_store import answer_of
 from bronzewall.standins.virtual_time import run_virtual
+from bronzewall.types import ServiceName
 
 _VMS = {'muscat-a': 8, 'muscat-b': 4, 'dhofar-a': 8}
 # Time after which callers of VMs without a path must be served, seconds.
@@ -63,6 +64,51 @@
     assert run_virtual(main())
 
 
+# Guards against callers that are refused because their VM does not reach the
+# service that they use.
+@pytest.mark.parametrize('cut', [_most, _zone])
+@pytest.mark.parametrize('how', ['silent', 'reset'])
+def test_callers_of_vms_without_a_path_to_a_service_are_served(
+    how: str, cut
+) -> None:
+    async def main() -> PathWorld:
+        world = await a_path_world(_VMS, seed=8, how=how, cut_service='drafts')
+        await world.load(2, rate=1.5)
+        world.cut(cut())
+        await world.load(3, rate=1.5)
+        world.attempts.clear()
+        await world.load(6, rate=1.5)
+        await world.fleet.stop()
+        return world
+
+    world = run_virtual(main())
+    assert world.keeps_bound(since=0)
+    served, total = world.served(is_cut=True, since=0)
+    assert served >= 0.95 * total
+    seconds = sorted(one.seconds for one in world.attempts)
+    assert seconds[int(0.9 * len(seconds))] < 1
+    assert max(world.runs_by_id.values()) == 1
+
+
+# Pattern: all instances of a service are down. What no VM can serve must not
+# wait longer because VMs ask each other.
+def test_service_that_is_down_is_refused_without_detours() -> None:
+    async def main() -> PathWorld:
+        world = await a_path_world(
+            _VMS, seed=9, how='reset', cut_service='drafts'
+        )
+        world.cut(list(world.fleet.vms))
+        await world.load(8, rate=1.5)
+        await world.fleet.stop()
+        return world
+
+    world = run_virtual(main())
+    assert not world.served(is_cut=True, since=0)[0]
+    seconds = sorted(one.seconds for one in world.attempts)
+    assert seconds[int(0.95 * len(seconds))] < 0.1
+    assert world.relayed <= len(world.attempts)
+
+
 # Guards against a lost path that counts as failures of the instances.
 @pytest.mark.parametrize('how', ['silent', 'reset'])
 def test_vms_with_a_path_trust_the_instances(how: str) -> None:
@@ -216,7 +262,7 @@
         vm = an_edge_vm()
         vm.serve_alone()
         vm.fleet.add(a_vm('vm-2'))
-        vm.instance_path.is_lost = True
+        vm.instance_paths.path_to(ServiceName('drafts')).is_lost = True
         writer = await vm.ask(_relayed_request(1))
         assert writer.status == 503
         assert vm.clock.now() < 0.01
--- a/tests/test_relay_http.py
+++ b/tests/test_relay_http.py
@@ -218,10 +218,11 @@
     upstream = Upstream()
     async with vms(upstream) as cut:
         await ask(cut, name='first')
-        other = cut.path.sender.relay.peers._current
+        peers = cut.path.sender.relay.peers
+        other = next(iter(peers._peer_by_service.values()))
         cut.fleet.entries_by_id.pop(other.vm_id)
         for number in range(3):
-            cut.path.sender.relay.peers._current = attrs.evolve(
+            peers._peer_by_service[other.service] = attrs.evolve(
                 other, used_until=1e9, ticket='unknown'
             )
             answer = await ask(cut, name=f'late-{number}')
@@ -235,7 +236,8 @@
     upstream = Upstream()
     async with vms(upstream, rate=0.001) as cut:
         await ask(cut)
-        peer = cut.path.sender.relay.peers._current
+        peers = cut.path.sender.relay.peers
+        peer = next(iter(peers._peer_by_service.values()))
         refused = b'HTTP/1.1 429 '
         for number in range(10):
             answer = await ask_at(peer.address, name=f'direct-{number}')
