Let a new zone leader continue the buckets of the one before

Cause found in memory: a VM that becomes leader starts each account's bucket half full, or goes on with its own of an earlier term, which has refilled meanwhile, although the zone has just used its tokens. Six VMs whose leader changes each second admitted 314, 304 and 271 requests in 10 s at rate 10 and burst 40 (allowed 174).

Change: at the start of its term a leader takes the levels that it knew as a member. Only a VM that never heard a leader begins half full.

Figures: 162, 159 and 159 now; the test fails before. Tried and dropped: no refill of a member's view 0.3 or 0.6 s after the last status (no change in this test, and tests/test_edge_zone.py::test_new_leader_keeps_the_rate_of_its_zone fell to 108 and 114 of 120).

--- a/src/bronzewall/edge/rate_limits.py
+++ b/src/bronzewall/edge/rate_limits.py
@@ -148,6 +148,16 @@
     demand: Demand = attrs.field(factory=Demand)
     _buckets_by_id: dict[str, Bucket] = attrs.field(factory=dict)
 
+    def take_over(self, levels: Mapping[str, float], *, now: float) -> None:
+        """Continue the buckets of the leader before.
+
+        :param levels: its tokens by account, as far as they are known.
+        """
+        self._buckets_by_id = {
+            account_id: Bucket(level=level, at=now)
+            for account_id, level in levels.items()
+        }
+
     def consume(self, account_id: str, count: int) -> None:
         """Consume the tokens of requests that were admitted in the zone."""
         bucket = self._buckets_by_id.get(account_id)
@@ -274,6 +284,13 @@
             if account_id in buckets:
                 buckets[account_id].level += 1
 
+    def zone_levels(self) -> dict[str, float]:
+        """Return the zone's tokens by account as this VM last knew them."""
+        return {
+            account_id: bucket.level
+            for account_id, bucket in self._zone_buckets_by_id.items()
+        }
+
     def uses_zone_pool(self, *, now: float) -> bool:
         """Return whether the last contact with a zone leader is recent."""
         return now - self._last_contact_at < LEADER_TIMEOUT_S
--- a/src/bronzewall/edge/store_reader.py
+++ b/src/bronzewall/edge/store_reader.py
@@ -104,6 +104,7 @@
             # Whether this VM reaches the store is known after its first
             # call; until then other candidates keep trying as well.
             self.leader.has_store = False
+            self.leader.take_over()
             self.active.set()
         elif self.active.is_set() and not is_leader:
             _LOG.info('hub_ended')
--- a/src/bronzewall/edge/zone_leader.py
+++ b/src/bronzewall/edge/zone_leader.py
@@ -184,6 +184,12 @@
         self.state.crashes.record(summary.broken, now=now)
         self.has_updates = True
 
+    def take_over(self) -> None:
+        """Continue the rate limits of the leader before."""
+        self.pools.take_over(
+            self.state.admission.zone_levels(), now=self.clock.now()
+        )
+
     def send_statuses(self) -> None:
         """Send the zone status to every VM of the zone."""
         self.has_updates = False
--- a/tests/test_edge_zone.py
+++ b/tests/test_edge_zone.py
@@ -1,6 +1,7 @@
 """Tests of zone leaders and members over lossy in-memory links."""
 
 import asyncio
+import random
 
 import pytest
 from edge_builders import (
@@ -15,6 +16,11 @@
 from bronzewall.standins.virtual_time import run_virtual
 from bronzewall.types import InstanceId, VmId
 
+# An account may exceed its rate and burst by this factor and these requests in
+# any window.
+_TOLERANCE = 1.1
+_SLACK = 20
+
 
 def test_one_vm_reads_the_store_for_its_zone() -> None:
     # Guards against every VM reading the store, whose calls are billed.
@@ -360,3 +366,33 @@
         await fleet.stop()
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_leader_changes_grant_no_further_burst(seed: int) -> None:
+    # Seen once in a hunt (wrzosek-gw, scale-2, seed 273082778615): 565 requests
+    # of a hot account in 5 s, allowed 555, while VMs lost the store. Each new
+    # leader began with a bucket of its own.
+    async def main() -> None:
+        names = ['a', 'b', 'c', 'd', 'e', 'f']
+        fleet = await settled(*names)
+        account = an_edge_account(rate=10, burst=40)
+        fleet.shared.publish(an_edge_configuration(2, accounts=(account,)))
+        await asyncio.sleep(8)
+        drawn = random.Random(seed)
+        admitted = 0
+        started = fleet.vms['a'].clock.now()
+        for step in range(200):
+            if step % 20 == 0:
+                away = drawn.sample(names, 3)
+                for name, vm in fleet.vms.items():
+                    vm.store.is_unavailable = name in away
+            for vm in fleet.vms.values():
+                vm.instances.response_time = 0
+                admitted += (await vm.ask()).status == 200
+            await asyncio.sleep(0.05)
+        seconds = fleet.vms['a'].clock.now() - started
+        await fleet.stop()
+        assert admitted <= _TOLERANCE * (40 + 10 * seconds) + _SLACK
+
+    run_virtual(main())
