Test the rate of a zone whose leader is killed

Until a new leader is heard, for about a second, every VM of the zone adds the zone's whole rate to its own view of the tokens.

The VMs of the tests know how many they are, as the daemon's do.

--- a/tests/edge_builders.py
+++ b/tests/edge_builders.py
@@ -162,6 +162,7 @@
 
     def tick(self) -> None:
         """Run the steps that the daemon runs at each tick."""
+        self.state.admission.vm_count = len(self.fleet.entries_by_id)
         is_acting = self.election.decide(now=self.clock.now())
         self.reader.update_role(is_acting)
         self.limit_sharing.send_updates()
--- a/tests/test_edge_zone.py
+++ b/tests/test_edge_zone.py
@@ -396,3 +396,34 @@
         assert admitted <= _TOLERANCE * (40 + 10 * seconds) + _SLACK
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_zone_without_a_leader_keeps_its_rate(seed: int) -> None:
+    # Pattern: the leader of a zone is killed while one account sends many times
+    # its rate through all VMs.
+    async def main() -> None:
+        names = [f'vm-{number}' for number in range(8)]
+        fleet = await settled(*names)
+        account = an_edge_account(rate=14, burst=14)
+        fleet.shared.publish(an_edge_configuration(2, accounts=(account,)))
+        await asyncio.sleep(4)
+        drawn = random.Random(seed)
+        admitted = []
+        for step in range(160):
+            if step == 60:
+                await fleet.kill(fleet.leaders()[0])
+            for vm in fleet.vms.values():
+                vm.instances.response_time = 0
+                is_alive = vm.fleet.own.vm_id in fleet.tasks_by_name
+                if is_alive and (await vm.ask()).status == 200:
+                    admitted.append(vm.clock.now())
+            await asyncio.sleep(0.05 * drawn.uniform(0.9, 1.1))
+        await fleet.stop()
+        most = max(
+            sum(begin <= at < begin + 5 for at in admitted)
+            for begin in admitted
+        )
+        assert most <= _TOLERANCE * (14 + 14 * 5) + _SLACK
+
+    run_virtual(main())
