Soak: cut a zone off from the instances, and limits of instances

The real programs as processes, over proxies between the VMs of each zone and the instances. New checks with the users' bounds: an instance gets no more than its limit allows from VMs that passed the limit on; callers of a zone without a path are served as others are. Both count only while no other fault is near.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -16,6 +16,7 @@
     """One request of a caller and the answer it received.
 
     :param status: 0 if the connection ended without an answer.
+    :param instance_id: instance that answered, empty for none.
     :param is_whole: the whole answer was read.
     :param sent_at: monotonic time in seconds, as is ``ended_at``.
     """
@@ -27,6 +28,7 @@
     idempotent: bool
     sent_at: float
     status: int = 0
+    instance_id: str = ''
     body: bytes = b''
     is_whole: bool = False
     ended_at: float = 0
@@ -119,6 +121,7 @@
         name.strip().lower(): text.strip()
         for name, _, text in (line.partition(':') for line in lines[1:])
     }
+    attempt.instance_id = headers.get('x-response-seal', '')
     attempt.body = await reader.readexactly(int(headers['content-length']))
     attempt.is_whole = True
     return headers.get('connection', '').lower() != 'close'
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -1,5 +1,6 @@
 """Guarantees, checked against the records of callers and instances."""
 
+import math
 from collections import Counter, defaultdict
 from collections.abc import Mapping, Sequence
 
@@ -19,6 +20,20 @@
 # Seconds after the start of a planned stop in which answers may be
 # interrupted: the stop limit of the daemons.
 STOP_LIMIT_S = 6.0
+# After this time without other disturbance VMs must keep limits of instances,
+# and serve callers although they reach no instance, seconds.
+STABILITY_S = 3.0
+# What an instance may get beyond its limit, and from when on a VM that has
+# passed the limit on counts.
+_LIMIT_WINDOW_S = 4.0
+_LIMIT_TOLERANCE = 1.5
+_LIMIT_SLACK = 5
+_TOLD_S = 0.5
+# Callers of VMs without a path may be served less often by this ratio, or fail
+# this often.
+_LEAST_RATIO = 2 / 3
+_TOLERATED_FAILURES = 10
+_TOLERATED_SHARE = 0.02
 # Attempts that end sooner were sent while the daemon closed an idle
 # connection; they are not counted.
 _CLOSE_RACE_S = 0.2
@@ -32,25 +47,31 @@
     :param rate: requests per second of the limited account.
     :param burst: requests that the limited account may send at once.
     :param account: name of the limited account.
+    :param zone_by_vm: zone of each VM.
     """
 
     revocation_bound: float
     rate: float
     burst: float
     account: str
+    zone_by_vm: Mapping[str, str] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
 class Event:
     """A fault or change that the soak caused.
 
-    :param subject: the VM, key or instance concerned.
+    :param subject: the VM, zone, key or instance concerned.
     :param at: monotonic time in seconds.
+    :param ended_at: monotonic time at which it ends, if that is planned.
+    :param amount: requests a second, of an instance's limit.
     """
 
     kind: str
     subject: str
     at: float
+    ended_at: float = 0
+    amount: float = 0
 
 
 def find_violations(
@@ -72,6 +93,8 @@
         *_rate_excess(runs, limits),
         *_lost_at_planned_stops(attempts, runs_by_attempt, events),
         *_wrong_accounts(attempts, runs_by_attempt),
+        *_limit_excess(attempts, runs, events),
+        *_unserved_without_path(attempts, events, limits),
     ]
 
 
@@ -189,3 +212,89 @@
         for run in found
         if run.account != f'account-{keys.get(attempt_id, "?")}'
     ]
+
+
+def _limit_excess(
+    attempts: Sequence[Attempt], runs: Sequence[Run], events: Sequence[Event]
+) -> list[str]:
+    """Return limits of instances that VMs exceeded together.
+
+    Only VMs that have passed on an answer with the limit count, and only
+    while nothing else disturbs a VM.
+    """
+    vm_by_attempt = {one.attempt_id: one.vm_id for one in attempts}
+    found = []
+    for limit in events:
+        if limit.kind != 'limit' or _is_any_disturbed(limit, events):
+            continue
+        told_at: dict[str, float] = {}
+        for one in attempts:
+            if one.instance_id == limit.subject and one.ended_at > limit.at:
+                at = told_at.get(one.vm_id, one.ended_at)
+                told_at[one.vm_id] = min(at, one.ended_at)
+        times = [
+            run.at
+            for run in runs
+            if run.instance_id == limit.subject
+            and limit.at + STABILITY_S <= run.at <= limit.ended_at
+            and run.at
+            >= told_at.get(vm_by_attempt.get(run.attempt_id, ''), math.inf)
+            + _TOLD_S
+        ]
+        allowed = (
+            _LIMIT_TOLERANCE * limit.amount * _LIMIT_WINDOW_S + _LIMIT_SLACK
+        )
+        most = max(_count_within(times, at) for at in (*times, math.inf))
+        if most > allowed:
+            found.append(
+                f'limit: {limit.subject} got {most} in {_LIMIT_WINDOW_S} s,'
+                f' allowed {allowed}'
+            )
+    return found
+
+
+def _count_within(times: Sequence[float], begin: float) -> int:
+    return sum(begin <= at < begin + _LIMIT_WINDOW_S for at in times)
+
+
+def _unserved_without_path(
+    attempts: Sequence[Attempt], events: Sequence[Event], limits: Limits
+) -> list[str]:
+    """Return cuts from the instances during which callers were not served."""
+    found = []
+    for cut in events:
+        if cut.kind != 'path_cut' or _is_any_disturbed(cut, events):
+            continue
+        checked = [
+            one
+            for one in attempts
+            if cut.at + STABILITY_S <= one.sent_at < cut.ended_at
+            and f'account-{one.key}' != limits.account
+            and one.ended_at
+        ]
+        inside = [
+            one
+            for one in checked
+            if limits.zone_by_vm.get(one.vm_id) == cut.subject
+        ]
+        served = sum(one.status == _STATUS_OK for one in inside)
+        served_all = sum(one.status == _STATUS_OK for one in checked)
+        others = len(checked) - len(inside)
+        share = (served_all - served) / others if others else 1
+        failed = len(inside) - served
+        if failed > _TOLERATED_FAILURES + _TOLERATED_SHARE * len(
+            checked
+        ) and served < _LEAST_RATIO * share * len(inside):
+            found.append(
+                f'path: {served} of {len(inside)} served in {cut.subject}'
+            )
+    return found
+
+
+def _is_any_disturbed(window: Event, events: Sequence[Event]) -> bool:
+    """Return whether another fault than limits and cuts is close."""
+    return any(
+        event.kind not in {'limit', 'path_cut'}
+        and window.at - STABILITY_S <= event.at <= window.ended_at
+        for event in events
+    )
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -33,6 +33,7 @@
     :param fault: ``''``, ``errors``, ``hang``, ``reset`` or ``shed``.
     :param fault_rate: fraction of the requests that the fault affects.
     :param response_time: seconds from receiving a request to its answer.
+    :param request_limit: requests a second that its answers state as limit.
     """
 
     instance_id: str
@@ -42,6 +43,7 @@
     fault: str = ''
     fault_rate: float = 0.7
     response_time: float = 0.03
+    request_limit: float | None = None
     address: str = ''
     _runner: web.AppRunner | None = None
 
@@ -73,6 +75,8 @@
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         attempt_id = request.headers['X-Attempt-Id']
         echo = {'X-Attempt-Id': attempt_id}
+        if self.request_limit is not None:
+            echo['Server-Limit'] = str(self.request_limit)
         if request.headers['X-Target-Instance'] != self.instance_id:
             return web.Response(status=_STATUS_WRONG_INSTANCE, headers=echo)
         fault = self.fault
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -34,6 +34,18 @@
         bound = self._server.sockets[0].getsockname()
         self.address = f'{bound[0]}:{bound[1]}'
 
+    def refuse(self) -> None:
+        """Refuse new connections; open ones live on."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+
+    async def accept(self) -> None:
+        """Accept connections again, at the same address."""
+        if self._server is None:
+            self.listen = self.address
+            await self.start()
+
     async def stop(self) -> None:
         """Reset all connections and stop listening."""
         if self._server is not None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,7 +12,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import attrs
@@ -21,6 +21,7 @@
 from soak.callers import Attempt, Caller
 from soak.guarantees import Event, Limits, count_statuses, find_violations
 from soak.instances import Run, SoakInstance
+from soak.paths import ZonePaths
 from soak.proxy import FaultyProxy
 from soak.store import SoakStore
 
@@ -43,11 +44,17 @@
 # valid requests must be served again.
 _RECOVERY_S = 8.0
 _RESTART_DELAY_S = 0.3
+# Length of cuts and limits, seconds; they are checked after STABILITY_S.
+_LONG_FAULT_S = (5, 8)
+_REQUEST_LIMITS = (0.5, 1, 2.5, 5)
 _LIMITS = Limits(
     revocation_bound=_REVOCATION_BOUND_S,
     rate=_RATE,
     burst=_BURST,
     account=f'account-{_LIMITED_KEY}',
+    zone_by_vm={
+        f'vm-{number}': _ZONES[number % len(_ZONES)] for number in range(_VMS)
+    },
 )
 
 
@@ -93,13 +100,18 @@
 
 @attrs.define(kw_only=True, eq=False)
 class Soak:
-    """One soak run with one seed."""
+    """One soak run with one seed.
+
+    :param only: names of the faults that are injected, all if empty.
+    """
 
     seed: int
     seconds: float
     folder: pathlib.Path
     random: random.Random
+    only: tuple[str, ...] = ()
     store: SoakStore = attrs.field(factory=SoakStore)
+    paths: ZonePaths = attrs.field(factory=ZonePaths)
     vms: list[SoakVm] = attrs.field(factory=list)
     instances: list[SoakInstance] = attrs.field(factory=list)
     attempts: list[Attempt] = attrs.field(factory=list)
@@ -107,6 +119,7 @@
     events: list[Event] = attrs.field(factory=list)
     version: int = 1
     keys: list[str] = attrs.field(factory=lambda: list(_KEYS))
+    _tasks: set['asyncio.Task[None]'] = attrs.field(factory=set)
 
     async def run(self) -> list[str]:
         """Run the seed and return a line for each violation."""
@@ -148,6 +161,8 @@
             await instance.start()
             self.instances.append(instance)
             self.store.put('servers', instance.instance_id, instance.entry())
+        for zone in _ZONES:
+            await self.paths.build(zone, self.instances)
         self.publish()
         ports = free_ports(_VMS * _PORTS_PER_VM)
         for number in range(_VMS):
@@ -162,6 +177,7 @@
 
     async def _build_vm(self, number: int, ports: list[int]) -> SoakVm:
         vm_id, zone = f'vm-{number}', _ZONES[number % len(_ZONES)]
+        self.store.addresses_by_vm[vm_id] = self.paths.addresses(zone)
         store = FaultyProxy(target=await self.store.listen(vm_id))
         peers = FaultyProxy(target=f'127.0.0.1:{ports[2]}')
         await store.start()
@@ -283,8 +299,15 @@
             self._instance_fails,
             self._instance_leaves,
             self._key_withdrawn,
+            self._path_cut,
+            self._instance_limited,
             self.publish,
         ]
+        kinds = [
+            kind
+            for kind in kinds
+            if not self.only or kind.__name__.strip('_') in self.only
+        ]
         while time.monotonic() < ends_at:
             self.random.choice(kinds)()
             await asyncio.sleep(self.random.uniform(0.1, 1.2))
@@ -384,7 +407,68 @@
         self.publish()
         self._record_event('withdraw', key)
 
+    def _path_cut(self) -> None:
+        """Cut the VMs of a zone off from all instances.
+
+        One zone at a time, so that the other one can serve its callers.
+        """
+        now = time.monotonic()
+        if any(
+            event.kind == 'path_cut' and event.ended_at > now
+            for event in self.events
+        ):
+            return
+        zone = self.random.choice(_ZONES)
+        seconds = self._record_long_event('path_cut', zone)
+        keeps_open = self.random.random() < 0.5
+        self._run(self.paths.cut(zone, keeps_open=keeps_open))
+        asyncio.get_running_loop().call_later(
+            seconds, lambda: self._run(self.paths.heal(zone))
+        )
+
+    def _instance_limited(self) -> None:
+        instance = self.random.choice(self.instances)
+        if instance.request_limit is not None:
+            return
+        limit = self.random.choice(_REQUEST_LIMITS)
+        seconds = self._record_long_event(
+            'limit', instance.instance_id, amount=limit
+        )
+        instance.request_limit = limit
+        asyncio.get_running_loop().call_later(
+            seconds, lambda: setattr(instance, 'request_limit', None)
+        )
+
+    def _record_long_event(
+        self, kind: str, subject: str, amount: float = 0
+    ) -> float:
+        """Record a fault and return its length in seconds."""
+        seconds = self.random.uniform(*_LONG_FAULT_S)
+        now = time.monotonic()
+        self.events.append(
+            Event(
+                kind=kind,
+                subject=subject,
+                at=now,
+                ended_at=now + seconds,
+                amount=amount,
+            )
+        )
+        return seconds
+
+    def _run(self, action: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(action)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def _heal(self) -> None:
+        now = time.monotonic()
+        self.events = [
+            attrs.evolve(event, ended_at=min(event.ended_at, now))
+            for event in self.events
+        ]
+        for zone in _ZONES:
+            self._run(self.paths.heal(zone))
         self.store.heal()
         for vm in self.vms:
             vm.peers.heal()
@@ -392,6 +476,7 @@
             vm.send(signal.SIGCONT)
         for instance in self.instances:
             instance.fault = ''
+            instance.request_limit = None
 
     def _not_recovered(self, faults_ended_at: float) -> list[str]:
         """Return a line if under 90 % of valid requests are served again."""
@@ -434,14 +519,19 @@
             vm.log.close()
         for instance in self.instances:
             await instance.stop()
+        await self.paths.stop()
         await self.store.stop()
 
 
-async def run_seed(seed: int, seconds: float) -> int:
+async def run_seed(seed: int, seconds: float, only: tuple[str, ...]) -> int:
     """Run one seed, print one JSON line, return the exit code."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     soak = Soak(
-        seed=seed, seconds=seconds, folder=folder, random=random.Random(seed)
+        seed=seed,
+        seconds=seconds,
+        folder=folder,
+        random=random.Random(seed),
+        only=only,
     )
     violations = await soak.run()
     report = {
@@ -465,12 +555,16 @@
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--seeds', type=int, default=1)
     parser.add_argument('--seconds', type=float, default=12)
+    parser.add_argument(
+        '--only', default='', help='names of faults, joined by commas'
+    )
     options = parser.parse_args()
+    only = tuple(filter(None, options.only.split(',')))
     # SIGTERM, like SIGINT, ends the run through its clean-up, which kills
     # the VMs.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     codes = [
-        asyncio.run(run_seed(seed, options.seconds))
+        asyncio.run(run_seed(seed, options.seconds, only))
         for seed in range(options.seed, options.seed + options.seeds)
     ]
     sys.exit(max(codes))
--- a/soak/store.py
+++ b/soak/store.py
@@ -20,6 +20,8 @@
     :param refused_vms: VMs that get 503.
     :param unanswered_vms: VMs that get no answer.
     :param delay: seconds before each answer.
+    :param addresses_by_vm: addresses by instance that a VM reads in place of
+        the stored ones.
     :param history_from: least revision after which changes can be read.
     """
 
@@ -34,6 +36,7 @@
     refused_vms: set[str] = attrs.field(factory=set)
     unanswered_vms: set[str] = attrs.field(factory=set)
     delay: float = 0
+    addresses_by_vm: dict[str, dict[str, str]] = attrs.field(factory=dict)
     _runners: list[web.AppRunner] = attrs.field(factory=list)
 
     async def listen(self, vm_id: str) -> str:
@@ -87,7 +90,7 @@
 
     async def _read(self, request: web.Request) -> web.Response:
         await self._apply_faults(request)
-        return self._page(request.query['table'], after=0)
+        return self._page(request, after=0)
 
     async def _watch(self, request: web.Request) -> web.Response:
         await self._apply_faults(request)
@@ -104,7 +107,7 @@
                 break
             await asyncio.sleep(_POLL_S)
             await self._apply_faults(request)
-        return self._page(request.query['table'], after=after)
+        return self._page(request, after=after)
 
     async def _write(self, request: web.Request) -> web.Response:
         await self._apply_faults(request)
@@ -115,9 +118,23 @@
             self.rows[row['table']][row['key']] = stored
         return web.json_response({'schemaVersion': self.revision, 'now': 0})
 
-    def _page(self, table: str, *, after: int) -> web.Response:
+    def _seen_by(self, vm_id: str, table: str, key: str, raw: str) -> str:
+        """Return a stored value with the address that a VM sees."""
+        address = self.addresses_by_vm.get(vm_id, {}).get(key)
+        if table != 'servers' or address is None:
+            return raw
+        document = {**json.loads(base64.b64decode(raw)), 'address': address}
+        return base64.b64encode(json.dumps(document).encode()).decode()
+
+    def _page(self, request: web.Request, *, after: int) -> web.Response:
+        table, vm_id = request.query['table'], request.app[_VM]
         rows = [
-            {'table': table, 'part': '', 'key': key, 'value': raw}
+            {
+                'table': table,
+                'part': '',
+                'key': key,
+                'value': self._seen_by(vm_id, table, key, raw),
+            }
             for key, (raw, revision) in sorted(self.rows[table].items())
             if revision > after
         ]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,7 +11,13 @@
 from soak.instances import Run, body_of
 from soak.run import Soak, free_ports
 
-LIMITS = Limits(revocation_bound=5, rate=20, burst=10, account='account-k3')
+LIMITS = Limits(
+    revocation_bound=5,
+    rate=20,
+    burst=10,
+    account='account-k3',
+    zone_by_vm={'vm-0': 'a', 'vm-1': 'b'},
+)
 # Seeds that once failed. 118: each half of a partitioned zone used the whole
 # rate of the zone.
 REGRESSION_SEEDS = (118,)
@@ -85,6 +91,57 @@
     assert {line.partition(':')[0] for line in violations} == found
 
 
+def limited_run(requests: int, **changes) -> list[str]:
+    """Return violations of a limit of one request a second.
+
+    :param requests: requests that the instance got in 4 s.
+    """
+    fields = {'kind': 'limit', 'subject': 'i-0', 'amount': 1}
+    limit = Event(**{**fields, 'at': 100, 'ended_at': 110, **changes})
+    answers = [
+        attempt(attempt_id='first', instance_id='i-0', ended_at=100.5),
+        *(attempt(attempt_id=str(number)) for number in range(requests)),
+    ]
+    runs = [
+        run(attempt_id=str(number), at=104 + 3 * number / requests)
+        for number in range(requests)
+    ]
+    found = find_violations(
+        attempts=answers, runs=runs, events=[limit], limits=LIMITS
+    )
+    return [line for line in found if line.startswith('limit')]
+
+
+def test_exceeded_limit_of_an_instance_is_found() -> None:
+    assert not limited_run(11)
+    assert len(limited_run(12)) == 1
+    assert not limited_run(12, ended_at=105)
+    assert not limited_run(12, amount=2)
+
+
+@pytest.mark.parametrize(('served', 'found'), [(0, 1), (60, 1), (70, 0)])
+def test_unserved_callers_of_a_cut_zone_are_found(
+    served: int, found: int
+) -> None:
+    cut = Event(kind='path_cut', subject='a', at=100, ended_at=110)
+    answers = [
+        attempt(
+            attempt_id=f'{vm_id}.{number}',
+            vm_id=vm_id,
+            sent_at=105,
+            ended_at=105.1,
+            status=200 if vm_id == 'vm-1' or number < served else 503,
+        )
+        for vm_id in ('vm-0', 'vm-1')
+        for number in range(100)
+    ]
+    violations = find_violations(
+        attempts=answers, runs=(), events=[cut], limits=LIMITS
+    )
+    paths = [line for line in violations if line.startswith('path')]
+    assert len(paths) == found
+
+
 def test_ports_stay_free_while_a_vm_restarts() -> None:
     # An outgoing connection could take the port of a VM that was down, and
     # the VM could not start again. Seed 118 failed in this way while other
@@ -96,10 +153,26 @@
     assert max(ports) < first_ephemeral
 
 
+def test_short_soak_without_paths_and_with_limits(
+    tmp_path: pathlib.Path,
+) -> None:
+    soak = Soak(
+        seed=1,
+        seconds=8,
+        folder=tmp_path,
+        random=random.Random(1),
+        only=('path_cut', 'instance_limited'),
+    )
+    violations = asyncio.run(soak.run())
+    assert not violations
+    assert {event.kind for event in soak.events} == {'limit', 'path_cut'}
+
+
 @pytest.mark.parametrize('seed', REGRESSION_SEEDS)
 def test_short_soak(seed: int, tmp_path: pathlib.Path) -> None:
     soak = Soak(
         seed=seed, seconds=4, folder=tmp_path, random=random.Random(seed)
     )
-    assert asyncio.run(soak.run()) == []
+    violations = asyncio.run(soak.run())
+    assert not violations
     assert len(soak.attempts) > 100
