Limit what a VM admits until a new zone leader is heard

Change: 0.3 s after the last status a VM adds only the part of the rate at which it admitted before, or 1.5 times its share of the fleet's rate.

What is left needs reports that a new leader can still read.

--- a/src/bronzewall/edge/rate_limits.py
+++ b/src/bronzewall/edge/rate_limits.py
@@ -27,6 +27,14 @@
 # A VM that received nothing from a zone leader for this long uses only its
 # own quota share, seconds.
 LEADER_TIMEOUT_S = 1.0
+# A leader sends its status at least every 0.25 s. Without one for this long,
+# seconds, a VM uses only the part of the zone's rate that it used before, or
+# its own share.
+_STATUS_TIMEOUT_S = 0.3
+# Factor on that share: not all VMs use theirs at the same time.
+_SHARE_FACTOR = 1.5
+# Time constant of the rate at which a VM admits an account's requests, seconds.
+_OWN_RATE_TIME_S = 2.0
 # Limits of the Retry-After of refused requests, seconds.
 _MIN_RETRY_AFTER_S = 0.05
 _MAX_RETRY_AFTER_S = 5.0
@@ -51,13 +59,31 @@
         :param limit: level above which nothing is added.
         """
         elapsed = max(0, now - self.at)
-        self.at = now
+        self.at = max(self.at, now)
         # Tokens transferred from another zone may exceed the limit. They are
         # kept until they are used, and no refill is added meanwhile.
         if self.level < limit:
             self.level = min(limit, self.level + rate * elapsed)
 
 
+@attrs.define(kw_only=True)
+class OwnRate:
+    """Requests a second of one account on this VM, as a decaying mean."""
+
+    _rate: float = 0
+    _at: float = 0
+
+    def count(self, *, now: float) -> None:
+        """Count one request."""
+        self._rate = self.rate(now=now) + 1 / _OWN_RATE_TIME_S
+        self._at = now
+
+    def rate(self, *, now: float) -> float:
+        """Return the requests a second."""
+        elapsed = max(0, now - self._at)
+        return self._rate * math.exp(-elapsed / _OWN_RATE_TIME_S)
+
+
 @attrs.define(kw_only=True)
 class Demand:
     """Requests a second by account, as a decaying mean."""
@@ -225,6 +251,7 @@
     _zone_buckets_by_id: dict[str, Bucket] = attrs.field(factory=dict)
     _refill_rates_by_id: Mapping[str, float] = attrs.field(factory=dict)
     _local_buckets_by_id: dict[str, Bucket] = attrs.field(factory=dict)
+    _own_rates_by_id: dict[str, OwnRate] = attrs.field(factory=dict)
 
     def update_from_leader(
         self,
@@ -273,6 +300,10 @@
             )
         bucket.level -= 1
         self.admitted[account_id] += 1
+        if now - self._last_contact_at < _STATUS_TIMEOUT_S:
+            # Without a leader the VM would measure its own refill.
+            own_rate = self._own_rates_by_id.setdefault(account_id, OwnRate())
+            own_rate.count(now=now)
 
     def refund(self, account: EdgeAccount) -> None:
         """Refund the token of a request that no instance ran."""
@@ -300,7 +331,16 @@
         zone_bucket = self._zone_buckets_by_id.get(account_id)
         if zone_bucket is not None and self.uses_zone_pool(now=now):
             rate = self._refill_rates_by_id.get(account_id, 0)
-            zone_bucket.refill(rate=rate, limit=max(1, account.burst), now=now)
+            limit = max(1, account.burst)
+            status_due_at = self._last_contact_at + _STATUS_TIMEOUT_S
+            zone_bucket.refill(
+                rate=rate, limit=limit, now=min(now, status_due_at)
+            )
+            if now > status_due_at:
+                own_rate = self._own_rates_by_id.get(account_id, OwnRate())
+                share = _SHARE_FACTOR * account.rate / self.vm_count
+                rate = min(rate, max(share, own_rate.rate(now=status_due_at)))
+                zone_bucket.refill(rate=rate, limit=limit, now=now)
             return zone_bucket, rate
         rate = account.rate / self.vm_count
         limit = account.burst / self.vm_count + _LOCAL_ROUNDING_TOKENS
