Log and count the eras of the store

That the store was restored from a copy could not be seen: store_lost and store_reached are those of any outage.

Revisions are now pairs of era and number. The adapter reads the era of every answer, refusals too, logs a change (store_era, counter store_eras) and gives it to the edge; an answer without a readable one belongs to the last era known. A stored configuration that is older than the one in force is logged (stored_configuration_older). No decision depends on it yet.

The in-memory store keeps revisions of instances and of VMs, so that its watches miss what the real one's miss, and can be restored from a copy.

--- a/src/bronzewall/edge/ports.py
+++ b/src/bronzewall/edge/ports.py
@@ -10,6 +10,19 @@
 from bronzewall.types import InstanceId
 
 
+@attrs.frozen(kw_only=True)
+class Revision:
+    """Position in the history of the store.
+
+    :param era: incremented when the store is restored from a copy, whose
+        positions are then assigned again.
+    :param number: position within the era.
+    """
+
+    era: int
+    number: int
+
+
 @attrs.frozen(kw_only=True)
 class ConfigurationReading:
     """Result of reading the configuration from the store.
@@ -20,7 +33,7 @@
     """
 
     raw: bytes | None
-    revision: int
+    revision: Revision
     confirmed_at: float
 
 
@@ -33,7 +46,7 @@
     """
 
     instances: tuple[EdgeInstance, ...]
-    revision: int
+    revision: Revision
     confirmed_at: float
 
 
@@ -49,7 +62,7 @@
 
     listed: tuple[EdgeInstance, ...]
     gone: tuple[InstanceId, ...]
-    revision: int
+    revision: Revision
     confirmed_at: float
 
 
@@ -61,7 +74,7 @@
     """
 
     entries: tuple[VmEntry, ...]
-    revision: int
+    revision: Revision
 
 
 class FleetStore(Protocol):
@@ -76,7 +89,7 @@
         """Return the configuration; ``raw`` is ``None`` if there is none."""
 
     async def watch_configuration(
-        self, *, after: int, wait: float
+        self, *, after: Revision, wait: float
     ) -> ConfigurationReading:
         """Return the next change, or ``raw=None`` if there was none.
 
@@ -88,7 +101,7 @@
         """Return the instances."""
 
     async def watch_instances(
-        self, *, after: int, wait: float
+        self, *, after: Revision, wait: float
     ) -> InstanceChanges:
         """Return the next changes, or none when the wait ends.
 
@@ -102,7 +115,7 @@
     async def read_vms(self) -> VmsReading:
         """Return the VMs."""
 
-    async def watch_vms(self, *, after: int, wait: float) -> VmsReading:
+    async def watch_vms(self, *, after: Revision, wait: float) -> VmsReading:
         """Return the VMs that registered since a revision.
 
         :param after: revision of the previous reading.
--- a/src/bronzewall/edge/store_reader.py
+++ b/src/bronzewall/edge/store_reader.py
@@ -14,7 +14,11 @@
 from bronzewall.edge.freshness import KeyFreshness
 from bronzewall.edge.leader_election import LeaderElection
 from bronzewall.edge.model import EdgeInstance
-from bronzewall.edge.ports import ConfigurationReading, FleetStore
+from bronzewall.edge.ports import (
+    ConfigurationReading,
+    FleetStore,
+    Revision,
+)
 from bronzewall.edge.watch_schedule import WatchSchedule
 from bronzewall.edge.zone_leader import ZoneLeader
 from bronzewall.errors import (
@@ -86,10 +90,11 @@
     # Set while the last call to the store was answered.
     _reached: asyncio.Event = attrs.field(factory=asyncio.Event)
     _activated: asyncio.Event = attrs.field(factory=asyncio.Event)
-    _configuration_revision: int = -1
-    _instances_revision: int = -1
+    # Revisions after which the watches continue, ``None`` before a read.
+    _configuration_revision: Revision | None = None
+    _instances_revision: Revision | None = None
     _listed_by_id: dict[InstanceId, EdgeInstance] = attrs.field(factory=dict)
-    _vms_revision: int = -1
+    _vms_revision: Revision | None = None
 
     def update_role(self, is_leader: bool) -> None:
         """Start reading when this VM becomes a leader, stop when it ceases."""
@@ -246,7 +251,7 @@
             self.fleet.add(entry)
 
     async def _watch_vms(self) -> None:
-        if self._vms_revision < 0:
+        if self._vms_revision is None:
             await self._read_vms()
             return
         try:
@@ -254,7 +259,7 @@
                 after=self._vms_revision, wait=_VMS_WATCH_S
             )
         except StoreHistoryLostError:
-            self._vms_revision = -1
+            self._vms_revision = None
             return
         self._vms_revision = reading.revision
         for entry in reading.entries:
@@ -269,7 +274,7 @@
         self._accept_instances(reading.confirmed_at)
 
     async def _follow_instances(self) -> None:
-        if self._instances_revision < 0 or self.catalog.is_in_grace():
+        if self._instances_revision is None or self.catalog.is_in_grace():
             await self._read_instances()
             await self._pause(_READ_PAUSE_S)
             return
@@ -279,7 +284,7 @@
             )
         except StoreHistoryLostError as exc:
             _LOG.info('watch_ended', error=str(exc))
-            self._instances_revision = -1
+            self._instances_revision = None
             return
         for instance_id in changes.gone:
             self._listed_by_id.pop(instance_id, None)
@@ -307,7 +312,7 @@
         self,
         name: str,
         watch: Callable[..., Awaitable[_ReadingT]],
-        after: int,
+        after: Revision,
     ) -> _ReadingT:
         """Watch a table for as long as the schedule says."""
         wait = self.schedule.start(name, now=self.clock.now())
@@ -318,11 +323,11 @@
 
     def _forget_revisions(self) -> None:
         """Read the tables before they are watched again."""
-        self._configuration_revision = -1
-        self._instances_revision = -1
+        self._configuration_revision = None
+        self._instances_revision = None
 
     async def _follow_configuration(self) -> None:
-        if self._configuration_revision < 0:
+        if self._configuration_revision is None:
             await self._read_configuration()
             return
         try:
@@ -335,7 +340,7 @@
             # A watch also ends when the store drops its history. A change
             # may have been missed, so the rows are read at once.
             _LOG.info('watch_ended', error=str(exc))
-            self._configuration_revision = -1
+            self._configuration_revision = None
             if not isinstance(exc, StoreHistoryLostError):
                 # Others may take over while this VM tries again.
                 self._record_failure(exc)
@@ -362,6 +367,13 @@
                 _LOG.warning('configuration_ignored', error=str(exc))
                 self.directory.stop_waiting()
                 return
+            if configuration.version < self.directory.version:
+                _LOG.info(
+                    'stored_configuration_older',
+                    version=configuration.version,
+                    in_force=self.directory.version,
+                    era=reading.revision.era,
+                )
             is_new = self.directory.accept(
                 configuration, raw=reading.raw, source='store'
             )
--- a/src/bronzewall/platform/names.py
+++ b/src/bronzewall/platform/names.py
@@ -16,6 +16,10 @@
 # Environment variable with the path of the settings file.
 SETTINGS_VARIABLE = 'BRONZEWALL_CONFIG'
 
+# Number of the history that the platform's store keeps; rises when the store is
+# restored from a copy.
+STORE_ERA_HEADER = 'Store-Era'
+
 # Paths of the platform's store.
 TRANSACT_PATH = '/bronzewall/rows-tx'
 READ_PATH = '/bronzewall/rows-get'
--- a/src/bronzewall/platform/store.py
+++ b/src/bronzewall/platform/store.py
@@ -14,6 +14,7 @@
     ConfigurationReading,
     InstanceChanges,
     InstancesReading,
+    Revision,
     VmsReading,
 )
 from bronzewall.errors import (
@@ -54,6 +55,14 @@
     raw: bytes | None
 
 
+@attrs.frozen(kw_only=True)
+class _Answer:
+    """Decoded body of an answer and the era that the store states."""
+
+    wire: Any
+    era: int
+
+
 @attrs.frozen(kw_only=True)
 class _Page:
     """Page of rows and the newest revision of the whole store.
@@ -62,7 +71,7 @@
     """
 
     rows: tuple[_Row, ...]
-    revision: int
+    revision: Revision
     has_more: bool
     written_at: float
 
@@ -81,6 +90,7 @@
     metrics: Metrics
     region_by_zone: Mapping[str, str]
     store_clock: StoreClock = attrs.field(factory=StoreClock)
+    _era: int = 0
     _read_timeout: float = _READ_TIMEOUT_S
     _bad_entries: dict[str, bytes] = attrs.field(factory=dict)
 
@@ -95,7 +105,7 @@
         )
 
     async def watch_configuration(
-        self, *, after: int, wait: float
+        self, *, after: Revision, wait: float
     ) -> ConfigurationReading:
         """Wait for the next change of the configuration.
 
@@ -117,7 +127,7 @@
         )
 
     async def watch_instances(
-        self, *, after: int, wait: float
+        self, *, after: Revision, wait: float
     ) -> InstanceChanges:
         """Wait for the next changes of instances.
 
@@ -164,7 +174,7 @@
             revision=page.revision,
         )
 
-    async def watch_vms(self, *, after: int, wait: float) -> VmsReading:
+    async def watch_vms(self, *, after: Revision, wait: float) -> VmsReading:
         """Wait for VMs that register after a revision.
 
         :param wait: longest wait in seconds.
@@ -210,7 +220,7 @@
     async def _read(self, table: str) -> _Page:
         """Return all rows of a table; each page is a consistent snapshot."""
         rows: list[_Row] = []
-        revision = 0
+        revision: Revision | None = None
         written_at = math.inf
         start = ''
         while True:
@@ -219,10 +229,10 @@
                 {'table': table, 'part': '', 'from': start},
             )
             rows.extend(page.rows)
-            revision = min(revision or page.revision, page.revision)
+            # A row of an earlier page may have changed since.
+            revision = revision or page.revision
             written_at = min(written_at, page.written_at)
             if not page.has_more or not page.rows:
-                # A row of an earlier page may have changed since.
                 return attrs.evolve(
                     page,
                     rows=tuple(rows),
@@ -232,12 +242,12 @@
             # The next page starts after the last key.
             start = f'{page.rows[-1].key}\0'
 
-    async def _watch(self, table: str, after: int, wait: float) -> _Page:
+    async def _watch(self, table: str, after: Revision, wait: float) -> _Page:
         return await self._get(
             names.WATCH_PATH,
             {
                 'table': table,
-                'after': str(after),
+                'after': str(after.number),
                 'waitMs': str(int(wait * _MS_PER_S)),
             },
             wait=wait,
@@ -252,7 +262,7 @@
         """
         sent_at = self.clock.now()
         try:
-            wire = await self._call(
+            answer = await self._call(
                 'GET',
                 path,
                 query={name: text for name, text in query.items() if text},
@@ -266,9 +276,11 @@
         self._read_timeout = _CALL_TIMEOUT_S if is_slow else _READ_TIMEOUT_S
         try:
             written_at = self.store_clock.date(
-                float(wire['now']), sent_at=sent_at, received_at=received_at
+                float(answer.wire['now']),
+                sent_at=sent_at,
+                received_at=received_at,
             )
-            return _decode_page(wire, written_at)
+            return _decode_page(answer, written_at)
         except (KeyError, TypeError, ValueError) as exc:
             raise StoreUnavailableError(
                 f'malformed answer to {path}: {exc!r}'
@@ -282,7 +294,7 @@
         query: dict[str, str] | None = None,
         body: dict[str, Any] | None = None,
         timeout: float = _CALL_TIMEOUT_S,
-    ) -> Any:
+    ) -> _Answer:
         self.metrics.events['store_calls'] += 1
         limit = aiohttp.ClientTimeout(
             total=timeout, sock_connect=_CONNECT_TIMEOUT_S
@@ -295,20 +307,34 @@
                 json=body,
                 timeout=limit,
             ) as response:
+                era = self._read_era(response.headers)
                 if response.status == _STATUS_GONE:
                     raise StoreHistoryLostError(path)
                 if response.status != _STATUS_OK:
                     raise StoreUnavailableError(
                         f'{path}: status {response.status}'
                     )
-                return await response.json()
+                return _Answer(wire=await response.json(), era=era)
         except (aiohttp.ClientError, OSError, ValueError) as exc:
             # Timeouts are caught too: ``TimeoutError`` is an ``OSError``.
             self.metrics.events['store_failures'] += 1
             raise StoreUnavailableError(f'{path}: {exc!r}') from exc
 
-
-def _decode_page(wire: Any, written_at: float) -> _Page:
+    def _read_era(self, headers: Mapping[str, str]) -> int:
+        """Return the era that an answer states, or else the last one known."""
+        stated = headers.get(names.STORE_ERA_HEADER, '')
+        if not stated.isdecimal():
+            return self._era
+        era = int(stated)
+        if era != self._era:
+            _LOG.info('store_era', era=era, before=self._era)
+            self.metrics.events['store_eras'] += 1
+            self._era = era
+        return era
+
+
+def _decode_page(answer: _Answer, written_at: float) -> _Page:
+    wire = answer.wire
     return _Page(
         rows=tuple(
             _Row(
@@ -320,7 +346,7 @@
             for row in wire['tableRows']
         ),
         # Despite its name this is the newest revision of the whole store.
-        revision=int(wire['schemaVersion']),
+        revision=Revision(era=answer.era, number=int(wire['schemaVersion'])),
         has_more=wire.get('hasMore') is True,
         written_at=written_at,
     )
--- a/src/bronzewall/standins/memory_store.py
+++ b/src/bronzewall/standins/memory_store.py
@@ -1,7 +1,8 @@
 """In-memory fleet store and upstream instances for the edge, with faults."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from typing import TypeVar
 
 import attrs
 
@@ -12,16 +13,18 @@
     InstanceChanges,
     InstanceRequest,
     InstancesReading,
+    Revision,
     VmsReading,
 )
 from bronzewall.errors import StoreHistoryLostError, StoreUnavailableError
 from bronzewall.ports import Clock
-from bronzewall.types import InstanceId
+from bronzewall.types import InstanceId, VmId
 
 _POLL_S = 0.01
 _STATUS_OK = 200
 # Seconds after which a hung read, and a hung watch after its wait, fail.
 _HUNG_READ_S = 0.35
+_AnswerT = TypeVar('_AnswerT')
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -31,6 +34,7 @@
     :param is_unavailable: every call of this VM fails.
     :param omits_changes: watches of the configuration report no change.
     :param is_hung: reads and watches time out.
+    :param answer_delay: seconds that each answer is on its way.
     :param calls: number of calls.
     """
 
@@ -39,78 +43,63 @@
     is_unavailable: bool = False
     omits_changes: bool = False
     is_hung: bool = False
+    answer_delay: float = 0
     calls: int = 0
-    _seen_by_id: dict[str, EdgeInstance] = attrs.field(factory=dict)
 
     async def read_configuration(self) -> ConfigurationReading:
         """Return the configuration."""
-        self._begin_call()
-        if self.is_hung:
-            await self._time_out(_HUNG_READ_S)
-        return ConfigurationReading(
-            raw=self.shared.raw,
-            revision=self.shared.revision,
-            confirmed_at=self.clock.now(),
-        )
+        await self._begin_read()
+        return await self._deliver(self._configuration(self.shared.raw))
 
     async def watch_configuration(
-        self, *, after: int, wait: float
+        self, *, after: Revision, wait: float
     ) -> ConfigurationReading:
         """Return the next change, or no configuration when the wait ends."""
-        self._begin_call()
-        ends_at = self.clock.now() + wait
-        while self.clock.now() < ends_at:
-            if after < self.shared.history_from:
-                raise StoreHistoryLostError('history')
-            if self._has_new_configuration(after):
-                return await self._current_reading()
-            await asyncio.sleep(_POLL_S)
-            self._check_available()
-        if self.is_hung:
-            await self._time_out(_HUNG_READ_S)
-        if self._has_new_configuration(after):
-            return await self._current_reading()
-        return ConfigurationReading(
-            raw=None,
-            revision=self.shared.revision,
-            confirmed_at=self.clock.now(),
+        await self._watch(
+            lambda: (
+                not self.omits_changes and self.shared.changed_at > after.number
+            ),
+            after,
+            wait,
+        )
+        has_changed = (
+            not self.omits_changes and self.shared.changed_at > after.number
+        )
+        return await self._deliver(
+            self._configuration(self.shared.raw if has_changed else None)
         )
 
     async def read_instances(self) -> InstancesReading:
         """Return the instances."""
-        self._begin_call()
-        if self.is_hung:
-            await self._time_out(_HUNG_READ_S)
-        return InstancesReading(
-            instances=tuple(self._see_instances().values()),
-            revision=self.shared.revision,
-            confirmed_at=self.clock.now(),
+        await self._begin_read()
+        return await self._deliver(
+            InstancesReading(
+                instances=tuple(self.shared.instances_by_id.values()),
+                revision=self.shared.position(),
+                confirmed_at=self.clock.now(),
+            )
         )
 
     async def watch_instances(
-        self, *, after: int, wait: float
+        self, *, after: Revision, wait: float
     ) -> InstanceChanges:
-        """Return the changes since the last reading or when the wait ends."""
-        self._begin_call()
-        ends_at = self.clock.now() + wait
-        before = self._seen_by_id
-        while self.clock.now() < ends_at:
-            if after < self.shared.history_from:
-                raise StoreHistoryLostError('history')
-            if before != self.shared.instances_by_id and not self.is_hung:
-                break
-            await asyncio.sleep(_POLL_S)
-            self._check_available()
-        if self.is_hung:
-            await self._time_out(_HUNG_READ_S)
-        found = self._see_instances()
-        return InstanceChanges(
-            listed=tuple(
-                item for name, item in found.items() if before.get(name) != item
-            ),
-            gone=tuple(InstanceId(name) for name in set(before) - set(found)),
-            revision=self.shared.revision,
-            confirmed_at=self.clock.now(),
+        """Return the changes since a revision or when the wait ends."""
+        await self._watch(
+            lambda: bool(self.shared.instances_changed_after(after.number)),
+            after,
+            wait,
+        )
+        changed = self.shared.instances_changed_after(after.number)
+        known = self.shared.instances_by_id
+        return await self._deliver(
+            InstanceChanges(
+                listed=tuple(known[name] for name in changed if name in known),
+                gone=tuple(
+                    InstanceId(name) for name in changed if name not in known
+                ),
+                revision=self.shared.position(),
+                confirmed_at=self.clock.now(),
+            )
         )
 
     async def register(self, entry: VmEntry) -> None:
@@ -121,20 +110,14 @@
     async def read_vms(self) -> VmsReading:
         """Return the VMs."""
         self._begin_call()
-        return VmsReading(
-            entries=tuple(self.shared.vms), revision=self.shared.revision
-        )
+        return self._vms(after=-1)
 
-    async def watch_vms(self, *, after: int, wait: float) -> VmsReading:
+    async def watch_vms(self, *, after: Revision, wait: float) -> VmsReading:
         """Return the VMs when one registers or the wait ends."""
-        self._begin_call()
-        ends_at = self.clock.now() + wait
-        while self.clock.now() < ends_at and self.shared.registered_at <= after:
-            await asyncio.sleep(_POLL_S)
-            self._check_available()
-        return VmsReading(
-            entries=tuple(self.shared.vms), revision=self.shared.revision
+        await self._watch(
+            lambda: bool(self._vms(after=after.number).entries), after, wait
         )
+        return self._vms(after=after.number)
 
     async def close(self) -> None:
         """Do nothing."""
@@ -143,28 +126,52 @@
         """Return the configuration that was published as ``raw``."""
         return self.shared.configurations[raw]
 
-    def _has_new_configuration(self, after: int) -> bool:
-        """Return whether a watch reports a change."""
-        reports_changes = not self.omits_changes and not self.is_hung
-        return reports_changes and self.shared.changed_at > after
+    async def _watch(
+        self, has_changed: Callable[[], bool], after: Revision, wait: float
+    ) -> None:
+        """Return when something has changed or the wait ends."""
+        self._begin_call()
+        ends_at = self.clock.now() + wait
+        while self.clock.now() < ends_at:
+            self.shared.check_history(after.number)
+            if not self.is_hung and has_changed():
+                return
+            await asyncio.sleep(_POLL_S)
+            self._check_available()
+        if self.is_hung:
+            await self._time_out(_HUNG_READ_S)
 
-    def _see_instances(self) -> dict[str, EdgeInstance]:
-        """Return the instances and note that this VM knows them."""
-        self._seen_by_id = dict(self.shared.instances_by_id)
-        return self._seen_by_id
+    async def _begin_read(self) -> None:
+        self._begin_call()
+        if self.is_hung:
+            await self._time_out(_HUNG_READ_S)
+
+    async def _deliver(self, answer: _AnswerT) -> _AnswerT:
+        await asyncio.sleep(self.answer_delay)
+        return answer
 
     async def _time_out(self, seconds: float) -> None:
         """Fail after the time limit of a call without an answer."""
         await asyncio.sleep(seconds)
         raise StoreUnavailableError('no answer')
 
-    async def _current_reading(self) -> ConfigurationReading:
+    def _configuration(self, raw: bytes | None) -> ConfigurationReading:
         return ConfigurationReading(
-            raw=self.shared.raw,
-            revision=self.shared.revision,
+            raw=raw,
+            revision=self.shared.position(),
             confirmed_at=self.clock.now(),
         )
 
+    def _vms(self, *, after: int) -> VmsReading:
+        return VmsReading(
+            entries=tuple(
+                row.entry
+                for row in self.shared.vms_by_id.values()
+                if row.number > after
+            ),
+            revision=self.shared.position(),
+        )
+
     def _begin_call(self) -> None:
         self.calls += 1
         self._check_available()
@@ -174,27 +181,53 @@
             raise StoreUnavailableError('away')
 
 
+@attrs.frozen(kw_only=True)
+class StoredVm:
+    """Entry of a VM and the number of the revision that wrote it."""
+
+    entry: VmEntry
+    number: int
+
+
 @attrs.define(kw_only=True, eq=False)
 class SharedStore:
     """Contents of the store, shared by all VMs.
 
     :param raw: stored form of the current configuration.
+    :param revision: number of the last change.
+    :param era: incremented by each restore from a copy.
     :param is_unavailable: every call of every VM fails.
     :param configurations: configurations by their stored form.
     :param changed_at: revision of the last change of the configuration.
-    :param registered_at: revision of the last registration of a VM.
     :param history_from: least revision after which changes can be read.
+    :param instances_by_id: a test may replace it; watches report how the new
+        instances differ.
     """
 
     raw: bytes | None = None
     revision: int = 1
+    era: int = 0
     changed_at: int = 0
     history_from: int = 0
     is_unavailable: bool = False
-    vms: list[VmEntry] = attrs.field(factory=list)
-    registered_at: int = 0
+    vms_by_id: Mapping[VmId, StoredVm] = attrs.field(factory=dict)
     instances_by_id: dict[str, EdgeInstance] = attrs.field(factory=dict)
     configurations: dict[bytes, EdgeConfiguration] = attrs.field(factory=dict)
+    _noted_by_id: Mapping[str, EdgeInstance] = attrs.field(factory=dict)
+    _numbers_by_id: Mapping[str, int] = attrs.field(factory=dict)
+
+    def position(self) -> Revision:
+        """Return the current revision."""
+        self._note_changes()
+        return Revision(era=self.era, number=self.revision)
+
+    def check_history(self, after: int) -> None:
+        """Check that the changes since a revision can be read.
+
+        :raises StoreHistoryLostError: they cannot.
+        """
+        if not self.history_from <= after <= self.position().number:
+            raise StoreHistoryLostError('history')
 
     def publish(self, configuration: EdgeConfiguration) -> None:
         """Store a configuration as the current one."""
@@ -206,15 +239,58 @@
 
     def register(self, entry: VmEntry) -> None:
         """Add the entry of a VM."""
-        self.vms.append(entry)
         self.revision += 1
-        self.registered_at = self.revision
+        self.vms_by_id = {
+            **self.vms_by_id,
+            entry.vm_id: StoredVm(entry=entry, number=self.revision),
+        }
+
+    def vms(self) -> list[VmEntry]:
+        """Return the registered VMs."""
+        return [row.entry for row in self.vms_by_id.values()]
 
     def drop_history(self) -> None:
         """Remove the history of changes."""
         self.revision += 1
         self.history_from = self.revision
 
+    def copy(self) -> 'SharedStore':
+        """Return a copy of the contents."""
+        self._note_changes()
+        return attrs.evolve(self)
+
+    def restore(self, copy: 'SharedStore') -> None:
+        """Return to a copy and begin the next era.
+
+        Configurations stay, because VMs hold them.
+        """
+        self.raw = copy.raw
+        self.revision = copy.revision
+        self.changed_at = copy.changed_at
+        self.history_from = copy.history_from
+        self.vms_by_id = copy.vms_by_id
+        self.instances_by_id = dict(copy.instances_by_id)
+        self._noted_by_id = copy._noted_by_id
+        self._numbers_by_id = copy._numbers_by_id
+        self.era += 1
+
+    def instances_changed_after(self, number: int) -> list[str]:
+        """Return the ids of instances that changed since a revision."""
+        self._note_changes()
+        return [name for name, at in self._numbers_by_id.items() if at > number]
+
+    def _note_changes(self) -> None:
+        """Assign revisions to the instances that a test has changed."""
+        if self._noted_by_id == self.instances_by_id:
+            return
+        numbers_by_id = dict(self._numbers_by_id)
+        for name in sorted(set(self._noted_by_id) | set(self.instances_by_id)):
+            if self._noted_by_id.get(name) != self.instances_by_id.get(name):
+                self.revision += 1
+                numbers_by_id[name] = self.revision
+        self._noted_by_id = dict(self.instances_by_id)
+        self._numbers_by_id = numbers_by_id
+
 
 Behaviour = Callable[[InstanceRequest], Awaitable[InstanceAnswer]]
 
--- a/tests/test_edge_zone.py
+++ b/tests/test_edge_zone.py
@@ -214,9 +214,8 @@
     # for leader must not wait for them before it serves requests.
     async def main() -> None:
         fleet = Fleet()
-        fleet.shared.vms = [
-            a_vm(f'vm-{number}', started_ms=number) for number in range(8)
-        ]
+        for number in range(8):
+            fleet.shared.register(a_vm(f'vm-{number}', started_ms=number))
         vm = fleet.add('vm-7', started_ms=100_000)
         start = asyncio.create_task(fleet.start())
         await asyncio.sleep(0.02)
@@ -301,7 +300,7 @@
         fleet = await settled('a', 'b')
         late = fleet.add('c', started_ms=10_000)
         late.store.is_unavailable = True
-        fleet.shared.vms.append(late.fleet.own)
+        fleet.shared.register(late.fleet.own)
         await fleet.vms['a'].reader._read_vms()
         fleet._run(late.fleet.own.vm_id, late.reader.join(), fleet._tick(late))
         await asyncio.sleep(2)
@@ -320,7 +319,7 @@
         await asyncio.sleep(2)
         vm.store.is_unavailable = False
         await asyncio.sleep(2)
-        assert vm.fleet.own in fleet.shared.vms
+        assert vm.fleet.own in fleet.shared.vms()
         task.cancel()
 
     run_virtual(main())
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -16,6 +16,7 @@
 from bronzewall.adapters.system_clock import SystemClock
 from bronzewall.edge.composition import _open_store_session
 from bronzewall.edge.model import CallerLimits, EdgeConfiguration
+from bronzewall.edge.ports import Revision
 from bronzewall.errors import (
     StoreEntryError,
     StoreHistoryLostError,
@@ -278,6 +279,7 @@
         self.status = 200
         self.delay = float(0)
         self.page = 500
+        self.era: str | None = None
         self.queries = []
 
     def put(self, table: str, key: str, document) -> None:
@@ -317,8 +319,9 @@
     async def _get(self, request: web.Request) -> web.Response:
         self.queries.append(dict(request.query))
         await asyncio.sleep(self.delay)
+        headers = {} if self.era is None else {'Store-Era': self.era}
         if self.status != 200:
-            return web.json_response({}, status=self.status)
+            return web.json_response({}, status=self.status, headers=headers)
         rows = sorted(self.rows[request.query['table']].items())
         start = request.query.get('from', '')
         rows = [row for row in rows if row[0] >= start]
@@ -332,7 +335,8 @@
                 'hasMore': len(rows) > self.page,
                 'schemaVersion': 41,
                 'now': 1.5,
-            }
+            },
+            headers=headers,
         )
 
     async def _write(self, request: web.Request) -> web.Response:
@@ -349,7 +353,7 @@
         stand_in.put('servers', 'i-2', b'\xff')
         await stand_in.store.register(a_vm())
         reading = await stand_in.store.read_configuration()
-        assert reading.revision == 41
+        assert reading.revision == Revision(era=0, number=41)
         assert stand_in.store.decode_configuration(reading.raw).version == 7
         instances = (await stand_in.store.read_instances()).instances
         assert [item.instance_id for item in instances] == ['i-1']
@@ -357,6 +361,25 @@
         assert (await stand_in.store.read_vms()).entries == (a_vm(),)
 
 
+@pytest.mark.parametrize('garbled', [None, '', 'two', '-1'])
+async def test_readings_state_the_era_of_the_store(garbled) -> None:
+    # An answer without a readable era belongs to the last one known.
+    async with StoreStandIn() as stand_in:
+        for stated, era in (('3', 3), ('4', 4), (garbled, 4)):
+            stand_in.era = stated
+            reading = await stand_in.store.read_configuration()
+            assert reading.revision == Revision(era=era, number=41)
+        assert stand_in.store.metrics.events['store_eras'] == 2
+
+
+async def test_refusal_states_the_era_as_well() -> None:
+    async with StoreStandIn() as stand_in:
+        stand_in.status, stand_in.era = 503, '2'
+        with pytest.raises(StoreUnavailableError):
+            await stand_in.store.read_vms()
+        assert stand_in.store.metrics.events['store_eras'] == 1
+
+
 async def test_all_pages_are_read() -> None:
     async with StoreStandIn() as stand_in:
         stand_in.page = 2
@@ -378,7 +401,9 @@
     async with StoreStandIn() as stand_in:
         stand_in.status = status
         with pytest.raises(error):
-            await stand_in.store.watch_configuration(after=3, wait=1)
+            await stand_in.store.watch_configuration(
+                after=Revision(era=0, number=3), wait=1
+            )
         assert stand_in.queries[0]['after'] == '3'
         assert stand_in.queries[0]['waitMs'] == '1000'
 
@@ -412,7 +437,7 @@
         )
         before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
         with pytest.raises(StoreUnavailableError):
-            await store.watch_instances(after=1, wait=5)
+            await store.watch_instances(after=Revision(era=0, number=1), wait=5)
         grown_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before
         # The watch of 5 s has not waited for its time limit.
         assert grown_kb < 50_000
