--- a/tests/edge_fleet.py
+++ b/tests/edge_fleet.py
@@ -70,18 +70,23 @@
         entry = self.vms[name].fleet.own
         await self.kill(name)
         await asyncio.sleep(pause)
-        vm = self.add(
+        self.add(
             name,
             zone=entry.placement.zone,
             started_ms=int(self._now() * 1000),
         )
-        loops = (
+        self.run_vm(name)
+
+    def run_vm(self, name: str) -> None:
+        """Start a VM that was added."""
+        vm = self.vms[name]
+        self._run(
+            name,
             vm.reader.join(),
             *vm.reader.loops(),
             vm.refresher.run(),
             self._tick(vm),
         )
-        self._run(name, *loops)
 
     async def kill(self, name: str) -> None:
         """Stop a VM at once."""
