Keep instances that have left out of use whatever older entries say

In memory, requests went to instances that had stated that they leave, or had ended, as soon as the store came back from a copy in which they were ready (DRAIN).

Cause: an instance was replaced by whatever entry was read last. Entries are not versions: an older one cannot be told from a newer one. Class: an acknowledged state is taken back by an older source.

Ruled out: comparing the entries' own counts (sequence). A watch does not report changes of the count alone, so the last one known may be older than the copy's; and the packed lists of the build before cannot carry it.

Change: an instance that leaves stays so until its process starts anew, in every list, also that of a leader that has just started and knows only the copy. One whose entry was removed may return, because entries expire, but in the first 6 s (four check-in intervals) after a restore it does not: the store removes entries of instances that have ended within three.

--- a/src/bronzewall/edge/catalog.py
+++ b/src/bronzewall/edge/catalog.py
@@ -6,6 +6,7 @@
 import attrs
 import structlog
 
+from bronzewall.edge.departures import Departures
 from bronzewall.edge.model import EdgeInstance
 from bronzewall.ports import Clock
 from bronzewall.types import InstanceId, ServiceName
@@ -15,6 +16,9 @@
 _EXPIRY_GRACE_S = 2.0
 # Discovery removes an entry after this many intervals without a report.
 _EXPIRY_INTERVALS = 2.0
+# An entry of an instance that has ended is removed within this many intervals,
+# also after the store was restored from a copy.
+_REMOVAL_INTERVALS = 4.0
 _LOG = structlog.get_logger()
 
 
@@ -44,6 +48,16 @@
     )
     _rejected_addresses: dict[InstanceId, str] = attrs.field(factory=dict)
     _grace_ends_at: float = -math.inf
+    _departures: Departures = attrs.field(factory=Departures)
+
+    def distrust_returns(self) -> None:
+        """Note that the store was restored from a copy.
+
+        Its entries of instances that have ended since are removed in time.
+        """
+        self._departures.distrust(
+            until=self.clock.now() + self.interval * _REMOVAL_INTERVALS
+        )
 
     def is_in_grace(self) -> bool:
         """Return whether missing entries are kept because they may return."""
@@ -120,6 +134,7 @@
         self, listed: Mapping[InstanceId, EdgeInstance], source: str
     ) -> None:
         before = self.instances_by_id
+        listed = self._departures.apply(listed, now=self.clock.now())
         if not _differs(before, listed):
             return
         self.revision += 1
@@ -129,6 +144,10 @@
             for instance_id, item in before.items()
             if _has_ended(item, listed.get(instance_id))
         ]
+        self._departures.record_gone(removed)
+        self._departures.record_leaving(
+            item for item in listed.values() if item.is_leaving
+        )
         _LOG.info(
             'instances_changed',
             source=source,
--- a/src/bronzewall/edge/store_reader.py
+++ b/src/bronzewall/edge/store_reader.py
@@ -95,6 +95,7 @@
     _instances_revision: Revision | None = None
     _listed_by_id: dict[InstanceId, EdgeInstance] = attrs.field(factory=dict)
     _vms_revision: Revision | None = None
+    _era: int | None = None
 
     def update_role(self, is_leader: bool) -> None:
         """Start reading when this VM becomes a leader, stop when it ceases."""
@@ -241,11 +242,19 @@
             await self._call_store(self._read_instances)
             await self._call_store(self._follow_configuration)
 
+    def _note_era(self, revision: Revision) -> None:
+        """Note the era of an answer before the answer is applied."""
+        if self._era is not None and revision.era != self._era:
+            _LOG.warning('store_restored', era=revision.era, before=self._era)
+            self.catalog.distrust_returns()
+        self._era = revision.era
+
     async def _register(self) -> None:
         await self.store.register(self.fleet.own)
 
     async def _read_vms(self) -> None:
         reading = await self.store.read_vms()
+        self._note_era(reading.revision)
         self._vms_revision = reading.revision
         for entry in reading.entries:
             self.fleet.add(entry)
@@ -261,12 +270,14 @@
         except StoreHistoryLostError:
             self._vms_revision = None
             return
+        self._note_era(reading.revision)
         self._vms_revision = reading.revision
         for entry in reading.entries:
             self.fleet.add(entry)
 
     async def _read_instances(self) -> None:
         reading = await self.store.read_instances()
+        self._note_era(reading.revision)
         self._listed_by_id = {
             item.instance_id: item for item in reading.instances
         }
@@ -286,6 +297,7 @@
             _LOG.info('watch_ended', error=str(exc))
             self._instances_revision = None
             return
+        self._note_era(changes.revision)
         for instance_id in changes.gone:
             self._listed_by_id.pop(instance_id, None)
         for item in changes.listed:
@@ -360,6 +372,7 @@
         self._apply_reading(reading)
 
     def _apply_reading(self, reading: ConfigurationReading) -> None:
+        self._note_era(reading.revision)
         if reading.raw is not None and reading.raw != self.directory.raw:
             try:
                 configuration = self.store.decode_configuration(reading.raw)
--- /dev/null
+++ b/tests/test_edge_departures.py
@@ -0,0 +1,80 @@
+"""Tests of what a VM remembers of instances that have left."""
+
+import attrs
+import pytest
+from edge_builders import an_edge_instance, an_edge_vm
+
+from bronzewall.edge.departures import Departures
+from bronzewall.standins.virtual_time import run_virtual
+
+_LEAVING = an_edge_instance(started_ms=7, is_leaving=True)
+_READY = attrs.evolve(_LEAVING, is_leaving=False)
+_RESTARTED = attrs.evolve(_READY, started_ms=8)
+
+
+def applied(departures: Departures, *listed, now: float = 0) -> list:
+    """Return what is left of a list."""
+    found = departures.apply(
+        {item.instance_id: item for item in listed}, now=now
+    )
+    return list(found.values())
+
+
+@pytest.mark.parametrize('started_ms', [6, 7])
+def test_older_entry_does_not_end_the_leaving_of_an_instance(
+    started_ms: int,
+) -> None:
+    # Guards against requests to an instance that has stated that it leaves,
+    # after an older entry of it was read.
+    departures = Departures()
+    departures.record_leaving([_LEAVING])
+    older = attrs.evolve(_READY, started_ms=started_ms)
+    assert [item.is_leaving for item in applied(departures, older)] == [True]
+
+
+def test_instance_that_started_again_is_used() -> None:
+    departures = Departures()
+    departures.record_leaving([_LEAVING])
+    departures.record_gone([_LEAVING])
+    departures.distrust(until=10)
+    assert applied(departures, _RESTARTED, now=5) == [_RESTARTED]
+
+
+def test_expired_entry_may_return() -> None:
+    departures = Departures()
+    departures.record_gone([_READY])
+    assert applied(departures, _READY) == [_READY]
+
+
+def test_ended_instance_does_not_return_with_a_restored_store() -> None:
+    # Guards against requests to an instance that has ended since the copy was
+    # made; one that is still listed later is running.
+    departures = Departures()
+    departures.record_gone([_READY])
+    departures.distrust(until=10)
+    assert not applied(departures, _READY, now=9)
+    assert applied(departures, _READY, now=10) == [_READY]
+
+
+def test_memory_of_departures_is_bounded() -> None:
+    departures = Departures()
+    for number in range(30_000):
+        departures.record_gone([an_edge_instance(f'i-{number}')])
+        departures.record_leaving([an_edge_instance(f'i-{number}')])
+    assert len(departures._gone_by_id) == len(departures._leaving_by_id)
+    assert len(departures._gone_by_id) <= 10_000
+    departures.distrust(until=1)
+    assert not applied(departures, an_edge_instance('i-29999'))
+
+
+def test_list_of_a_leader_that_has_read_the_copy() -> None:
+    # Guards against a leader that has just started and knows the copy only.
+    async def main() -> None:
+        vm = an_edge_vm()
+        vm.serve_alone(_LEAVING)
+        vm.catalog.adopt((_READY,), confirmed_at=vm.clock.now() + 1)
+        assert not vm.catalog.usable('drafts')
+        vm.catalog.adopt((_RESTARTED,), confirmed_at=vm.clock.now() + 2)
+        assert vm.catalog.usable('drafts') == (_RESTARTED,)
+
+    run_virtual(main())
--- a/tests/test_edge_restored_store.py
+++ b/tests/test_edge_restored_store.py
@@ -53,17 +53,18 @@
         fleet = await settled_with('i-1', 'i-2')
         copy = fleet.shared.copy()
         fleet.vms['a'].store.answer_delay = away + 0.1
-        fleet.list_instances(an_edge_instance('i-1'))
+        later = (an_edge_instance('i-2'), an_edge_instance('i-3'))
+        fleet.list_instances(an_edge_instance('i-1'), *later)
         await asyncio.sleep(0.05)
         fleet.shared.is_unavailable = True
         fleet.vms['a'].store.answer_delay = 0
         await asyncio.sleep(away)
         fleet.shared.restore(copy)
-        fleet.list_instances(an_edge_instance('i-2'))
+        fleet.list_instances(an_edge_instance('i-1', is_leaving=True), *later)
         fleet.shared.is_unavailable = False
         await asyncio.sleep(_BOUND_S)
         for name in fleet.vms:
-            assert usable_ids(fleet, name) == ['i-2']
+            assert usable_ids(fleet, name) == ['i-2', 'i-3']
         await fleet.stop()
 
     run_virtual(main())
