Keep instances that a restored store does not list yet

In memory, instances that had registered after the copy was made got no requests until they wrote again, at most a check-in interval later; with a copy of before the first registrations all requests were refused for that time.

Cause: missing entries are kept for 2 s only after the list was unconfirmed for two check-in intervals. A store that is away for a moment is unconfirmed for less, and its copy lacks entries all the same. Class: an outage is recognised by its length and not by what it lost.

Change: a new era of the store begins the same 2 s.

Evidence: test_instance_newer_than_the_copy_stays_in_use failed before and holds.

--- a/src/bronzewall/edge/catalog.py
+++ b/src/bronzewall/edge/catalog.py
@@ -11,8 +11,9 @@
 from bronzewall.ports import Clock
 from bronzewall.types import InstanceId, ServiceName
 
-# Entries that expired while the store was unreachable return within 2 s of its
-# recovery; an instance that is still missing then has ended.
+# Entries that expired while the store was unreachable, or that its copy lacks,
+# return within 2 s of its recovery; an instance that is still missing then has
+# ended.
 _EXPIRY_GRACE_S = 2.0
 # Discovery removes an entry after this many intervals without a report.
 _EXPIRY_INTERVALS = 2.0
@@ -50,13 +51,16 @@
     _grace_ends_at: float = -math.inf
     _departures: Departures = attrs.field(factory=Departures)
 
-    def distrust_returns(self) -> None:
+    def record_restore(self) -> None:
         """Note that the store was restored from a copy.
 
-        Its entries of instances that have ended since are removed in time.
+        Instances write again what the copy lacks, and its entries of those
+        that have ended since are removed in time.
         """
+        now = self.clock.now()
+        self._grace_ends_at = now + _EXPIRY_GRACE_S
         self._departures.distrust(
-            until=self.clock.now() + self.interval * _REMOVAL_INTERVALS
+            until=now + self.interval * _REMOVAL_INTERVALS
         )
 
     def is_in_grace(self) -> bool:
--- a/src/bronzewall/edge/store_reader.py
+++ b/src/bronzewall/edge/store_reader.py
@@ -246,7 +246,7 @@
         """Note the era of an answer before the answer is applied."""
         if self._era is not None and revision.era != self._era:
             _LOG.warning('store_restored', era=revision.era, before=self._era)
-            self.catalog.distrust_returns()
+            self.catalog.record_restore()
         self._era = revision.era
 
     async def _register(self) -> None:
