Register the VMs of a zone again when the store has lost them

In memory, a VM that had started after the copy was made had no entry in the store for as long as it ran: VMs of other zones that started later did not know it, and divided the budget of retries among too few.

Cause: a VM registers once, at its start, and takes the store's answer for good. Class: a write is taken for lasting because it was acknowledged.

Ruled out: each VM registers again when it learns of a restore. VMs that do not lead do not call the store, so they would need a new field in the status, which the build before rejects, and one call each.

Change: a zone leader, which reads the list of VMs anyway, compares it with the VMs of its zone each second. This holds whatever the loss, also if the leader before learned of it and died.

--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -22,6 +22,7 @@
 from bronzewall.edge.ports import FleetStore, HeaderNames, InstanceHttp
 from bronzewall.edge.rate_limits import ZonePools
 from bronzewall.edge.refresh import Refresher
+from bronzewall.edge.registrations import Registrations
 from bronzewall.edge.relay import Relay
 from bronzewall.edge.relay_messages import RelayRequest
 from bronzewall.edge.relay_peers import RelayPeers
@@ -151,6 +152,7 @@
         directory=directory,
         catalog=catalog,
         freshness=freshness,
+        registrations=Registrations(clock=clock, fleet=fleet),
         first_start=settings.first_start,
         schedule=WatchSchedule(period=age.list_bound * WATCH_FRACTION),
     )
--- a/src/bronzewall/edge/ports.py
+++ b/src/bronzewall/edge/ports.py
@@ -109,8 +109,8 @@
         :param wait: seconds to wait for a change.
         """
 
-    async def register(self, entry: VmEntry) -> None:
-        """Write this VM's entry."""
+    async def register(self, entries: Sequence[VmEntry]) -> None:
+        """Write entries of VMs."""
 
     async def read_vms(self) -> VmsReading:
         """Return the VMs."""
--- a/src/bronzewall/edge/store_reader.py
+++ b/src/bronzewall/edge/store_reader.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable, Callable
+import functools
+from collections.abc import Awaitable, Callable, Sequence
 from typing import TypeVar
 
 import attrs
@@ -13,12 +14,13 @@
 from bronzewall.edge.fleet_view import FleetView
 from bronzewall.edge.freshness import KeyFreshness
 from bronzewall.edge.leader_election import LeaderElection
-from bronzewall.edge.model import EdgeInstance
+from bronzewall.edge.model import EdgeInstance, VmEntry
 from bronzewall.edge.ports import (
     ConfigurationReading,
     FleetStore,
     Revision,
 )
+from bronzewall.edge.registrations import Registrations
 from bronzewall.edge.watch_schedule import WatchSchedule
 from bronzewall.edge.zone_leader import ZoneLeader
 from bronzewall.errors import (
@@ -63,6 +65,8 @@
 # their reports, so long watches and pauses suffice.
 _VMS_WATCH_S = 20.0
 _VMS_PAUSE_S = 2.0
+# Time between two checks for VMs that the store lacks, seconds.
+_REGISTRATIONS_CHECK_S = 1.0
 _LOG = structlog.get_logger()
 _ReadingT = TypeVar('_ReadingT')
 
@@ -84,6 +88,7 @@
     directory: Directory
     catalog: Catalog
     freshness: KeyFreshness
+    registrations: Registrations
     first_start: bool
     schedule: WatchSchedule
     active: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -151,6 +156,7 @@
             self._repeat(self._follow_configuration, 0),
             self._repeat(self._follow_instances, 0, is_probe=False),
             self._repeat(self._watch_vms, _VMS_PAUSE_S, is_probe=False),
+            self._register_missing(),
         ]
 
     async def _repeat(
@@ -250,12 +256,34 @@
         self._era = revision.era
 
     async def _register(self) -> None:
-        await self.store.register(self.fleet.own)
+        await self._write_vms((self.fleet.own,))
+
+    async def _write_vms(self, entries: Sequence[VmEntry]) -> None:
+        await self.store.register(entries)
+        self.registrations.update(entries)
+
+    async def _register_missing(self) -> None:
+        """Register VMs of the zone whose entries the store has lost."""
+        while True:
+            await self.clock.sleep(_REGISTRATIONS_CHECK_S)
+            is_reading = self.active.is_set() and self._reached.is_set()
+            if not is_reading or self._vms_revision is None:
+                continue
+            missing = self.registrations.missing()
+            if missing:
+                _LOG.info(
+                    'vms_registered_again',
+                    vms=sorted(entry.vm_id for entry in missing),
+                )
+                await self._call_store(
+                    functools.partial(self._write_vms, missing)
+                )
 
     async def _read_vms(self) -> None:
         reading = await self.store.read_vms()
         self._note_era(reading.revision)
         self._vms_revision = reading.revision
+        self.registrations.replace(reading.entries)
         for entry in reading.entries:
             self.fleet.add(entry)
 
@@ -269,9 +297,11 @@
             )
         except StoreHistoryLostError:
             self._vms_revision = None
+            await self._read_vms()
             return
         self._note_era(reading.revision)
         self._vms_revision = reading.revision
+        self.registrations.update(reading.entries)
         for entry in reading.entries:
             self.fleet.add(entry)
 
--- a/src/bronzewall/platform/store.py
+++ b/src/bronzewall/platform/store.py
@@ -2,7 +2,7 @@
 
 import base64
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any, TypeVar
 
 import aiohttp
@@ -42,7 +42,8 @@
 # call timeout.
 _READ_TIMEOUT_S = 0.35
 _SLOW_ANSWER_S = 0.15
-_PAGE_ROWS = 500
+# Rows that one transaction may write.
+_TRANSACTION_ROWS = 100
 _LOG = structlog.get_logger()
 _EntryT = TypeVar('_EntryT')
 
@@ -145,26 +146,10 @@
             confirmed_at=page.written_at,
         )
 
-    async def register(self, entry: VmEntry) -> None:
-        """Write this VM's entry."""
-        await self._call(
-            'POST',
-            names.TRANSACT_PATH,
-            body={
-                'expected': [],
-                'upserts': [
-                    {
-                        'table': names.VMS_TABLE,
-                        'part': '',
-                        'key': entry.vm_id,
-                        'value': base64.b64encode(
-                            decoding.encode_vm(entry)
-                        ).decode(),
-                    }
-                ],
-                'remove': [],
-            },
-        )
+    async def register(self, entries: Sequence[VmEntry]) -> None:
+        """Write entries of VMs, as few at a time as the store takes."""
+        for start in range(0, len(entries), _TRANSACTION_ROWS):
+            await self._write_vms(entries[start : start + _TRANSACTION_ROWS])
 
     async def read_vms(self) -> VmsReading:
         """Read the VMs."""
@@ -189,6 +174,27 @@
         """Close the connections."""
         await self.session.close()
 
+    async def _write_vms(self, entries: Sequence[VmEntry]) -> None:
+        await self._call(
+            'POST',
+            names.TRANSACT_PATH,
+            body={
+                'expected': [],
+                'upserts': [
+                    {
+                        'table': names.VMS_TABLE,
+                        'part': '',
+                        'key': entry.vm_id,
+                        'value': base64.b64encode(
+                            decoding.encode_vm(entry)
+                        ).decode(),
+                    }
+                    for entry in entries
+                ],
+                'remove': [],
+            },
+        )
+
     def _decode_instance(self, key: str, raw: bytes) -> EdgeInstance:
         return decoding.decode_instance(
             key, raw, region_by_zone=self.region_by_zone
--- a/src/bronzewall/standins/memory_store.py
+++ b/src/bronzewall/standins/memory_store.py
@@ -103,10 +103,11 @@
             )
         )
 
-    async def register(self, entry: VmEntry) -> None:
-        """Store the entry of a VM."""
+    async def register(self, entries: Sequence[VmEntry]) -> None:
+        """Store the entries of VMs."""
         self._begin_call()
-        self.shared.register(entry)
+        for entry in entries:
+            self.shared.register(entry)
 
     async def read_vms(self) -> VmsReading:
         """Return the VMs."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -354,7 +354,7 @@
         stand_in.put('op', 'config', CONFIGURATION)
         stand_in.put('servers', 'i-1', ENTRY)
         stand_in.put('servers', 'i-2', b'\xff')
-        await stand_in.store.register(a_vm())
+        await stand_in.store.register((a_vm(),))
         reading = await stand_in.store.read_configuration()
         assert reading.revision == Revision(era=0, number=41)
         assert stand_in.store.decode_configuration(reading.raw).version == 7
@@ -364,6 +364,14 @@
         assert (await stand_in.store.read_vms()).entries == (a_vm(),)
 
 
+async def test_transactions_hold_as_many_rows_as_the_store_takes() -> None:
+    async with StoreStandIn() as stand_in:
+        vms = [a_vm(f'vm-{number}') for number in range(250)]
+        await stand_in.store.register(vms)
+        assert len(stand_in.rows['bronzewall-vms']) == 250
+        assert stand_in.store.metrics.events['store_calls'] == 3
+
+
 @pytest.mark.parametrize('garbled', [None, '', 'two', '-1'])
 async def test_readings_state_the_era_of_the_store(garbled) -> None:
     # An answer without a readable era belongs to the last one known.
