Take no confirmation of keys from a store that has lost a configuration

In memory, VMs trusted their keys for as long as the store answered, although it held an older configuration than theirs, and so may have lost the withdrawal of a key that they had not heard of either (CONFIG: a withdrawn key must not run, on any VM).

Cause: any answer of the store confirmed the keys, whatever it said. Class: an answer counts as a confirmation of what it does not contain.

Change: while the stored configuration is older than the one in force, or missing, answers confirm no keys, so that they go stale as in an outage. It ends with the first configuration that is not older.

Evidence: test_older_configuration_confirms_no_keys failed with an older and with a missing one, and holds. Remains: a VM that has missed the lost configuration itself, and reads the copy before operators write again.

--- a/src/bronzewall/edge/store_reader.py
+++ b/src/bronzewall/edge/store_reader.py
@@ -101,6 +101,8 @@
     _listed_by_id: dict[InstanceId, EdgeInstance] = attrs.field(factory=dict)
     _vms_revision: Revision | None = None
     _era: int | None = None
+    # The store holds an older configuration than the one in force.
+    _is_store_behind: bool = False
 
     def update_role(self, is_leader: bool) -> None:
         """Start reading when this VM becomes a leader, stop when it ceases."""
@@ -339,7 +341,7 @@
             max(changes.confirmed_at, self.catalog.confirmed_at)
         )
         if self.schedule.is_open_since(_CONFIGURATION, changes.confirmed_at):
-            self.freshness.confirm(changes.confirmed_at)
+            self._confirm_keys(changes.confirmed_at)
         if changes.listed or changes.gone:
             await self._pause(_CHANGES_PAUSE_S)
 
@@ -399,30 +401,54 @@
         except StoreError:
             self.directory.stop_waiting()
             raise
+        # A watch without a configuration reports no change, a read none at
+        # all.
+        self._is_store_behind = (
+            reading.raw is None and self.directory.version >= 0
+        )
         self._apply_reading(reading)
 
     def _apply_reading(self, reading: ConfigurationReading) -> None:
         self._note_era(reading.revision)
-        if reading.raw is not None and reading.raw != self.directory.raw:
+        if reading.raw is not None:
             try:
-                configuration = self.store.decode_configuration(reading.raw)
+                self._apply_stored(reading.raw, reading.revision)
             except StoreEntryError as exc:
                 _LOG.warning('configuration_ignored', error=str(exc))
                 self.directory.stop_waiting()
                 return
-            if configuration.version < self.directory.version:
-                _LOG.info(
-                    'stored_configuration_older',
-                    version=configuration.version,
-                    in_force=self.directory.version,
-                    era=reading.revision.era,
-                )
-            is_new = self.directory.accept(
-                configuration, raw=reading.raw, source='store'
-            )
-            self._mark_updates(is_new=is_new)
         self._configuration_revision = reading.revision
-        self.freshness.confirm(reading.confirmed_at)
+        self._confirm_keys(reading.confirmed_at)
+
+    def _apply_stored(self, raw: bytes, revision: Revision) -> None:
+        """Apply the configuration that the store holds.
+
+        :raises StoreEntryError: it is not valid.
+        """
+        if raw == self.directory.raw:
+            self._is_store_behind = False
+            return
+        configuration = self.store.decode_configuration(raw)
+        self._is_store_behind = configuration.version < self.directory.version
+        if self._is_store_behind:
+            _LOG.info(
+                'stored_configuration_older',
+                version=configuration.version,
+                in_force=self.directory.version,
+                era=revision.era,
+            )
+        self._mark_updates(
+            is_new=self.directory.accept(configuration, raw=raw, source='store')
+        )
+
+    def _confirm_keys(self, at: float) -> None:
+        """Confirm that no key was withdrawn until a clock time.
+
+        A store that has lost the configuration in force may have lost a
+        withdrawal as well.
+        """
+        if not self._is_store_behind:
+            self.freshness.confirm(at)
 
     def _mark_updates(self, *, is_new: bool) -> None:
         self.leader.has_updates |= is_new
--- a/tests/test_edge_restored_store.py
+++ b/tests/test_edge_restored_store.py
@@ -148,12 +148,14 @@
     run_virtual(main())
 
 
-def test_older_configuration_confirms_no_keys() -> None:
+@pytest.mark.parametrize('raw', [b'1', None])
+def test_older_configuration_confirms_no_keys(raw: bytes | None) -> None:
     # Guards against a withdrawn key that works on because the store, which has
     # lost the withdrawal, answers.
     async def main() -> None:
         fleet = await settled('a', 'b')
         copy = fleet.shared.copy()
+        copy.raw = raw
         fleet.shared.publish(an_edge_configuration(2))
         await asyncio.sleep(1)
         await restore(fleet, copy)
