Let a zone leader fetch a newer configuration from its members

In memory, a leader that was restarted while the store held the copy served by the older configuration of the copy until operators wrote again, beside members that had the newer one and said so in their reports.

Cause: configurations go from leaders to members only. Class: a leader is taken to know more than those that follow it.

Change: a VM that hears of a newer configuration in a report asks its sender at once, with the request that old data uses.

Evidence: test_restarted_vm_gets_the_newest_configuration_of_the_fleet failed for a strong VM, which leads again after its restart, and holds. Remains: a zone all of whose VMs restart while the store holds the copy.

--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -167,6 +167,7 @@
         freshness=freshness,
         age=age,
         store=ports.store,
+        find_ahead=leader.vm_ahead,
     )
     instance_paths = InstancePaths(
         clock=clock,
--- a/src/bronzewall/edge/refresh.py
+++ b/src/bronzewall/edge/refresh.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from collections.abc import Callable
 
 import attrs
 import structlog
@@ -48,6 +49,9 @@
     """Asks other VMs while the data of this VM is too old, and answers them.
 
     Any VM answers, so that no guarantee depends on which ones are leaders.
+
+    :param find_ahead: returns a VM that is known to have a newer
+        configuration.
     """
 
     clock: Clock
@@ -59,6 +63,7 @@
     freshness: KeyFreshness
     age: KnowledgeAge
     store: FleetStore
+    find_ahead: Callable[[], VmId | None]
     _turn: int = 0
 
     def serve(self) -> None:
@@ -86,15 +91,15 @@
         pause = _CHECK_INTERVAL_S
         while True:
             await self.clock.sleep(pause)
-            if not self.age.is_ask_due():
+            ahead = self.find_ahead()
+            if ahead is None and not self.age.is_ask_due():
                 pause = _CHECK_INTERVAL_S
                 continue
-            await self._ask()
+            await self._ask(ahead or self._next_vm())
             # While the store answers nobody, no VM has newer data.
             pause = min(_MAX_INTERVAL_S, pause * _BACKOFF_FACTOR)
 
-    async def _ask(self) -> None:
-        to = self._next_vm()
+    async def _ask(self, to: VmId | None) -> None:
         if to is None:
             return
         sent_at = self.clock.now()
--- a/src/bronzewall/edge/zone_leader.py
+++ b/src/bronzewall/edge/zone_leader.py
@@ -151,6 +151,19 @@
         self.record_broken_requests(report.broken, now=now)
         self.record_demand(report.wanted, report.spent, now=now)
 
+    def vm_ahead(self) -> VmId | None:
+        """Return a VM of the zone whose configuration is newer, if any.
+
+        It has another leader, or this one has just read a store that was
+        restored from a copy.
+        """
+        ahead = [
+            vm_id
+            for vm_id, reporter in self._reporters_by_id.items()
+            if reporter.report.version > self.directory.version
+        ]
+        return min(ahead) if ahead else None
+
     def record_broken_requests(
         self, broken: Iterable[BrokenRequest], *, now: float
     ) -> None:
