Date answers of a restored store by its own clock only

Cause: the bound on the difference between the store's clock and the VM's was kept over a restore. If the clock of the restored store is ahead, a slow answer counted as written later than it was, by as much as it was ahead (0.2 s in the test), so that a list was used for as much longer. Class: a calibration outlives what it was made for.

Change: a new era begins with no bound, so that its first answers count from when they were asked for.

Evidence: test_answer_of_a_restored_store_is_not_dated_late failed before and holds.

--- a/src/bronzewall/platform/store.py
+++ b/src/bronzewall/platform/store.py
@@ -347,6 +347,8 @@
             _LOG.info('store_era', era=era, before=self._era)
             self.metrics.events['store_eras'] += 1
             self._era = era
+            # The restored store may run on another clock.
+            self.store_clock = StoreClock()
         return era
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -281,6 +281,7 @@
         self.page = 500
         self.era: str | None = None
         self.eras: list[str] = []
+        self.clock_ahead = float(0)
         self.queries = []
 
     def put(self, table: str, key: str, document) -> None:
@@ -319,6 +320,7 @@
 
     async def _get(self, request: web.Request) -> web.Response:
         self.queries.append(dict(request.query))
+        written_at = asyncio.get_running_loop().time() + self.clock_ahead
         await asyncio.sleep(self.delay)
         if self.eras:
             self.era = self.eras.pop(0)
@@ -337,7 +339,7 @@
                 'tableRows': page,
                 'hasMore': len(rows) > self.page,
                 'schemaVersion': 41,
-                'now': 1.5,
+                'now': written_at,
             },
             headers=headers,
         )
@@ -403,6 +405,18 @@
         assert len(stand_in.queries) == 3
 
 
+async def test_answer_of_a_restored_store_is_not_dated_late() -> None:
+    # Guards against a list that counts as newer than it is because the clock
+    # of the restored store is ahead of the one before.
+    async with StoreStandIn() as stand_in:
+        stand_in.era = '1'
+        await stand_in.store.read_instances()
+        stand_in.era, stand_in.clock_ahead, stand_in.delay = '2', 0.2, 0.3
+        sent_at = stand_in.store.clock.now()
+        reading = await stand_in.store.read_instances()
+        assert reading.confirmed_at == pytest.approx(sent_at, abs=0.05)
+
+
 async def test_pages_of_different_eras_are_no_snapshot() -> None:
     # Guards against a list of instances of which one half is of a copy.
     async with StoreStandIn() as stand_in:
