Remember no departures of processes that do not state their start

Found by reading the diff: an instance without a stated start counts as started at 0, so that its next process looked like the one that left and was never used again. Such processes are not remembered. Evidence: test_process_without_a_stated_start_is_not_remembered failed before (the instance was listed as leaving) and holds.

--- a/src/bronzewall/edge/departures.py
+++ b/src/bronzewall/edge/departures.py
@@ -20,7 +20,8 @@
 
     An instance that leaves never becomes ready again in the same process. One
     whose entry was removed may return, because entries also expire, but not on
-    the word of a store that was restored from a copy.
+    the word of a store that was restored from a copy. Processes that do not
+    state their start cannot be told apart and are not remembered.
     """
 
     _leaving_by_id: dict[InstanceId, int] = attrs.field(factory=dict)
@@ -80,6 +81,7 @@
 ) -> None:
     for item in instances:
         started_by_id.pop(item.instance_id, None)
-        started_by_id[item.instance_id] = item.started_ms
+        if item.started_ms:
+            started_by_id[item.instance_id] = item.started_ms
     while len(started_by_id) > _MAX_REMEMBERED:
         del started_by_id[next(iter(started_by_id))]
--- a/tests/test_edge_departures.py
+++ b/tests/test_edge_departures.py
@@ -59,12 +59,22 @@
 def test_memory_of_departures_is_bounded() -> None:
     departures = Departures()
     for number in range(30_000):
-        departures.record_gone([an_edge_instance(f'i-{number}')])
-        departures.record_leaving([an_edge_instance(f'i-{number}')])
+        instance = an_edge_instance(f'i-{number}', started_ms=1)
+        departures.record_gone([instance])
+        departures.record_leaving([instance])
     assert len(departures._gone_by_id) == len(departures._leaving_by_id)
     assert len(departures._gone_by_id) <= 10_000
     departures.distrust(until=1)
-    assert not applied(departures, an_edge_instance('i-29999'))
+    assert not applied(departures, instance)
+
+
+def test_process_without_a_stated_start_is_not_remembered() -> None:
+    # Guards against an instance that is never used again: with no start, its
+    # next process looks like the one that left.
+    departures = Departures()
+    departures.record_leaving([attrs.evolve(_LEAVING, started_ms=0)])
+    unknown = attrs.evolve(_READY, started_ms=0)
+    assert applied(departures, unknown) == [unknown]
 
 
 def test_list_of_a_leader_that_has_read_the_copy() -> None:
--- a/tests/test_edge_restored_store.py
+++ b/tests/test_edge_restored_store.py
@@ -3,11 +3,8 @@
 import asyncio
 
 import pytest
-from edge_builders import (
-    a_vm,
-    an_edge_configuration,
-    an_edge_instance,
-)
+from edge_builders import a_vm, an_edge_configuration
+from edge_builders import an_edge_instance as build_instance
 from edge_fleet import Fleet, settled
 
 from bronzewall.standins.memory_store import SharedStore
@@ -21,6 +18,11 @@
 _REGISTERED_S = 5.0
 
 
+def an_edge_instance(name: str, **changes):
+    """Return an instance that states the start of its process."""
+    return build_instance(name, started_ms=1, **changes)
+
+
 async def restore(fleet: Fleet, copy: SharedStore) -> None:
     """Let the store be away for a moment and come back from a copy."""
     fleet.shared.is_unavailable = True
