Count the turns of candidates from the loss of the last leader's store

In memory, a zone of 17 VMs of which the store turns some away used configurations and instances up to 2.75 s old (bound 2 s) after the store was away for 0.15 s: a change that had been confirmed was not in force in time (CONFIG, DRAIN).

All twelve tried in the same moment, in which the store was away, and all waited 2 s and more. Class: a delay counts from an event that is not the one it is meant for; what was to be spread out happens at once.

Ruled out: the restore itself.

Change: the turns count from when a leader with the store was last heard.

Tests: four fail before.

--- a/src/bronzewall/edge/leader_election.py
+++ b/src/bronzewall/edge/leader_election.py
@@ -58,6 +58,8 @@
     is_leaving: bool = False
     _contacts_by_id: dict[VmId, _LeaderContact] = attrs.field(factory=dict)
     _last_contact_at: float = -math.inf
+    # When a leader that reaches the store was last heard.
+    _store_heard_at: float = -math.inf
 
     def record_status(
         self, vm_id: VmId, *, has_store: bool, now: float
@@ -73,6 +75,8 @@
             received_at=now, has_store=has_store, changed_at=changed_at
         )
         self._last_contact_at = now
+        if has_store:
+            self._store_heard_at = now
 
     def record_leaving(self, vm_id: VmId) -> None:
         """Record the leave announcement of a leader."""
@@ -127,7 +131,10 @@
                 not ranks_higher,
             )
         elif not contact.has_store and reaches_store:
-            waited = now - contact.changed_at
+            # The leader may have lost the store long before this VM followed
+            # it; the candidates' turns begin with the loss of the last leader
+            # that had it, or else all of them would try at once.
+            waited = now - max(contact.changed_at, self._store_heard_at)
             self.is_leader = waited >= _store_takeover_delay(preceding)
         return self.is_leader
 
--- a/tests/edge_disturbances.py
+++ b/tests/edge_disturbances.py
@@ -13,6 +13,10 @@
 _LENGTH_S = 9.0
 _CHANGE_PAUSES_S = (0.2, 2.5)
 _INSTANCES = 12
+# Ages of the copies from which the store is restored, and times for which it
+# is away, seconds.
+_COPY_AGES_S = (0.2, 3.0)
+_AWAY_S = (0.02, 0.3)
 _CUTS = 20
 _KILLS_PER_TICK = 0.01
 _FREEZES_PER_TICK = 0.01
@@ -32,6 +36,8 @@
     :param has_kills: leaders are killed and start again.
     :param has_freezes: VMs stand still.
     :param loses_history: the store drops its history at changes.
+    :param restores_store: the store is away for a moment and comes back from
+        a copy, again and again; instances leave and do not end.
     """
 
     vms: int = 17
@@ -41,6 +47,7 @@
     has_kills: bool = False
     has_freezes: bool = False
     loses_history: bool = False
+    restores_store: bool = False
 
 
 @attrs.define(kw_only=True)
@@ -55,17 +62,28 @@
     next_version_at: float = 0
     next_list_at: float = 0
 
-    def apply(self, fleet: Fleet, now: float, loses_history: bool) -> None:
+    def list_instances(self, fleet: Fleet, case: Disturbances) -> None:
+        """List the instances that have not left."""
+        leaving = range(self.listed, _INSTANCES if case.restores_store else 0)
+        fleet.list_instances(
+            *(an_edge_instance(f'i-{number}') for number in range(self.listed)),
+            *(
+                an_edge_instance(f'i-{number}', is_leaving=True)
+                for number in leaving
+            ),
+        )
+
+    def apply(self, fleet: Fleet, now: float, case: Disturbances) -> None:
         if now >= self.next_version_at:
             self.version += 1
             fleet.shared.publish(an_edge_configuration(self.version))
             self.version_times.append((self.version, now))
             self.next_version_at = now + self.random.uniform(*_CHANGE_PAUSES_S)
-            if loses_history and self.random.random() < 0.5:
+            if case.loses_history and self.random.random() < 0.5:
                 fleet.shared.drop_history()
         if now >= self.next_list_at and self.listed:
             self.listed -= 1
-            list_first(fleet, self.listed)
+            self.list_instances(fleet, case)
             self.list_times.append((self.listed, now))
             self.next_list_at = now + self.random.uniform(*_CHANGE_PAUSES_S)
 
@@ -104,11 +122,13 @@
             sender, receiver = drawn.sample(names, 2)
             fleet.network.block(sender=VmId(sender), receiver=VmId(receiver))
     changes = _Changes(random=drawn)
+    restores = asyncio.ensure_future(_restore_store(fleet, case, changes))
     worst = (0, '')
     thawed_at: dict[str, float] = {}
     while loop.time() < started_at + _LENGTH_S:
         now = loop.time()
-        changes.apply(fleet, now, case.loses_history)
+        if not fleet.shared.is_unavailable:
+            changes.apply(fleet, now, case)
         await _disturb(fleet, case, drawn, away)
         for vm_id in fleet.network.frozen_ids:
             thawed_at[vm_id] = now + _AFTER_FREEZE_S
@@ -116,11 +136,12 @@
             if vm.directory.version < 0 or thawed_at.get(name, 0) > now:
                 continue
             missing_at = changes.oldest_missing(
-                vm.directory.version, len(vm.catalog.instances_by_id)
+                vm.directory.version, len(vm.catalog.usable('drafts'))
             )
             worst = max(worst, (now - missing_at, name))
         await asyncio.sleep(TICK_S)
     calls = _calls(fleet) - calls_before
+    restores.cancel()
     await fleet.stop()
     return (*worst, calls)
 
@@ -140,6 +161,22 @@
         )
 
 
+async def _restore_store(
+    fleet: Fleet, case: Disturbances, changes: _Changes
+) -> None:
+    """Restore the store again and again; all is written again at once."""
+    drawn = changes.random
+    while case.restores_store:
+        copy = fleet.shared.copy()
+        await asyncio.sleep(drawn.uniform(*_COPY_AGES_S))
+        fleet.shared.is_unavailable = True
+        await asyncio.sleep(drawn.uniform(*_AWAY_S))
+        fleet.shared.restore(copy)
+        fleet.shared.publish(an_edge_configuration(changes.version))
+        changes.list_instances(fleet, case)
+        fleet.shared.is_unavailable = False
+
+
 def _turn_away(fleet: Fleet, names: set[str], case: Disturbances) -> None:
     for name in names:
         store = fleet.vms[name].store
--- a/tests/test_edge_refresh.py
+++ b/tests/test_edge_refresh.py
@@ -24,6 +24,11 @@
     'cut one way, store silent for some': Disturbances(
         vms=15, has_cuts=True, is_silent=True, loses_history=True
     ),
+    'store restored': Disturbances(away_share=0, restores_store=True),
+    'store restored, some turned away': Disturbances(restores_store=True),
+    'store restored, leaders killed, frozen': Disturbances(
+        away_share=0.2, restores_store=True, has_kills=True, has_freezes=True
+    ),
     'leaders killed': Disturbances(has_kills=True),
     'frozen, cut, leaders killed': Disturbances(
         has_freezes=True, has_cuts=True, has_kills=True
@@ -31,8 +36,19 @@
 }
 
 
-@pytest.mark.parametrize('name', _CASES)
-@pytest.mark.parametrize('seed', range(3))
+# Seeds in which all candidates tried the store at once while it was away for a
+# moment, and waited together.
+_FOUND = (
+    ('store restored, some turned away', 10),
+    ('store restored, some turned away', 22),
+    ('store restored, leaders killed, frozen', 42),
+)
+
+
+@pytest.mark.parametrize(
+    ('name', 'seed'),
+    [*((name, seed) for seed in range(3) for name in _CASES), *_FOUND],
+)
 def test_no_vm_uses_data_older_than_the_bound(name: str, seed: int) -> None:
     # Pattern: the store serves only some VMs of a zone while configurations
     # and instances change. A VM that followed a leader which did not hear it
--- a/tests/test_edge_zone.py
+++ b/tests/test_edge_zone.py
@@ -310,6 +310,35 @@
     run_virtual(main())
 
 
+def test_candidates_take_turns_after_a_leader_without_the_store() -> None:
+    # Guards against candidates that all try the store in the same moment, and
+    # then all wait: they counted from when a VM that has long been without
+    # the store lost it, and not from when the leader before did.
+    async def main() -> None:
+        names = [f'vm-{number:02}' for number in range(12)]
+        fleet = await settled(*names)
+        first, second = names[:2]
+        fleet.vms[first].store.is_unavailable = True
+        await asyncio.sleep(5)
+        assert fleet.leaders() == [second]
+        calls = {name: fleet.vms[name].store.calls for name in names}
+        fleet.shared.is_unavailable = True
+        await asyncio.sleep(0.25)
+        tried = [
+            name
+            for name in names[2:]
+            if fleet.vms[name].store.calls > calls[name]
+        ]
+        assert len(tried) <= 3
+        fleet.shared.is_unavailable = False
+        fleet.shared.publish(an_edge_configuration(2))
+        await asyncio.sleep(1)
+        assert all(vm.directory.version == 2 for vm in fleet.vms.values())
+        await fleet.stop()
+
+    run_virtual(main())
+
+
 def test_failed_registration_is_retried() -> None:
     async def main() -> None:
         fleet = Fleet('a')
