Soak: restore the store from a copy

The store of the soak states its era, is reset for 0.02 to 1 s and comes back from a copy 0.5 to 4 s old; what VMs wrote is lost, and operators and instances write again at once or up to 1 s later. Instances state the start of their process, and one that has left starts again.

--- a/soak/instances.py
+++ b/soak/instances.py
@@ -34,6 +34,7 @@
     :param fault_rate: fraction of the requests that the fault affects.
     :param response_time: seconds from receiving a request to its answer.
     :param request_limit: requests a second that its answers state as limit.
+    :param boot: number of its process; one that has left starts again.
     """
 
     instance_id: str
@@ -44,6 +45,7 @@
     fault_rate: float = 0.7
     response_time: float = 0.03
     request_limit: float | None = None
+    boot: int = 1
     address: str = ''
     _runner: web.AppRunner | None = None
 
@@ -70,6 +72,7 @@
             'capacitySlots': 8,
             'instanceState': state,
             'warmupLeft': 0,
+            'born': self.boot,
         }
 
     async def _handle(self, request: web.Request) -> web.StreamResponse:
--- a/soak/run.py
+++ b/soak/run.py
@@ -46,6 +46,11 @@
 _RESTART_DELAY_S = 0.3
 # Length of cuts and limits, seconds; they are checked after STABILITY_S.
 _LONG_FAULT_S = (5, 8)
+# Ages of the copy from which the store is restored, times for which it is away,
+# and the time until operators and instances have written again, seconds.
+_COPY_AGES_S = (0.5, 4)
+_AWAY_S = (0.02, 1)
+_REWRITE_S = 1
 _REQUEST_LIMITS = (0.5, 1, 2.5, 5)
 _LIMITS = Limits(
     revocation_bound=_REVOCATION_BOUND_S,
@@ -120,6 +125,7 @@
     version: int = 1
     keys: list[str] = attrs.field(factory=lambda: list(_KEYS))
     _tasks: set['asyncio.Task[None]'] = attrs.field(factory=set)
+    _is_restoring: bool = False
 
     async def run(self) -> list[str]:
         """Run the seed and return a line for each violation."""
@@ -292,6 +298,7 @@
             self._store_silent,
             self._store_slow,
             self._history_dropped,
+            self._store_restored,
             self._store_cut,
             self._peers_cut,
             self._peers_slow,
@@ -363,6 +370,27 @@
         self._record_event('history', '')
         self.store.history_from = self.store.revision
 
+    def _store_restored(self) -> None:
+        """Restore the store from a copy that is some seconds old by then."""
+        if self._is_restoring:
+            return
+        self._is_restoring = True
+        self._run(self._restore_store(self.store.copy()))
+
+    async def _restore_store(self, copy: SoakStore) -> None:
+        await asyncio.sleep(self.random.uniform(*_COPY_AGES_S))
+        self._record_event('store_restored', '')
+        self.store.is_away = True
+        await asyncio.sleep(self.random.uniform(*_AWAY_S))
+        before = self.store.copy()
+        self.store.restore(copy)
+        if self.random.random() < 0.5:
+            self.store.is_away = False
+            await asyncio.sleep(self.random.uniform(0, _REWRITE_S))
+        self.store.write_again(before)
+        self.store.is_away = False
+        self._is_restoring = False
+
     def _store_cut(self) -> None:
         self._block_direction(self._pick_vm('store_cut').store)
 
@@ -394,9 +422,11 @@
         self._record_event('instance_leaves', instance.instance_id)
         key = instance.instance_id
         self.store.put('servers', key, instance.entry(state='draining'))
-        self._call_later(
-            lambda: self.store.put('servers', key, instance.entry())
-        )
+        self._call_later(lambda: self._start_again(instance))
+
+    def _start_again(self, instance: SoakInstance) -> None:
+        instance.boot += 1
+        self.store.put('servers', instance.instance_id, instance.entry())
 
     def _key_withdrawn(self) -> None:
         if len(self.keys) <= 2:
--- a/soak/store.py
+++ b/soak/store.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 _POLL_S = 0.02
+_STATUS_OK = 200
 _STATUS_GONE = 410
 _VM = web.AppKey('vm', str)
 
@@ -23,6 +24,8 @@
     :param addresses_by_vm: addresses by instance that a VM reads in place of
         the stored ones.
     :param history_from: least revision after which changes can be read.
+    :param era: rises with each restore from a copy.
+    :param is_away: connections are reset.
     """
 
     rows: dict[str, dict[str, tuple[str, int]]] = attrs.field(
@@ -33,6 +36,8 @@
     )
     revision: int = 1
     history_from: int = 0
+    era: int = 1
+    is_away: bool = False
     refused_vms: set[str] = attrs.field(factory=set)
     unanswered_vms: set[str] = attrs.field(factory=set)
     delay: float = 0
@@ -73,6 +78,34 @@
         self.rows[table].pop(key, None)
         self.dropped[table][key] = self.revision
 
+    def copy(self) -> 'SoakStore':
+        """Return a copy of the rows."""
+        return SoakStore(
+            rows={table: dict(rows) for table, rows in self.rows.items()},
+            dropped={
+                table: dict(revisions)
+                for table, revisions in self.dropped.items()
+            },
+            revision=self.revision,
+        )
+
+    def restore(self, copy: 'SoakStore') -> None:
+        """Return to a copy and begin the next era."""
+        self.rows = {table: dict(rows) for table, rows in copy.rows.items()}
+        self.dropped = {
+            table: dict(revisions) for table, revisions in copy.dropped.items()
+        }
+        self.revision = copy.revision
+        self.history_from = min(self.history_from, copy.revision)
+        self.era += 1
+
+    def write_again(self, before: 'SoakStore') -> None:
+        """Write what operators and instances had written before a restore."""
+        for table in ('op', 'servers'):
+            for key, (raw, _) in before.rows[table].items():
+                self.revision += 1
+                self.rows[table][key] = (raw, self.revision)
+
     def heal(self) -> None:
         """End all faults."""
         self.refused_vms.clear()
@@ -83,6 +116,10 @@
         """Delay a call, leave it without an answer or refuse it."""
         vm_id = request.app[_VM]
         await asyncio.sleep(self.delay)
+        if self.is_away:
+            assert request.transport is not None
+            request.transport.abort()
+            raise web.HTTPServiceUnavailable
         while vm_id in self.unanswered_vms:
             await asyncio.sleep(_POLL_S)
         if vm_id in self.refused_vms:
@@ -97,10 +134,10 @@
         after = int(request.query['after'])
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + int(request.query['waitMs']) / 1000
-        table = self.rows[request.query['table']]
         while loop.time() < ends_at:
-            if after < self.history_from:
-                return web.json_response({}, status=_STATUS_GONE)
+            table = self.rows[request.query['table']]
+            if not self.history_from <= after <= self.revision:
+                return self._answer({}, status=_STATUS_GONE)
             changed = [revision for _, revision in table.values()]
             changed.extend(self.dropped[request.query['table']].values())
             if max(changed, default=0) > after:
@@ -116,7 +153,12 @@
             self.revision += 1
             stored = (row['value'], self.revision)
             self.rows[row['table']][row['key']] = stored
-        return web.json_response({'schemaVersion': self.revision, 'now': 0})
+        return self._answer({'schemaVersion': self.revision, 'now': 0})
+
+    def _answer(self, wire: Any, *, status: int = _STATUS_OK) -> web.Response:
+        return web.json_response(
+            wire, status=status, headers={'Store-Era': str(self.era)}
+        )
 
     def _seen_by(self, vm_id: str, table: str, key: str, raw: str) -> str:
         """Return a stored value with the address that a VM sees."""
@@ -144,7 +186,7 @@
                 for key, revision in self.dropped[table].items()
                 if revision > after and key not in self.rows[table]
             )
-        return web.json_response(
+        return self._answer(
             {
                 'tableRows': rows,
                 'hasMore': False,
