Log and count answers of instances that state that they leave

The logs could not tell which answers said that their instance leaves, and when. The header is read from every final answer, also of requests that were not run; a line (instance_leaving) names the instance and the age of the list that is in use, and a counter counts these answers. Nothing else changes yet. The instances of the soak can state it too.

--- a/soak/instances.py
+++ b/soak/instances.py
@@ -34,6 +34,7 @@
     :param fault_rate: fraction of the requests that the fault affects.
     :param response_time: seconds from receiving a request to its answer.
     :param request_limit: requests a second that its answers state as limit.
+    :param is_leaving: its answers state that it leaves.
     :param boot: number of its process; one that has left starts again.
     """
 
@@ -45,6 +46,7 @@
     fault_rate: float = 0.7
     response_time: float = 0.03
     request_limit: float | None = None
+    is_leaving: bool = False
     boot: int = 1
     address: str = ''
     _runner: web.AppRunner | None = None
@@ -80,6 +82,8 @@
         echo = {'X-Attempt-Id': attempt_id}
         if self.request_limit is not None:
             echo['Server-Limit'] = str(self.request_limit)
+        if self.is_leaving:
+            echo['Server-Leaving'] = '1'
         if request.headers['X-Target-Instance'] != self.instance_id:
             return web.Response(status=_STATUS_WRONG_INSTANCE, headers=echo)
         fault = self.fault
--- a/src/bronzewall/adapters/instance_http.py
+++ b/src/bronzewall/adapters/instance_http.py
@@ -43,6 +43,8 @@
 # peer is then unreachable. TCP retransmits lost packets after 0.2 s.
 _USER_TIMEOUT_MS = 1500
 _TIMEOUT_PARAMETER = 'timeout='
+# Any other value states that the instance leaves.
+_NOT_LEAVING = '0'
 _LOG = structlog.get_logger()
 # Answers are received as a whole before they are passed on, bytes.
 _LIMITS = ReceiveLimits(
@@ -90,8 +92,13 @@
                 headers=tuple(response.headers.items()),
                 body=body,
                 request_limit=self._request_limit(request, response),
+                is_leaving=self._is_leaving(response),
             )
 
+    def _is_leaving(self, response: aiohttp.ClientResponse) -> bool:
+        stated = response.headers.get(self.names.leaving, _NOT_LEAVING)
+        return stated != _NOT_LEAVING
+
     def _request_limit(
         self, request: InstanceRequest, response: aiohttp.ClientResponse
     ) -> float | None:
@@ -150,6 +157,7 @@
             raise UpstreamShedError(
                 f'{instance_id}: request not run, status {response.status}',
                 request_limit=self._request_limit(request, response),
+                is_leaving=self._is_leaving(response),
             )
         lengths = set(headers.getall('Content-Length', ()))
         if len(lengths) + ('Transfer-Encoding' in headers) > 1:
--- a/src/bronzewall/edge/ports.py
+++ b/src/bronzewall/edge/ports.py
@@ -145,6 +145,7 @@
     :param instance_id: the instance that answered.
     :param request_limit: requests a second that the instance accepts from
         all VMs together.
+    :param leaving: states that the instance leaves.
     """
 
     attempt_id: str
@@ -155,6 +156,7 @@
     not_run: str
     instance_id: str
     request_limit: str
+    leaving: str
 
 
 @attrs.frozen(kw_only=True)
@@ -175,12 +177,14 @@
 
     :param request_limit: requests a second that the instance accepts from
         all VMs together, or ``None`` if it states no limit.
+    :param is_leaving: the instance states that it leaves.
     """
 
     status: int
     headers: Headers
     body: bytes
     request_limit: float | None = None
+    is_leaving: bool = False
 
 
 class InstanceHttp(Protocol):
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -349,6 +349,7 @@
             self.catalog.reject(candidate.instance)
         if isinstance(exc, UpstreamShedError):
             self._record_limit(instance_id, exc.request_limit, sent_at)
+            self._record_leaving(candidate, is_leaving=exc.is_leaving)
             self._observe(instance_id, Observation.OVERDUE)
         if isinstance(exc, _ANSWER_ERRORS):
             self._path(exchange).record_answer()
@@ -406,6 +407,7 @@
         instance_id = candidate.instance.instance_id
         now = self.clock.now()
         self._record_limit(instance_id, answer.request_limit, sent_at)
+        self._record_leaving(candidate, is_leaving=answer.is_leaving)
         self._path(exchange).record_answer()
         is_good = answer.status < _STATUS_SERVER_ERROR
         # A healthy instance answers 504 when the deadline of a request passes.
@@ -449,6 +451,19 @@
             self.metrics.events['answers_with_limit'] += 1
         self.limits.record_answer(instance_id, limit, sent_at=sent_at)
 
+    def _record_leaving(
+        self, candidate: Candidate, *, is_leaving: bool
+    ) -> None:
+        """Record that an instance states that it leaves."""
+        if not is_leaving:
+            return
+        self.metrics.events['answers_of_leaving_instances'] += 1
+        _LOG.info(
+            'instance_leaving',
+            instance=candidate.instance.instance_id,
+            list_age=round(self.clock.now() - self.catalog.confirmed_at, 3),
+        )
+
     def _may_run_again(self, exchange: EdgeExchange, *, sent: int) -> bool:
         """Return whether one more instance may run the request.
 
--- a/src/bronzewall/errors.py
+++ b/src/bronzewall/errors.py
@@ -82,14 +82,20 @@
 
     :param request_limit: requests a second that the instance accepts from
         all VMs together, if it stated a limit.
+    :param is_leaving: it stated that it leaves.
     """
 
     def __init__(
-        self, detail: str = '', *, request_limit: float | None = None
+        self,
+        detail: str = '',
+        *,
+        request_limit: float | None = None,
+        is_leaving: bool = False,
     ) -> None:
-        """Store the limit that the refusal stated."""
+        """Store what the refusal stated."""
         super().__init__(detail)
         self.request_limit = request_limit
+        self.is_leaving = is_leaving
 
 
 class UpstreamTimeoutError(UpstreamError):
--- a/src/bronzewall/platform/names.py
+++ b/src/bronzewall/platform/names.py
@@ -11,6 +11,7 @@
     not_run='X-Not-Executed',
     instance_id='X-Instance-Id',
     request_limit='Server-Limit',
+    leaving='Server-Leaving',
 )
 READY_PATH = '/bronzewall/readiness'
 # Environment variable with the path of the settings file.
--- a/tests/edge_builders.py
+++ b/tests/edge_builders.py
@@ -53,6 +53,7 @@
     not_run='T-Not-Run',
     instance_id='T-Instance',
     request_limit='T-Limit',
+    leaving='T-Leaving',
 )
 
 
--- a/tests/test_instance_http.py
+++ b/tests/test_instance_http.py
@@ -295,3 +295,22 @@
     with pytest.raises(UpstreamShedError) as raised:
         await exchange(respond_with(answer))
     assert raised.value.request_limit == 1.4
+
+
+@pytest.mark.parametrize(
+    ('stated', 'is_leaving'),
+    [(b'T-Leaving: 1\r\n', True), (b'T-Leaving: 0\r\n', False), (b'', False)],
+)
+async def test_leaving_is_read(stated: bytes, is_leaving: bool) -> None:
+    answer = WHOLE.replace(b'T-Seal', stated + b'T-Seal')
+    assert (await exchange(respond_with(answer))).is_leaving == is_leaving
+
+
+async def test_leaving_is_read_from_a_request_that_was_not_run() -> None:
+    answer = (
+        b'HTTP/1.1 503 Busy\r\nT-Attempt: a-1\r\nT-Not-Run: 1\r\n'
+        b'T-Leaving: 1\r\nContent-Length: 0\r\n\r\n'
+    )
+    with pytest.raises(UpstreamShedError) as raised:
+        await exchange(respond_with(answer))
+    assert raised.value.is_leaving
