Stop using an instance whose answers state that it leaves

What callers saw: complete answers, from instances that had said that they leave; later ones risked an instance that ends.

Cause: the store's list was the only source of what leaves. While the store is away, the instance cannot write there; what it says in its answers was passed on and not read. Class: a statement of an upstream about itself is forwarded and not heeded.

Change: an answer, also one that turns a request away, that states it marks the instance as leaving in the list of this VM at once.

--- a/src/bronzewall/edge/catalog.py
+++ b/src/bronzewall/edge/catalog.py
@@ -81,6 +81,16 @@
         self._rejected_addresses[instance.instance_id] = instance.address
         self._index()
 
+    def record_leaving(self, instance: EdgeInstance) -> None:
+        """Stop using an instance whose answers state that it leaves."""
+        known = self.instances_by_id.get(instance.instance_id)
+        if known is None or known.started_ms != instance.started_ms:
+            return
+        leaving = attrs.evolve(known, is_leaving=True)
+        self._replace(
+            {**self.instances_by_id, instance.instance_id: leaving}, 'answer'
+        )
+
     def confirm(self, at: float) -> None:
         """Record that the list was still current at a clock time."""
         self.confirmed_at = max(self.confirmed_at, at)
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -458,6 +458,7 @@
         if not is_leaving:
             return
         self.metrics.events['answers_of_leaving_instances'] += 1
+        self.catalog.record_leaving(candidate.instance)
         _LOG.info(
             'instance_leaving',
             instance=candidate.instance.instance_id,
