Use an ended instance after a restore as soon as it reports again

After a restore of the store, instances that had ended stayed out for 6 s, longer with each further restore, also those that run: their entry had expired while they did not reach the store. Instances report each 1.5 s, and the list is read each 0.6 s in the 2 s after a restore, so that one that runs shows it there: its count of reports grows. The counts of one copy are not compared with those of another.

Evidence: test_ended_instance_that_reports_again_is_used failed before (not used before 6 s had passed) and holds. The instances of the soak report.

--- a/soak/store.py
+++ b/soak/store.py
@@ -3,12 +3,15 @@
 import asyncio
 import base64
 import json
+import time
 from typing import Any
 
 import attrs
 from aiohttp import web
 
 _POLL_S = 0.02
+# Time between two reports of an instance, seconds.
+_REPORT_INTERVAL_S = 1.5
 _STATUS_OK = 200
 _STATUS_GONE = 410
 _VM = web.AppKey('vm', str)
@@ -161,11 +164,18 @@
         )
 
     def _seen_by(self, vm_id: str, table: str, key: str, raw: str) -> str:
-        """Return a stored value with the address that a VM sees."""
+        """Return a stored value as a VM sees it.
+
+        Instances report all the time, which changes only their count.
+        """
         address = self.addresses_by_vm.get(vm_id, {}).get(key)
         if table != 'servers' or address is None:
             return raw
-        document = {**json.loads(base64.b64decode(raw)), 'address': address}
+        document = {
+            **json.loads(base64.b64decode(raw)),
+            'address': address,
+            'sequence': int(time.monotonic() / _REPORT_INTERVAL_S),
+        }
         return base64.b64encode(json.dumps(document).encode()).decode()
 
     def _page(self, request: web.Request, *, after: int) -> web.Response:
--- a/src/bronzewall/edge/catalog.py
+++ b/src/bronzewall/edge/catalog.py
@@ -63,6 +63,13 @@
             until=now + self.interval * _REMOVAL_INTERVALS
         )
 
+    def record_reports(self, counts_by_id: Mapping[InstanceId, int]) -> None:
+        """Record how often instances have reported, as the store says.
+
+        :param counts_by_id: reports since the start of each instance.
+        """
+        self._departures.record_reports(counts_by_id)
+
     def is_in_grace(self) -> bool:
         """Return whether missing entries are kept because they may return."""
         return self.clock.now() < self._grace_ends_at
--- a/src/bronzewall/edge/departures.py
+++ b/src/bronzewall/edge/departures.py
@@ -19,14 +19,17 @@
     """Instances that leave or have ended, by the start of their process.
 
     An instance that leaves never becomes ready again in the same process. One
-    whose entry was removed may return, because entries also expire, but not on
-    the word of a store that was restored from a copy. Processes that do not
-    state their start cannot be told apart and are not remembered.
+    whose entry was removed may return, because entries also expire; after a
+    restore of the store from a copy it must have reported once more.
+    Processes that do not state their start cannot be told apart and are not
+    remembered.
     """
 
     _leaving_by_id: dict[InstanceId, int] = attrs.field(factory=dict)
     _gone_by_id: dict[InstanceId, int] = attrs.field(factory=dict)
     _distrusted_until: float = -math.inf
+    # Counts of reports as first read after the restore.
+    _first_counts_by_id: dict[InstanceId, int] = attrs.field(factory=dict)
 
     def record_leaving(self, instances: Iterable[EdgeInstance]) -> None:
         """Record instances that stated that they leave."""
@@ -39,6 +42,17 @@
     def distrust(self, *, until: float) -> None:
         """Keep ended instances out that are listed before a clock time."""
         self._distrusted_until = until
+        self._first_counts_by_id.clear()
+
+    def record_reports(self, counts_by_id: Mapping[InstanceId, int]) -> None:
+        """Note which instances go on reporting, and are therefore running.
+
+        :param counts_by_id: reports since the start of each instance.
+        """
+        for instance_id in counts_by_id.keys() & self._gone_by_id.keys():
+            count = counts_by_id[instance_id]
+            if count > self._first_counts_by_id.setdefault(instance_id, count):
+                del self._gone_by_id[instance_id]
 
     def apply(
         self, listed: Mapping[InstanceId, EdgeInstance], *, now: float
--- a/src/bronzewall/edge/ports.py
+++ b/src/bronzewall/edge/ports.py
@@ -1,6 +1,6 @@
 """Protocols of the store and of the HTTP client, as the edge uses them."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Protocol
 
 import attrs
@@ -43,11 +43,14 @@
 
     :param revision: revision of the store up to which the result is valid.
     :param confirmed_at: clock time at which it was certainly up to date.
+    :param report_counts_by_id: reports that instances have written since their
+        start, where they state it.
     """
 
     instances: tuple[EdgeInstance, ...]
     revision: Revision
     confirmed_at: float
+    report_counts_by_id: Mapping[InstanceId, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/bronzewall/edge/store_reader.py
+++ b/src/bronzewall/edge/store_reader.py
@@ -310,6 +310,7 @@
     async def _read_instances(self) -> None:
         reading = await self.store.read_instances()
         self._note_era(reading.revision)
+        self.catalog.record_reports(reading.report_counts_by_id)
         self._listed_by_id = {
             item.instance_id: item for item in reading.instances
         }
--- a/src/bronzewall/platform/decoding.py
+++ b/src/bronzewall/platform/decoding.py
@@ -1,5 +1,6 @@
 """Decodes the rows that instances and VMs store."""
 
+import contextlib
 import json
 from collections.abc import Mapping
 
@@ -39,6 +40,20 @@
     )
 
 
+def report_counts(raw_by_key: Mapping[str, bytes]) -> dict[InstanceId, int]:
+    """Return the reports that instances have written since their start.
+
+    Rows without a readable count are left out.
+    """
+    counts: dict[InstanceId, int] = {}
+    for key, raw in raw_by_key.items():
+        with contextlib.suppress(StoreEntryError):
+            counts[InstanceId(key)] = fields.integer(
+                fields.document(raw), 'sequence'
+            )
+    return counts
+
+
 def decode_vm(key: str, raw: bytes) -> VmEntry:
     """Return the VM from one row.
 
--- a/src/bronzewall/platform/store.py
+++ b/src/bronzewall/platform/store.py
@@ -125,6 +125,9 @@
             instances=found,
             revision=page.revision,
             confirmed_at=page.written_at,
+            report_counts_by_id=decoding.report_counts(
+                {row.key: row.raw for row in page.rows if row.raw is not None}
+            ),
         )
 
     async def watch_instances(
--- a/tests/test_edge_departures.py
+++ b/tests/test_edge_departures.py
@@ -56,6 +56,29 @@
     assert applied(departures, _READY, now=10) == [_READY]
 
 
+def test_ended_instance_that_reports_again_is_used() -> None:
+    # Guards against an instance that runs and stays unused after a restore.
+    departures = Departures()
+    departures.record_gone([_READY])
+    departures.distrust(until=10)
+    for count in (5, 5):
+        departures.record_reports({_READY.instance_id: count})
+        assert not applied(departures, _READY, now=1)
+    departures.record_reports({_READY.instance_id: 6})
+    assert applied(departures, _READY, now=2) == [_READY]
+
+
+def test_counts_of_the_copy_before_are_not_compared() -> None:
+    # Guards against an ended instance that seems to report because a second
+    # copy is newer than the first.
+    departures = Departures()
+    departures.record_gone([_READY])
+    for count in (3, 5):
+        departures.distrust(until=10)
+        departures.record_reports({_READY.instance_id: count})
+        assert not applied(departures, _READY, now=1)
+
+
 def test_memory_of_departures_is_bounded() -> None:
     departures = Departures()
     for number in range(30_000):
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -436,6 +436,15 @@
         assert stand_in.store.metrics.events['store_eras'] == 1
 
 
+async def test_reports_of_instances_are_counted() -> None:
+    async with StoreStandIn() as stand_in:
+        stand_in.put('servers', 'i-1', {**ENTRY, 'sequence': 7})
+        stand_in.put('servers', 'i-2', {**ENTRY, 'sequence': 'seven'})
+        stand_in.put('servers', 'i-3', b'\xff')
+        reading = await stand_in.store.read_instances()
+        assert reading.report_counts_by_id == {'i-1': 7}
+
+
 async def test_all_pages_are_read() -> None:
     async with StoreStandIn() as stand_in:
         stand_in.page = 2
