Log and count the pauses that instances ask for

Retry-After of a 503 of an instance is read as seconds, also where the request was not run, and logged (instance_pauses) and counted; what is not a number of seconds is logged and ignored. Nothing else changes yet.

--- a/src/bronzewall/adapters/instance_http.py
+++ b/src/bronzewall/adapters/instance_http.py
@@ -43,6 +43,7 @@
 # peer is then unreachable. TCP retransmits lost packets after 0.2 s.
 _USER_TIMEOUT_MS = 1500
 _TIMEOUT_PARAMETER = 'timeout='
+_RETRY_AFTER = 'Retry-After'
 # Any other value states that the instance leaves.
 _NOT_LEAVING = '0'
 _LOG = structlog.get_logger()
@@ -93,6 +94,7 @@
                 body=body,
                 request_limit=self._request_limit(request, response),
                 is_leaving=self._is_leaving(response),
+                pause=_pause(request, response),
             )
 
     def _is_leaving(self, response: aiohttp.ClientResponse) -> bool:
@@ -158,6 +160,7 @@
                 f'{instance_id}: request not run, status {response.status}',
                 request_limit=self._request_limit(request, response),
                 is_leaving=self._is_leaving(response),
+                pause=_pause(request, response),
             )
         lengths = set(headers.getall('Content-Length', ()))
         if len(lengths) + ('Transfer-Encoding' in headers) > 1:
@@ -198,6 +201,24 @@
     return InstanceClient(names=names, session=session, connector=connector)
 
 
+def _pause(request: InstanceRequest, response: aiohttp.ClientResponse) -> float:
+    """Return the seconds for which an instance wants no requests.
+
+    A malformed number is none; dates are not used by instances.
+    """
+    text = response.headers.get(_RETRY_AFTER)
+    if text is None or response.status != HTTPStatus.SERVICE_UNAVAILABLE:
+        return 0
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = math.nan
+    if 0 <= seconds < math.inf:
+        return seconds
+    _LOG.warning('pause_not_valid', instance=request.instance_id, text=text)
+    return 0
+
+
 def _is_request_sent(response: aiohttp.ClientResponse) -> bool:
     """Return whether the whole request was written."""
     writer = response._writer  # noqa: SLF001, WPS437
--- a/src/bronzewall/edge/ports.py
+++ b/src/bronzewall/edge/ports.py
@@ -181,6 +181,8 @@
     :param request_limit: requests a second that the instance accepts from
         all VMs together, or ``None`` if it states no limit.
     :param is_leaving: the instance states that it leaves.
+    :param pause: seconds for which the instance, which answers 503, wants no
+        request of this VM.
     """
 
     status: int
@@ -188,6 +190,7 @@
     body: bytes
     request_limit: float | None = None
     is_leaving: bool = False
+    pause: float = 0
 
 
 class InstanceHttp(Protocol):
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -350,6 +350,7 @@
         if isinstance(exc, UpstreamShedError):
             self._record_limit(instance_id, exc.request_limit, sent_at)
             self._record_leaving(candidate, is_leaving=exc.is_leaving)
+            self._record_pause(instance_id, exc.pause)
             self._observe(instance_id, Observation.OVERDUE)
         if isinstance(exc, _ANSWER_ERRORS):
             self._path(exchange).record_answer()
@@ -408,6 +409,7 @@
         now = self.clock.now()
         self._record_limit(instance_id, answer.request_limit, sent_at)
         self._record_leaving(candidate, is_leaving=answer.is_leaving)
+        self._record_pause(instance_id, answer.pause)
         self._path(exchange).record_answer()
         is_good = answer.status < _STATUS_SERVER_ERROR
         # A healthy instance answers 504 when the deadline of a request passes.
@@ -465,6 +467,13 @@
             list_age=round(self.clock.now() - self.catalog.confirmed_at, 3),
         )
 
+    def _record_pause(self, instance_id: InstanceId, pause: float) -> None:
+        """Record that an instance wants no requests for some seconds."""
+        if not pause:
+            return
+        self.metrics.events['answers_with_pause'] += 1
+        _LOG.info('instance_pauses', instance=instance_id, seconds=pause)
+
     def _may_run_again(self, exchange: EdgeExchange, *, sent: int) -> bool:
         """Return whether one more instance may run the request.
 
--- a/src/bronzewall/errors.py
+++ b/src/bronzewall/errors.py
@@ -83,6 +83,7 @@
     :param request_limit: requests a second that the instance accepts from
         all VMs together, if it stated a limit.
     :param is_leaving: it stated that it leaves.
+    :param pause: seconds for which it wants no request of this VM.
     """
 
     def __init__(
@@ -91,11 +92,13 @@
         *,
         request_limit: float | None = None,
         is_leaving: bool = False,
+        pause: float = 0,
     ) -> None:
         """Store what the refusal stated."""
         super().__init__(detail)
         self.request_limit = request_limit
         self.is_leaving = is_leaving
+        self.pause = pause
 
 
 class UpstreamTimeoutError(UpstreamError):
--- a/tests/test_instance_http.py
+++ b/tests/test_instance_http.py
@@ -314,3 +314,40 @@
     with pytest.raises(UpstreamShedError) as raised:
         await exchange(respond_with(answer))
     assert raised.value.is_leaving
+
+
+@pytest.mark.parametrize(
+    ('text', 'pause'),
+    [
+        (b'2', 2),
+        (b'0.25', 0.25),
+        (b'0', 0),
+        (b'-1', 0),
+        (b'nan', 0),
+        (b'inf', 0),
+        (b'Fri, 04 Dec 2026 19:00:00 GMT', 0),
+    ],
+)
+@pytest.mark.parametrize('is_not_run', [True, False])
+async def test_pause_of_an_instance_is_read(
+    text: bytes, pause: float, is_not_run: bool
+) -> None:
+    not_run = b'T-Not-Run: 1\r\n' if is_not_run else b''
+    answer = (
+        b'HTTP/1.1 503 Busy\r\nT-Attempt: a-1\r\nRetry-After: '
+        + text
+        + b'\r\n'
+        + not_run
+        + b'Content-Length: 0\r\n\r\n'
+    )
+    if is_not_run:
+        with pytest.raises(UpstreamShedError) as raised:
+            await exchange(respond_with(answer))
+        assert raised.value.pause == pause
+    else:
+        assert (await exchange(respond_with(answer))).pause == pause
+
+
+async def test_pause_of_another_status_is_not_read() -> None:
+    answer = WHOLE.replace(b'T-Seal', b'Retry-After: 3\r\nT-Seal')
+    assert (await exchange(respond_with(answer))).pause == 0
