Close idle connections once the balancer has noticed a planned stop

Cause: during a stop each connection is closed after its next answer, so that one that was idle is served once more, however late. The process stayed for that long because of other requests.

Change: from 2.6 s after SIGTERM, when the balancer sends no new connections, connections without a request in progress are closed; a caller whose request crosses the close knows that it was not read. One on which a request, also a body, is coming in stays.

Evidence: test_idle_connection_is_closed_before_it_is_too_late failed before (taken 4.8 s after the signal, answered after the kill) and holds. Remains: a request on a new connection that a client opens after 2.6 s.

--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -151,6 +151,17 @@
         """
         self._is_draining = True
 
+    def close_idle(self) -> None:
+        """Close the connections on which no request is in progress.
+
+        A caller whose request crosses the close knows that it was not read.
+        """
+        assert self._runner is not None
+        server = self._runner.server
+        for connection in tuple(server.connections if server else ()):
+            assert isinstance(connection, ProblemRequestHandler)
+            connection.close_if_idle()
+
     async def stop(self) -> None:
         """Close idle connections and wait for requests in progress."""
         if self._runner is not None:
--- a/src/bronzewall/adapters/entry_protocol.py
+++ b/src/bronzewall/adapters/entry_protocol.py
@@ -109,6 +109,12 @@
             return PendingRequest(received_at=self._loop.time())
         return self._pending_requests.popleft()
 
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is in progress on it."""
+        # aiohttp sets ``_waiter`` while the connection waits for a request.
+        if self._waiter is not None and not self._messages:
+            self.close()
+
     def queueing_time(self, pending: PendingRequest) -> float:
         """Return the seconds for which a request was queued."""
         return self._loop.time() - pending.received_at
--- a/src/bronzewall/edge/daemon.py
+++ b/src/bronzewall/edge/daemon.py
@@ -241,6 +241,9 @@
             is_noticed = (
                 self.clock.now() - drain_started_at >= _BALANCER_NOTICE_S
             )
+            if is_noticed:
+                # A request that comes later may not end in time.
+                self.entry.close_idle()
             if is_noticed and not self.path.in_flight:
                 return
             await self.clock.sleep(_TICK_S)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -27,6 +27,7 @@
 from bronzewall.standins.raw_upstream import RawUpstream
 
 _WORK_S = 0.15
+_WORK_S_BY_NAME = {'long': 3.0, 'last': 1.5}
 _GRACE_S = 6.0
 _BODY = b'x' * 2000
 # The balancer may send new connections for this long, seconds.
@@ -125,7 +126,7 @@
             await connection.reader.readexactly(size)
         name = headers[b't-attempt'].decode()
         ran.append(name)
-        await asyncio.sleep(_WORK_S)
+        await asyncio.sleep(_WORK_S_BY_NAME.get(name, _WORK_S))
         await connection.send(
             b'HTTP/1.1 200 OK\r\nT-Attempt: %b\r\nT-Seal: s\r\n'
             b'Content-Length: 5000\r\n\r\n%b' % (name.encode(), b'y' * 5000)
@@ -280,3 +281,26 @@
     assert {one.status for one in stop.outcomes if one.is_whole} == {200}
     assert len(stop.ran) == len(set(stop.ran))
     assert len(stop.outcomes) > 150
+
+
+async def test_idle_connection_is_closed_before_it_is_too_late() -> None:
+    # Guards against a request that is taken on a connection which was idle
+    # for most of the stop, and cut off at its end.
+    async with stopping_vm() as stop:
+        busy, idle = await stop.connect(), await stop.connect()
+        await asyncio.sleep(0.1)
+        loop = asyncio.get_running_loop()
+        killed_at = loop.time() + _GRACE_S
+        stop.signal()
+        await asyncio.sleep(_NOTICE_S)
+        long = asyncio.create_task(busy.ask('long', _BODY))
+        await asyncio.sleep(2.6)
+        with contextlib.suppress(OSError):
+            await idle.ask('last', _BODY)
+        is_in_time = loop.time() < killed_at
+        await long
+    whole_by_name = {one.name: one.is_whole for one in stop.outcomes}
+    assert whole_by_name['long']
+    # It need not be taken any more, but it must not be taken and cut off.
+    is_answered = whole_by_name.get('last') and is_in_time
+    assert is_answered or 'last' not in stop.ran
