Read messages and lists of later builds as far as they are known

In an upgrade VMs of two builds exchange messages. A message with a field that the receiver did not know was rejected as a whole, a packed list with one more value as well, and a report with an observation that the leader did not know raised an error that closed the link.

Change: unknown fields are not read; such messages are counted by kind and logged once for each sender and kind (peer_fields_not_read). Lists are read by position, later values left out, missing ones at their default. Unknown observations are left out. What is malformed by its own rules is rejected as before: a known field of another type, a required one that is missing.

--- a/src/bronzewall/edge/zone_leader.py
+++ b/src/bronzewall/edge/zone_leader.py
@@ -327,7 +327,8 @@
     ) -> None:
         for name, observation_name in observations:
             found = self.catalog.instances_by_id.get(InstanceId(name))
-            if found is None:
+            if found is None or observation_name not in Observation.__members__:
+                # The VM has another list, or is of a later build.
                 continue
             observation = Observation[observation_name]
             self.state.zone_estimates.record(
--- a/src/bronzewall/edge/zone_packing.py
+++ b/src/bronzewall/edge/zone_packing.py
@@ -11,7 +11,13 @@
 from bronzewall.errors import PeerMessageError
 from bronzewall.types import Placement
 
-_DAMAGE = (zlib.error, ValueError, TypeError, cbor2.CBORDecodeError)
+_DAMAGE = (
+    zlib.error,
+    ValueError,
+    TypeError,
+    KeyError,
+    cbor2.CBORDecodeError,
+)
 _PLACEMENT = 'placement'
 _MAX_CONFIGURATION_BYTES = 33_554_432
 _Item = TypeVar('_Item', EdgeInstance, VmEntry)
@@ -84,7 +90,12 @@
 
 
 def _named(names: list[str], row: list[Any]) -> dict[str, Any]:
-    by_name = dict(zip(names, row, strict=True))
-    region, zone = by_name[_PLACEMENT]
+    """Return the values of a row by field.
+
+    Later builds append fields, which this one does not read; those that a row
+    of an earlier build lacks have their default.
+    """
+    by_name = dict(zip(names, row, strict=False))
+    region, zone, *_ = by_name[_PLACEMENT]
     by_name[_PLACEMENT] = Placement(region=region, zone=zone)
     return by_name
--- a/src/bronzewall/messages.py
+++ b/src/bronzewall/messages.py
@@ -19,8 +19,9 @@
 _FieldT = TypeVar('_FieldT')
 _ClassT = TypeVar('_ClassT', bound=type)
 
-# Fields at their default value are not sent; heartbeats are frequent.
-_converter = make_converter(forbid_extra_keys=True, omit_if_default=True)
+# Fields at their default value are not sent; heartbeats are frequent. Fields
+# that only later builds know are not read: VMs of two builds exchange messages.
+_converter = make_converter(omit_if_default=True)
 _classes_by_kind: dict[str, type] = {}
 _kinds_by_class: dict[type, str] = {}
 _labels_by_class: dict[type, str] = {}
@@ -61,6 +62,7 @@
     :param sequence: grows with each message of the incarnation.
     :param call_id: set on a request that expects a reply.
     :param reply_to: ``call_id`` of the request that this answers.
+    :param unread_fields: fields of the body that this build does not know.
     """
 
     sender: VmId
@@ -69,6 +71,7 @@
     body: Any
     call_id: int | None = None
     reply_to: int | None = None
+    unread_fields: frozenset[str] = frozenset()
 
 
 def encode(envelope: Envelope) -> bytes:
@@ -102,13 +105,17 @@
     message_class = _classes_by_kind.get(str(wire.get('t')))
     if message_class is None:
         raise PeerKindError(f'unknown message type {wire.get("t")!r}')
+    sent: Any = wire.get('b')
     try:
-        body: Any = _converter.structure(wire.get('b'), message_class)
+        body: Any = _converter.structure(sent, message_class)
     except Exception as exc:
         raise PeerKindError(
             f'invalid body of {wire.get("t")!r}: {exc}'
         ) from exc
-    return _envelope(wire, body)
+    known = {field.name for field in attrs.fields(message_class)}
+    return _envelope(
+        wire, body, unread_fields=frozenset(map(str, sent)) - known
+    )
 
 
 def _decode_map(payload: bytes) -> dict[str, Any]:
@@ -123,8 +130,11 @@
     return wire
 
 
-def _envelope(wire: dict[str, Any], body: object) -> Envelope:
+def _envelope(
+    wire: dict[str, Any], body: object, *, unread_fields: frozenset[str]
+) -> Envelope:
     return Envelope(
+        unread_fields=unread_fields,
         sender=VmId(_field(wire, 'f', str)),
         incarnation=_field(wire, 'i', int),
         sequence=_field(wire, 'n', int),
--- a/src/bronzewall/peer_calls.py
+++ b/src/bronzewall/peer_calls.py
@@ -7,12 +7,14 @@
 from typing import Any
 
 import attrs
+import structlog
 
 from bronzewall import messages
 from bronzewall.errors import PeerMessageError, PeerTimeoutError
 from bronzewall.ports import PeerLink
 from bronzewall.types import VmId
 
+_LOG = structlog.get_logger()
 Handler = Callable[[messages.Envelope], Any]
 
 
@@ -42,6 +44,7 @@
     _handlers_by_class: dict[type, Handler] = attrs.field(factory=dict)
     _replies_by_call: dict[int, asyncio.Future[Any]] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
+    _unread_logged: set[tuple[VmId, str]] = attrs.field(factory=set)
     _sequence: 'itertools.count[int]' = attrs.field(factory=itertools.count)
 
     def __attrs_post_init__(self) -> None:
@@ -80,28 +83,41 @@
     def receive(self, payload: bytes) -> None:
         """Handle one payload; an invalid one is counted and dropped."""
         try:
-            envelope = messages.decode(payload)
+            self._handle(messages.decode(payload))
         except PeerMessageError as exc:
             self.counters[type(exc).__name__] += 1
-            return
+
+    async def close(self) -> None:
+        """Cancel the running handlers and wait for their end."""
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _handle(self, envelope: messages.Envelope) -> None:
+        if envelope.unread_fields:
+            self._record_unread_fields(envelope)
         if not self.accepts(envelope):
             self.counters['not_accepted'] += 1
             return
         if envelope.reply_to is None:
-            try:
-                self._dispatch(envelope)
-            except PeerMessageError as exc:
-                self.counters[type(exc).__name__] += 1
+            self._dispatch(envelope)
             return
         reply = self._replies_by_call.get(envelope.reply_to)
         if reply is not None and not reply.done():
             reply.set_result(envelope.body)
 
-    async def close(self) -> None:
-        """Cancel the running handlers and wait for their end."""
-        for task in tuple(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+    def _record_unread_fields(self, envelope: messages.Envelope) -> None:
+        """Count a message of a later build, and log it once for each sender."""
+        label = messages.label_of(envelope.body)
+        self.counters[f'unread_fields_{label}'] += 1
+        if (envelope.sender, label) not in self._unread_logged:
+            self._unread_logged.add((envelope.sender, label))
+            _LOG.info(
+                'peer_fields_not_read',
+                vm=envelope.sender,
+                kind=label,
+                fields=sorted(envelope.unread_fields),
+            )
 
     def _dispatch(self, envelope: messages.Envelope) -> None:
         handler = self._handlers_by_class.get(type(envelope.body))
--- a/tests/test_edge_zone.py
+++ b/tests/test_edge_zone.py
@@ -13,6 +13,8 @@
 from edge_fleet import TICK_S, Fleet, settled
 
 from bronzewall.edge.failure_estimates import Observation
+from bronzewall.edge.zone_messages import MemberReport
+from bronzewall.messages import Envelope
 from bronzewall.standins.virtual_time import run_virtual
 from bronzewall.types import InstanceId, VmId
 
@@ -339,6 +341,25 @@
     run_virtual(main())
 
 
+def test_observation_that_only_a_later_build_knows() -> None:
+    # Guards against a leader whose link to upgraded VMs breaks with each of
+    # their reports.
+    async def main() -> None:
+        fleet = await settled('a', 'b')
+        leader = fleet.vms['a'].leader
+        report = MemberReport(
+            stamp=1, signs=[('i-1', 'NEW'), ('i-1', 'FAILED')], version=1
+        )
+        leader.handle_report(
+            Envelope(sender=VmId('b'), incarnation=1, sequence=1, body=report)
+        )
+        estimates = fleet.vms['a'].state.zone_estimates
+        assert 'i-1' in estimates.significant(now=leader.clock.now())
+        await fleet.stop()
+
+    run_virtual(main())
+
+
 def test_failed_registration_is_retried() -> None:
     async def main() -> None:
         fleet = Fleet('a')
