--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -37,6 +37,8 @@
 # Attempts that end sooner were sent while the daemon closed an idle
 # connection; they are not counted.
 _CLOSE_RACE_S = 0.2
+# Events that excuse nothing by themselves.
+_PLANNED = frozenset(('term', 'withdraw', 'upgrade', 'roll_back'))
 
 
 @attrs.frozen(kw_only=True)
@@ -176,9 +178,7 @@
 
     A planned stop with an unplanned fault close to it is not checked.
     """
-    unplanned = [
-        event for event in events if event.kind not in {'term', 'withdraw'}
-    ]
+    unplanned = [event for event in events if event.kind not in _PLANNED]
     found = []
     for event in events:
         if event.kind != 'term' or _is_disturbed(event, unplanned):
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,6 +18,7 @@
 import attrs
 
 from bronzewall.errors import SettingsError
+from soak.builds import PRESENT, sources_of
 from soak.callers import Attempt, Caller
 from soak.guarantees import Event, Limits, count_statuses, find_violations
 from soak.instances import Run, SoakInstance
@@ -74,6 +75,7 @@
     store: FaultyProxy
     settings: pathlib.Path
     log: Any
+    sources: pathlib.Path
     process: asyncio.subprocess.Process | None = None
     is_stopped: bool = False
 
@@ -83,7 +85,11 @@
             sys.executable,
             '-m',
             'bronzewall.platform',
-            env={**os.environ, 'BRONZEWALL_CONFIG': str(self.settings)},
+            env={
+                **os.environ,
+                'BRONZEWALL_CONFIG': str(self.settings),
+                'PYTHONPATH': str(self.sources),
+            },
             stdout=self.log,
             stderr=self.log,
         )
@@ -108,6 +114,8 @@
     """One soak run with one seed.
 
     :param only: names of the faults that are injected, all if empty.
+    :param older: commit of the build on which the VMs begin; they are upgraded
+        and rolled back among the faults.
     """
 
     seed: int
@@ -115,6 +123,7 @@
     folder: pathlib.Path
     random: random.Random
     only: tuple[str, ...] = ()
+    older: str = ''
     store: SoakStore = attrs.field(factory=SoakStore)
     paths: ZonePaths = attrs.field(factory=ZonePaths)
     vms: list[SoakVm] = attrs.field(factory=list)
@@ -208,8 +217,16 @@
             store=store,
             settings=path,
             log=(self.folder / f'{vm_id}.log').open('ab'),
+            sources=self._older_sources(),
         )
 
+    def _older_sources(self) -> pathlib.Path:
+        """Return the sources on which VMs begin."""
+        if not self.older:
+            return PRESENT
+        found = self.folder / self.older / 'src'
+        return found if found.exists() else sources_of(self.older, self.folder)
+
     def publish(self) -> None:
         """Store the configuration with the keys that are still valid."""
         self.version += 1
@@ -310,6 +327,9 @@
             self._instance_limited,
             self.publish,
         ]
+        if self.older:
+            # Upgrades come more often than any other fault.
+            kinds += (self._upgrade, self._upgrade, self._roll_back)
         kinds = [
             kind
             for kind in kinds
@@ -339,6 +359,22 @@
     def _signal_term(self) -> None:
         self._pick_vm('term').send(signal.SIGTERM)
 
+    def _upgrade(self) -> None:
+        self._replace_build(PRESENT, 'upgrade')
+
+    def _roll_back(self) -> None:
+        self._replace_build(self._older_sources(), 'roll_back')
+
+    def _replace_build(self, sources: pathlib.Path, kind: str) -> None:
+        """Stop a VM that runs another build; it starts again with this one."""
+        others = [vm for vm in self.vms if vm.sources != sources]
+        if others:
+            vm = self.random.choice(others)
+            self._record_event(kind, vm.vm_id)
+            self._record_event('term', vm.vm_id)
+            vm.sources = sources
+            vm.send(signal.SIGTERM)
+
     def _signal_pause(self) -> None:
         vm = self._pick_vm('pause')
         vm.send(signal.SIGSTOP)
@@ -553,7 +589,9 @@
         await self.store.stop()
 
 
-async def run_seed(seed: int, seconds: float, only: tuple[str, ...]) -> int:
+async def run_seed(
+    seed: int, seconds: float, only: tuple[str, ...], older: str
+) -> int:
     """Run one seed, print one JSON line, return the exit code."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
     soak = Soak(
@@ -562,6 +600,7 @@
         folder=folder,
         random=random.Random(seed),
         only=only,
+        older=older,
     )
     violations = await soak.run()
     report = {
@@ -588,13 +627,16 @@
     parser.add_argument(
         '--only', default='', help='names of faults, joined by commas'
     )
+    parser.add_argument(
+        '--older', default='', help='commit of the build on which VMs begin'
+    )
     options = parser.parse_args()
     only = tuple(filter(None, options.only.split(',')))
     # SIGTERM, like SIGINT, ends the run through its clean-up, which kills
     # the VMs.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     codes = [
-        asyncio.run(run_seed(seed, options.seconds, only))
+        asyncio.run(run_seed(seed, options.seconds, only, options.older))
         for seed in range(options.seed, options.seed + options.seeds)
     ]
     sys.exit(max(codes))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -176,3 +176,21 @@
     violations = asyncio.run(soak.run())
     assert not violations
     assert len(soak.attempts) > 100
+
+
+def test_short_soak_with_two_builds(tmp_path: pathlib.Path) -> None:
+    # Guards against a build that cannot run beside the one that landed before.
+    soak = Soak(
+        seed=5,
+        seconds=6,
+        folder=tmp_path,
+        random=random.Random(5),
+        older='1cc2605',
+        only=('upgrade', 'roll_back', 'publish', 'key_withdrawn'),
+    )
+    violations = asyncio.run(soak.run())
+    assert not violations
+    assert 'upgrade' in {event.kind for event in soak.events}
+    # No VM rejected a message of the other build.
+    logs = ''.join(path.read_text() for path in tmp_path.glob('*.log'))
+    assert 'PeerKindError' not in logs
