--- a/src/bronzewall/edge/composition.py
+++ b/src/bronzewall/edge/composition.py
@@ -16,6 +16,7 @@
 from bronzewall.adapters.safe_reuse_connector import SafeReuseConnector
 from bronzewall.adapters.system_clock import SystemClock
 from bronzewall.adapters.websocket_link import WebSocketLink
+from bronzewall.build import build_id
 from bronzewall.collector import configure_collector
 from bronzewall.edge.components import EdgePorts, build_components
 from bronzewall.edge.daemon import EdgeDaemon, status_page
@@ -151,6 +152,7 @@
     pages['/status'] = status_page(
         lambda: {
             'settings': attrs.asdict(settings),
+            'build': build_id(),
             'version': components.directory.version,
             'store_age_s': components.freshness.age(),
             'hub': components.election.current_leader(now=clock.now()),
--- a/src/bronzewall/edge/daemon.py
+++ b/src/bronzewall/edge/daemon.py
@@ -13,6 +13,7 @@
 from bronzewall.adapters.instance_http import InstanceClient
 from bronzewall.adapters.report_http import Page, PageBuilder, ReportServer
 from bronzewall.adapters.websocket_link import WebSocketLink
+from bronzewall.build import build_id
 from bronzewall.edge.fleet_view import FleetView
 from bronzewall.edge.instance_paths import InstancePaths
 from bronzewall.edge.limit_sharing import LimitSharing
@@ -105,7 +106,12 @@
         await self.entry.start()
         for server in reports:
             await server.start()
-        _LOG.info('started', vm=self.settings.vm_id, zone=self.settings.zone)
+        _LOG.info(
+            'started',
+            vm=self.settings.vm_id,
+            zone=self.settings.zone,
+            build=build_id(),
+        )
         await self._start_background()
         await stop_requested.wait()
         await self._drain()
--- a/src/bronzewall/metrics.py
+++ b/src/bronzewall/metrics.py
@@ -12,6 +12,8 @@
 )
 from prometheus_client.registry import Collector
 
+from bronzewall.build import build_id
+
 _MIN_LATENCY_US = 1
 _MAX_LATENCY_US = 3_600_000_000
 _SIGNIFICANT_DIGITS = 2
@@ -66,7 +68,12 @@
             'bronzewall_cross_region_bytes', 'Bytes from other regions'
         )
         traffic.add_metric([], self.cross_region_bytes)
+        build = GaugeMetricFamily(
+            'bronzewall_build', 'Build of this process', labels=['build']
+        )
+        build.add_metric([build_id()], 1)
         return [
+            build,
             totals,
             traffic,
             _quantiles('latency', 'Request latency', self.latency),
