Keep what concerns the VMs' entries in one module

registrations.py reads, watches and writes the entries; the reader of the store runs it. No behaviour changes; the tests use the store in place of what the class kept.

--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -152,7 +152,9 @@
         directory=directory,
         catalog=catalog,
         freshness=freshness,
-        registrations=Registrations(clock=clock, fleet=fleet),
+        registrations=Registrations(
+            clock=clock, fleet=fleet, store=ports.store
+        ),
         first_start=settings.first_start,
         schedule=WatchSchedule(period=age.list_bound * WATCH_FRACTION),
     )
--- a/src/bronzewall/edge/store_reader.py
+++ b/src/bronzewall/edge/store_reader.py
@@ -2,8 +2,7 @@
 
 import asyncio
 import contextlib
-import functools
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
 import attrs
@@ -14,7 +13,7 @@
 from bronzewall.edge.fleet_view import FleetView
 from bronzewall.edge.freshness import KeyFreshness
 from bronzewall.edge.leader_election import LeaderElection
-from bronzewall.edge.model import EdgeInstance, VmEntry
+from bronzewall.edge.model import EdgeInstance
 from bronzewall.edge.ports import (
     ConfigurationReading,
     FleetStore,
@@ -61,9 +60,7 @@
 # A VM that started earlier by more than this did not start together with this
 # one, milliseconds.
 _MIN_START_GAP_MS = 2000
-# VMs register rarely, and those of the own zone also announce themselves in
-# their reports, so long watches and pauses suffice.
-_VMS_WATCH_S = 20.0
+# Pause between two watches of the VMs, which register rarely, seconds.
 _VMS_PAUSE_S = 2.0
 # Time between two checks for VMs that the store lacks, seconds.
 _REGISTRATIONS_CHECK_S = 1.0
@@ -99,7 +96,6 @@
     _configuration_revision: Revision | None = None
     _instances_revision: Revision | None = None
     _listed_by_id: dict[InstanceId, EdgeInstance] = attrs.field(factory=dict)
-    _vms_revision: Revision | None = None
     _era: int | None = None
     # The store holds an older configuration than the one in force.
     _is_store_behind: bool = False
@@ -157,7 +153,7 @@
         return [
             self._repeat(self._follow_configuration, 0),
             self._repeat(self._follow_instances, 0, is_probe=False),
-            self._repeat(self._watch_vms, _VMS_PAUSE_S, is_probe=False),
+            self._repeat(self._follow_vms, _VMS_PAUSE_S, is_probe=False),
             self._register_missing(),
         ]
 
@@ -258,54 +254,20 @@
         self._era = revision.era
 
     async def _register(self) -> None:
-        await self._write_vms((self.fleet.own,))
-
-    async def _write_vms(self, entries: Sequence[VmEntry]) -> None:
-        await self.store.register(entries)
-        self.registrations.update(entries)
+        await self.registrations.register((self.fleet.own,))
 
     async def _register_missing(self) -> None:
         """Register VMs of the zone whose entries the store has lost."""
         while True:
             await self.clock.sleep(_REGISTRATIONS_CHECK_S)
-            is_reading = self.active.is_set() and self._reached.is_set()
-            if not is_reading or self._vms_revision is None:
-                continue
-            missing = self.registrations.missing()
-            if missing:
-                _LOG.info(
-                    'vms_registered_again',
-                    vms=sorted(entry.vm_id for entry in missing),
-                )
-                await self._call_store(
-                    functools.partial(self._write_vms, missing)
-                )
+            if self.active.is_set() and self._reached.is_set():
+                await self._call_store(self.registrations.register_missing)
 
     async def _read_vms(self) -> None:
-        reading = await self.store.read_vms()
-        self._note_era(reading.revision)
-        self._vms_revision = reading.revision
-        self.registrations.replace(reading.entries)
-        for entry in reading.entries:
-            self.fleet.add(entry)
-
-    async def _watch_vms(self) -> None:
-        if self._vms_revision is None:
-            await self._read_vms()
-            return
-        try:
-            reading = await self.store.watch_vms(
-                after=self._vms_revision, wait=_VMS_WATCH_S
-            )
-        except StoreHistoryLostError:
-            self._vms_revision = None
-            await self._read_vms()
-            return
-        self._note_era(reading.revision)
-        self._vms_revision = reading.revision
-        self.registrations.update(reading.entries)
-        for entry in reading.entries:
-            self.fleet.add(entry)
+        self._note_era(await self.registrations.read())
+
+    async def _follow_vms(self) -> None:
+        self._note_era(await self.registrations.follow())
 
     async def _read_instances(self) -> None:
         reading = await self.store.read_instances()
