Refuse requests that a stopping VM would cut off

It is refused at once now, as not run, if less than twice the expected response time is left; another VM can take it at once, so that its time to come back is 0.1 s.

Evidence: test_request_that_would_be_cut_off_is_refused failed before (200 after the process would have been killed).

--- a/src/bronzewall/edge/instance_choice.py
+++ b/src/bronzewall/edge/instance_choice.py
@@ -1,5 +1,7 @@
 """Chooses the instance for a request and waits for its permit."""
 
+import math
+
 import attrs
 import structlog
 
@@ -16,6 +18,11 @@
 _MIN_RESPONSE_TIME_FRACTION = 0.3
 # Retry-After of requests that no instance can take, seconds.
 RETRY_AFTER_S = 0.5
+# During a planned stop, a request is refused if less than this many times the
+# expected response time is left until the process ends.
+_STOP_FACTOR = 2.0
+# Retry-After of such a request, seconds. Any other VM can take it.
+_STOP_RETRY_AFTER_S = 0.1
 # Instances whose limit may refuse a request before the VM refuses it.
 _MAX_PERMIT_REFUSALS = 6
 _LOG = structlog.get_logger()
@@ -23,12 +30,16 @@
 
 @attrs.define(kw_only=True, eq=False)
 class InstanceChooser:
-    """Chooses instances for requests, within the limits that they state."""
+    """Chooses instances for requests, within the limits that they state.
+
+    :param stops_at: clock time at which the process ends at the latest.
+    """
 
     clock: Clock
     selector: Selector
     permits: LimitPermits
     metrics: Metrics
+    stops_at: float = math.inf
     recent_ranks: RecentRanks = attrs.field(factory=RecentRanks)
 
     async def choose(
@@ -38,6 +49,7 @@
 
         :raises RefusalError: there is none, or its queue is too long.
         """
+        self._check_stop(exchange, profile)
         excluded = set(exchange.tried_ids)
         waits: list[float] = []
         while len(waits) < _MAX_PERMIT_REFUSALS:
@@ -65,6 +77,21 @@
     def _limit(self, candidate: Candidate) -> float | None:
         return self.permits.limits.limit(candidate.instance.instance_id)
 
+    def _check_stop(
+        self, exchange: EdgeExchange, profile: RequestProfile
+    ) -> None:
+        """Check that an answer may come before a planned stop ends.
+
+        :raises RefusalError: it would probably be cut off.
+        """
+        left = self.stops_at - self.clock.now()
+        if left < profile.expected_time * _STOP_FACTOR:
+            raise exchange.refusal(
+                Reason.STOPPING,
+                detail=f'this VM stops in {left:.2f} s',
+                retry_after=_STOP_RETRY_AFTER_S,
+            )
+
     def _check_queue(
         self,
         exchange: EdgeExchange,
--- a/src/bronzewall/problems.py
+++ b/src/bronzewall/problems.py
@@ -48,6 +48,7 @@
     STORE_UNAVAILABLE = ('store_unavailable', 503)
     OVERLOADED = ('overloaded', 503)
     NO_INSTANCE = ('no_instance', 503)
+    STOPPING = ('stopping', 503)
     UPSTREAM_TIMEOUT = ('upstream_timeout', 504)
 
     def __init__(self, code: str, status: int) -> None:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -27,7 +27,7 @@
 from bronzewall.standins.raw_upstream import RawUpstream
 
 _WORK_S = 0.15
-_WORK_S_BY_NAME = {'long': 3.0, 'last': 1.5}
+_WORK_S_BY_NAME = {'long': 3.0, 'last': 1.5, 'usual': 1.5}
 _GRACE_S = 6.0
 _BODY = b'x' * 2000
 # The balancer may send new connections for this long, seconds.
@@ -304,3 +304,21 @@
     # It need not be taken any more, but it must not be taken and cut off.
     is_answered = whole_by_name.get('last') and is_in_time
     assert is_answered or 'last' not in stop.ran
+
+
+async def test_request_that_would_be_cut_off_is_refused() -> None:
+    # Guards against a request that comes on a new connection late in a stop,
+    # is passed on, and is cut off at the end of the process.
+    async with stopping_vm() as stop:
+        first, busy = await stop.connect(), await stop.connect()
+        await first.ask('usual', _BODY)
+        stop.signal()
+        await asyncio.sleep(_NOTICE_S)
+        long = asyncio.create_task(busy.ask('long', _BODY))
+        await asyncio.sleep(2.5)
+        late = await stop.connect()
+        await late.ask('last', _BODY)
+        await long
+    statuses = {one.name: one.status for one in stop.outcomes}
+    assert statuses == {'usual': 200, 'long': 200, 'last': 503}
+    assert 'last' not in stop.ran
