--- a/src/bronzewall/edge/daemon.py
+++ b/src/bronzewall/edge/daemon.py
@@ -243,9 +243,8 @@
         _LOG.info('stopping', in_flight=self.path.in_flight)
         drain_started_at = self.clock.now()
         limit = drain_started_at + self.settings.stop_limit * _STOP_FRACTION
-        chooser = self.path.sender.chooser
-        chooser.last_start = drain_started_at + _BALANCER_NOTICE_S
-        chooser.stops_at = limit
+        self.path.gate.last_start = drain_started_at + _BALANCER_NOTICE_S
+        self.path.gate.stops_at = limit
         while self.clock.now() < limit:
             is_noticed = (
                 self.clock.now() - drain_started_at >= _BALANCER_NOTICE_S
--- a/src/bronzewall/edge/departures.py
+++ b/src/bronzewall/edge/departures.py
@@ -61,17 +61,17 @@
         if now >= self._distrusted_until:
             for running_id in listed.keys() & self._gone_by_id.keys():
                 del self._gone_by_id[running_id]
-        returned = [
+        returned = {
             instance_id
             for instance_id, item in listed.items()
             if item.started_ms <= self._gone_by_id.get(instance_id, -1)
-        ]
-        resumed = [
+        }
+        resumed = {
             instance_id
             for instance_id, item in listed.items()
             if not item.is_leaving
             and item.started_ms <= self._leaving_by_id.get(instance_id, -1)
-        ]
+        }
         if not returned and not resumed:
             return listed
         _LOG.info(
--- a/src/bronzewall/edge/gate.py
+++ b/src/bronzewall/edge/gate.py
@@ -1,5 +1,7 @@
 """Finds the route and account of a request and checks its admission."""
 
+import math
+
 import attrs
 
 from bronzewall import headers as header_rules
@@ -20,6 +22,9 @@
 # Retry-After while this VM cannot serve, seconds. It is short because another
 # VM may be able to serve the retry.
 _RETRY_AFTER_S = 0.2
+# The same of a request that comes too late in a planned stop. Any other VM can
+# take it.
+_STOP_RETRY_AFTER_S = 0.1
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -28,6 +33,10 @@
 
     :param deadline_header: header with the milliseconds that a caller
         waits.
+    :param stops_at: clock time at which the process ends at the latest, once a
+        planned stop has begun.
+    :param last_start: requests that came after this clock time are sent only if
+        their deadline is before the end of the process.
     """
 
     clock: Clock
@@ -36,6 +45,8 @@
     freshness: KeyFreshness
     state: ZoneState
     deadline_header: str
+    stops_at: float = math.inf
+    last_start: float = math.inf
 
     def open(
         self, request: CallerRequest, request_id: RequestId, started: float
@@ -73,6 +84,8 @@
         :raises RefusalError: the request must not be sent to an instance.
         """
         now = self.clock.now()
+        if exchange.started > self.last_start:
+            self._check_stop(exchange, now)
         if self.state.crashes.is_refused(exchange.fingerprint, now=now):
             raise exchange.refusal(Reason.CRASH_SUSPECT)
         if exchange.account is None:
@@ -106,6 +119,18 @@
             exchange.has_token = False
             self.state.admission.refund(exchange.account)
 
+    def _check_stop(self, exchange: EdgeExchange, now: float) -> None:
+        """Check that the end of the process cannot cut a request off.
+
+        :raises RefusalError: it could.
+        """
+        if exchange.deadline > self.stops_at:
+            raise exchange.refusal(
+                Reason.STOPPING,
+                detail=f'this VM stops in {self.stops_at - now:.2f} s',
+                retry_after=_STOP_RETRY_AFTER_S,
+            )
+
     def _find_route(
         self, configuration: EdgeConfiguration, request: CallerRequest
     ) -> EdgeRoute:
--- a/src/bronzewall/edge/instance_choice.py
+++ b/src/bronzewall/edge/instance_choice.py
@@ -1,7 +1,5 @@
 """Chooses the instance for a request and waits for its permit."""
 
-import math
-
 import attrs
 import structlog
 
@@ -18,9 +16,6 @@
 _MIN_RESPONSE_TIME_FRACTION = 0.3
 # Retry-After of requests that no instance can take, seconds.
 RETRY_AFTER_S = 0.5
-# Retry-After of a request that comes too late in a planned stop, seconds. Any
-# other VM can take it.
-_STOP_RETRY_AFTER_S = 0.1
 # Instances whose limit may refuse a request before the VM refuses it.
 _MAX_PERMIT_REFUSALS = 6
 _LOG = structlog.get_logger()
@@ -28,19 +23,12 @@
 
 @attrs.define(kw_only=True, eq=False)
 class InstanceChooser:
-    """Chooses instances for requests, within the limits that they state.
-
-    :param last_start: requests that came later than this clock time are taken
-        only if their deadline is before the end of the process.
-    :param stops_at: clock time at which the process ends at the latest.
-    """
+    """Chooses instances for requests, within the limits that they state."""
 
     clock: Clock
     selector: Selector
     permits: LimitPermits
     metrics: Metrics
-    last_start: float = math.inf
-    stops_at: float = math.inf
     recent_ranks: RecentRanks = attrs.field(factory=RecentRanks)
 
     async def choose(
@@ -50,7 +38,6 @@
 
         :raises RefusalError: there is none, or its queue is too long.
         """
-        self._check_stop(exchange)
         excluded = set(exchange.tried_ids)
         waits: list[float] = []
         while len(waits) < _MAX_PERMIT_REFUSALS:
@@ -78,20 +65,6 @@
     def _limit(self, candidate: Candidate) -> float | None:
         return self.permits.limits.limit(candidate.instance.instance_id)
 
-    def _check_stop(self, exchange: EdgeExchange) -> None:
-        """Check that the end of the process cannot cut a request off.
-
-        :raises RefusalError: it could.
-        """
-        is_late = exchange.started > self.last_start
-        if is_late and exchange.deadline > self.stops_at:
-            left = self.stops_at - self.clock.now()
-            raise exchange.refusal(
-                Reason.STOPPING,
-                detail=f'this VM stops in {left:.2f} s',
-                retry_after=_STOP_RETRY_AFTER_S,
-            )
-
     def _check_queue(
         self,
         exchange: EdgeExchange,
--- a/src/bronzewall/platform/decoding.py
+++ b/src/bronzewall/platform/decoding.py
@@ -43,7 +43,8 @@
 def report_counts(raw_by_key: Mapping[str, bytes]) -> dict[InstanceId, int]:
     """Return the reports that instances have written since their start.
 
-    Rows without a readable count are left out.
+    Rows without a readable count are left out; malformed rows are logged
+    where their instances are decoded.
     """
     counts: dict[InstanceId, int] = {}
     for key, raw in raw_by_key.items():
