Log what a planned stop closes, drops and cuts off

Now: idle_connections_closed with their number, input_dropped for the first bytes that come on a connection that aiohttp is closing, open_connections in stopped, and request_unfinished with id, runs and age for up to 20 requests that a stop cuts off. Each is logged once a connection or stop.

Ruled out: a line for each connection (hundreds a stop). No logic is changed; close_if_idle tells whether it closed.

--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -151,16 +151,26 @@
         """
         self._is_draining = True
 
-    def close_idle(self) -> None:
+    def connections(self) -> list[ProblemRequestHandler]:
+        """Return the open connections of callers."""
+        if self._runner is None or self._runner.server is None:
+            return []
+        return [
+            connection
+            for connection in self._runner.server.connections
+            if isinstance(connection, ProblemRequestHandler)
+        ]
+
+    def close_idle(self) -> int:
         """Close the connections on which no request is in progress.
 
         A caller whose request crosses the close knows that it was not read.
+
+        :return: number of connections that were closed.
         """
-        assert self._runner is not None
-        server = self._runner.server
-        for connection in tuple(server.connections if server else ()):
-            assert isinstance(connection, ProblemRequestHandler)
-            connection.close_if_idle()
+        return sum(
+            connection.close_if_idle() for connection in self.connections()
+        )
 
     async def stop(self) -> None:
         """Close idle connections and wait for requests in progress."""
--- a/src/bronzewall/adapters/entry_protocol.py
+++ b/src/bronzewall/adapters/entry_protocol.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import attrs
+import structlog
 from aiohttp import HttpVersion10, web
 from aiohttp.http_parser import RawRequestMessage
 from aiohttp.streams import EMPTY_PAYLOAD
@@ -26,6 +27,7 @@
 _SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
 # Limit per connection; each buffered answer occupies memory until it is sent.
 _MAX_BUFFERED_ANSWERS = 8
+_LOG = structlog.get_logger()
 
 BadInputReporter = Callable[[str], Problem]
 BufferedAnswerStarter = Callable[
@@ -49,6 +51,7 @@
     """Request handler of one caller's connection."""
 
     __slots__ = (
+        '_has_dropped_input',
         '_header_timer',
         '_on_bad_input',
         '_opened_at',
@@ -71,6 +74,7 @@
         self._header_timer: asyncio.TimerHandle | None = None
         self._pending_requests: deque[PendingRequest] = deque()
         self._opened_at = float(0)
+        self._has_dropped_input = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timer of the first header block."""
@@ -95,6 +99,8 @@
         aiohttp handles the requests of a connection one after the other, so
         a pipelined request may be queued for long before it is handled.
         """
+        if self._close or self._force_close:
+            self._log_dropped_input(len(data))
         known_count = len(self._messages)
         # aiohttp sets ``_waiter`` while the connection waits for a request.
         is_idle = self._waiter is not None and not known_count
@@ -114,18 +120,20 @@
             return PendingRequest(received_at=self._loop.time())
         return self._pending_requests.popleft()
 
-    def close_if_idle(self) -> None:
+    def close_if_idle(self) -> bool:
         """Close the connection unless a request is in progress on it.
 
         A new one is left open, because its first request is on its way.
+
+        :return: whether it was closed.
         """
         # aiohttp sets ``_waiter`` while the connection waits for a request.
         is_waiting = self._waiter is not None and not self._messages
-        if (
-            is_waiting
-            and self._loop.time() - self._opened_at > _FIRST_REQUEST_S
-        ):
-            self.close()
+        is_new = self._loop.time() - self._opened_at <= _FIRST_REQUEST_S
+        if not is_waiting or is_new:
+            return False
+        self.close()
+        return True
 
     def queueing_time(self, pending: PendingRequest) -> float:
         """Return the seconds for which a request was queued."""
@@ -169,6 +177,12 @@
             return None
         return self._start_buffered_answer(messages[-1][0])
 
+    def _log_dropped_input(self, received: int) -> None:
+        """Log the first input that aiohttp drops while it closes."""
+        if not self._has_dropped_input:
+            self._has_dropped_input = True
+            _LOG.warning('input_dropped', received=received)
+
     def _check_header_timeout(self) -> None:
         if self._request_count == 0:
             self._on_bad_input('HeaderTimeout')
--- a/src/bronzewall/edge/daemon.py
+++ b/src/bronzewall/edge/daemon.py
@@ -48,6 +48,8 @@
 _BALANCER_NOTICE_S = 2.6
 # Fraction of the stop limit after which the process ends in any case.
 _STOP_FRACTION = 0.95
+# Requests that are logged when a planned stop cuts them off.
+_MAX_LOGGED_REQUESTS = 20
 _LOG = structlog.get_logger()
 
 
@@ -115,11 +117,16 @@
         await self._start_background()
         await stop_requested.wait()
         await self._drain()
+        open_connections = len(self.entry.connections())
         await self.entry.stop()
         for server in reports:
             await server.stop()
         await self._stop_background()
-        _LOG.info('stopped', vm=self.settings.vm_id)
+        _LOG.info(
+            'stopped',
+            vm=self.settings.vm_id,
+            open_connections=open_connections,
+        )
 
     async def _start_background(self) -> None:
         loops: list[Awaitable[None]] = [
@@ -251,11 +258,24 @@
             )
             if is_noticed:
                 # A request that comes later may not end in time.
-                self.entry.close_idle()
+                self._close_idle()
             if is_noticed and not self.path.in_flight:
                 return
             await self.clock.sleep(_TICK_S)
         _LOG.warning('requests_cut', in_flight=self.path.in_flight)
+        for request in self.path.unfinished()[:_MAX_LOGGED_REQUESTS]:
+            _LOG.warning(
+                'request_unfinished',
+                request_id=request.request_id,
+                runs=request.runs,
+                seconds=round(request.seconds, 3),
+            )
+
+    def _close_idle(self) -> None:
+        """Close the connections without a request in progress."""
+        closed = self.entry.close_idle()
+        if closed:
+            _LOG.info('idle_connections_closed', connections=closed)
 
 
 def status_page(report: Callable[[], dict[str, Any]]) -> PageBuilder:
--- a/src/bronzewall/edge/request_path.py
+++ b/src/bronzewall/edge/request_path.py
@@ -39,12 +39,13 @@
 _LOG = structlog.get_logger()
 
 
-@attrs.frozen(kw_only=True, eq=False)
+@attrs.define(kw_only=True, eq=False)
 class _Arrival:
     """A request with what is known of it on arrival.
 
     :param started: clock time of the arrival.
     :param relay: what the VM that relayed it states.
+    :param exchange: its exchange, once its route was found.
     """
 
     request: CallerRequest
@@ -52,6 +53,20 @@
     request_id: RequestId
     started: float
     relay: RelayHeader | None
+    exchange: EdgeExchange | None = None
+
+
+@attrs.frozen(kw_only=True)
+class UnfinishedRequest:
+    """A request that is in progress.
+
+    :param runs: instances that it was sent to and that may run it.
+    :param seconds: time since its arrival.
+    """
+
+    request_id: RequestId
+    runs: int
+    seconds: float
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -65,7 +80,26 @@
     sender: Sender
     tickets: RelayTickets
     metrics: Metrics
-    in_flight: int = 0
+    _in_progress: set[_Arrival] = attrs.field(factory=set)
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests in progress."""
+        return len(self._in_progress)
+
+    def unfinished(self) -> list[UnfinishedRequest]:
+        """Return the requests in progress, the oldest first."""
+        now = self.clock.now()
+        return [
+            UnfinishedRequest(
+                request_id=arrival.request_id,
+                runs=arrival.exchange.runs if arrival.exchange else 0,
+                seconds=now - arrival.started,
+            )
+            for arrival in sorted(
+                self._in_progress, key=lambda found: found.started
+            )
+        ]
 
     async def handle(
         self, request: CallerRequest, writer: AnswerWriter
@@ -80,7 +114,7 @@
             relay=find_relay_header(request.headers),
         )
         self.metrics.requests += 1
-        self.in_flight += 1
+        self._in_progress.add(arrival)
         try:
             await self._serve(arrival)
         except RefusalError as refusal:
@@ -92,7 +126,7 @@
         except Exception:
             await self._handle_internal_error(arrival)
         finally:
-            self.in_flight -= 1
+            self._in_progress.discard(arrival)
             self.metrics.record_latency(self.clock.now() - arrival.started)
 
     def bad_input(self, error: str) -> Problem:
@@ -114,6 +148,7 @@
             )
         request = arrival.request
         exchange = self._open(arrival)
+        arrival.exchange = exchange
         exchange.attach_body(await read_whole_body(request))
         self.gate.check(exchange)
         if not self._is_admitted(arrival):
