Close idle connections in a planned stop

What callers saw: LOST; a request that came more than 2.6 s after SIGTERM on an idle connection got no answer until the process ended.

Cause: close_if_idle called RequestHandler.close() of aiohttp, which ends the connection's handler and drops all further input, but leaves the connection open. Class: a connection is given up without being closed.

Change: force_close, which closes the transport after what was written on it. Ruled out: late requests on new connections are refused as stopping (9 in that run), none of them is lost.

--- a/src/bronzewall/adapters/entry_protocol.py
+++ b/src/bronzewall/adapters/entry_protocol.py
@@ -132,7 +132,9 @@
         is_new = self._loop.time() - self._opened_at <= _FIRST_REQUEST_S
         if not is_waiting or is_new:
             return False
-        self.close()
+        # aiohttp's ``close`` leaves the connection open and drops what comes
+        # on it.
+        self.force_close()
         return True
 
     def queueing_time(self, pending: PendingRequest) -> float:
