End a stopping process only after its answers are sent

What callers would see: the end of an answer is missing if they read it slowly while the VM stops. A request counted as done when its answer was written; up to 64 KB of it could still wait in the process, which ended then.

Change: a stop waits for unsent bytes as it does for requests, up to the same limit, and a connection with unsent bytes is not idle. Both daemons.

--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -161,6 +161,13 @@
             if isinstance(connection, ProblemRequestHandler)
         ]
 
+    def unsent_bytes(self) -> int:
+        """Return the bytes of answers that callers have not taken yet.
+
+        Those in the kernel's buffers are sent after the process has ended.
+        """
+        return sum(found.unsent_bytes() for found in self.connections())
+
     def close_idle(self) -> int:
         """Close the connections on which no request is in progress.
 
--- a/src/bronzewall/adapters/entry_protocol.py
+++ b/src/bronzewall/adapters/entry_protocol.py
@@ -120,17 +120,24 @@
             return PendingRequest(received_at=self._loop.time())
         return self._pending_requests.popleft()
 
+    def unsent_bytes(self) -> int:
+        """Return the bytes of answers that the caller has not taken yet."""
+        if self.transport is None:
+            return 0
+        return self.transport.get_write_buffer_size()
+
     def close_if_idle(self) -> bool:
         """Close the connection unless a request is in progress on it.
 
-        A new one is left open, because its first request is on its way.
+        A request is in progress until its whole answer is sent. A new
+        connection is left open, because its first request is on its way.
 
         :return: whether it was closed.
         """
         # aiohttp sets ``_waiter`` while the connection waits for a request.
         is_waiting = self._waiter is not None and not self._messages
         is_new = self._loop.time() - self._opened_at <= _FIRST_REQUEST_S
-        if not is_waiting or is_new:
+        if not is_waiting or is_new or self.unsent_bytes():
             return False
         # aiohttp's ``close`` leaves the connection open and drops what comes
         # on it.
--- a/src/bronzewall/daemon.py
+++ b/src/bronzewall/daemon.py
@@ -75,7 +75,7 @@
         _LOG.info('started', vm=self.settings.vm_id, zone=self.settings.zone)
         await stop_requested.wait()
         entry.drain()
-        await self._drain(stop_forced)
+        await self._drain(entry, stop_forced)
         await entry.stop()
         await admin.stop()
         await self._stop_background()
@@ -116,7 +116,9 @@
         for session in self.sessions:
             await session.close()
 
-    async def _drain(self, stop_forced: asyncio.Event) -> None:
+    async def _drain(
+        self, entry: EntryServer, stop_forced: asyncio.Event
+    ) -> None:
         """Wait until the load balancer has noticed and all requests ended.
 
         Stops waiting at the time limit or after a second signal, and logs
@@ -129,7 +131,8 @@
         notice_end = self.clock.now() + self.settings.notice_s
         while not stop_forced.is_set() and self.clock.now() < drain_end:
             is_noticed = self.clock.now() >= notice_end
-            if is_noticed and not self.path.in_flight_by_request:
+            is_busy = self.path.in_flight_by_request or entry.unsent_bytes()
+            if is_noticed and not is_busy:
                 return
             await self.clock.sleep(_DRAIN_CHECK_S)
         for request_id, route in self.path.in_flight_by_request.items():
--- a/src/bronzewall/edge/daemon.py
+++ b/src/bronzewall/edge/daemon.py
@@ -259,7 +259,8 @@
             if is_noticed:
                 # A request that comes later may not end in time.
                 self._close_idle()
-            if is_noticed and not self.path.in_flight:
+            is_busy = self.path.in_flight or self.entry.unsent_bytes()
+            if is_noticed and not is_busy:
                 return
             await self.clock.sleep(_TICK_S)
         _LOG.warning('requests_cut', in_flight=self.path.in_flight)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -22,6 +22,7 @@
 )
 
 from bronzewall.edge.composition import Platform, build_daemon
+from bronzewall.edge.daemon import EdgeDaemon
 from bronzewall.edge.settings import EdgeSettings
 from bronzewall.log_sink import LogSink
 from bronzewall.standins.memory_store import MemoryFleetStore, SharedStore
@@ -29,6 +30,12 @@
 
 _WORK_S = 0.15
 _WORK_S_BY_NAME = {'long': 3.0, 'last': 1.5}
+# Bodies of answers. A large one exceeds what the kernel buffers for a
+# connection with small buffers, but not what the VM buffers, bytes.
+_BODY_BYTES = 5000
+_BODY_BYTES_BY_NAME = {'large': 60_000}
+_SMALL_BUFFER_BYTES = 8192
+_READER_LIMIT_BYTES = 65_536
 _GRACE_S = 6.0
 _STATUS_OK = 200
 _BODY = b'x' * 2000
@@ -115,14 +122,25 @@
     """A VM with one instance, and callers that record their outcomes."""
 
     port: int
+    daemon: EdgeDaemon
     upstream: RawUpstream
     running: 'asyncio.Task[None]'
     ran: list[str]
     outcomes: list[Outcome] = attrs.field(factory=list)
     writers: list[asyncio.StreamWriter] = attrs.field(factory=list)
 
-    async def connect(self) -> Caller:
-        reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+    async def connect(self, buffer_bytes: int = 0) -> Caller:
+        """Connect a caller, with a receive buffer of a given size if any."""
+        opened = socket.socket()
+        if buffer_bytes:
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+        opened.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(
+            opened, ('127.0.0.1', self.port)
+        )
+        reader, writer = await asyncio.open_connection(
+            sock=opened, limit=buffer_bytes or _READER_LIMIT_BYTES
+        )
         self.writers.append(writer)
         return Caller(reader=reader, writer=writer, outcomes=self.outcomes)
 
@@ -143,9 +161,10 @@
         name = headers[b't-attempt'].decode()
         ran.append(name)
         await asyncio.sleep(_WORK_S_BY_NAME.get(name, _WORK_S))
+        size = _BODY_BYTES_BY_NAME.get(name, _BODY_BYTES)
         await connection.send(
             b'HTTP/1.1 200 OK\r\nT-Attempt: %b\r\nT-Seal: s\r\n'
-            b'Content-Length: 5000\r\n\r\n%b' % (name.encode(), b'y' * 5000)
+            b'Content-Length: %d\r\n\r\n%b' % (name.encode(), size, b'y' * size)
         )
 
 
@@ -195,7 +214,13 @@
         running = asyncio.create_task(daemon.run())
         while not daemon.is_ready():
             await asyncio.sleep(0.02)
-        stop = Stop(port=ports[0], upstream=upstream, running=running, ran=ran)
+        stop = Stop(
+            port=ports[0],
+            daemon=daemon,
+            upstream=upstream,
+            running=running,
+            ran=ran,
+        )
         yield stop
         async with asyncio.timeout(_GRACE_S):
             await running
@@ -380,3 +405,27 @@
     statuses = {one.name: one.status for one in stop.outcomes}
     assert statuses == {'long': 200, 'late': status}
     assert ('late' in stop.ran) == (status == _STATUS_OK)
+
+
+# Guards against the end of an answer that is lost with the process because the
+# caller reads it slowly.
+async def test_answer_is_sent_before_the_process_ends() -> None:
+    async with stopping_vm() as stop:
+        caller = await stop.connect(_SMALL_BUFFER_BYTES)
+        assert await caller.ask('first')
+        for connection in stop.daemon.entry.connections():
+            assert connection.transport is not None
+            connection.transport.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, _SMALL_BUFFER_BYTES
+            )
+        caller.writer.write(request_text('large'))
+        await caller.reader.readexactly(1)
+        while stop.daemon.path.in_flight:
+            await asyncio.sleep(0.01)
+        stop.signal()
+        # The rest of the answer waits for the caller, who pauses.
+        await asyncio.sleep(_NOTICE_S + 1)
+        is_running = not stop.running.done()
+        rest = await caller.reader.read()
+    assert is_running
+    assert rest.endswith(b'y' * _BODY_BYTES_BY_NAME['large'])
