Tell callers of requests in progress that a stop closes their connection

A request that was in progress at SIGTERM was answered without Connection: close, so that its caller used the connection again.

Change: the answer's start decides, not the request's.

Evidence: test_answer_to_request_in_progress_closes_its_connection failed before.

--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import attrs
@@ -46,11 +46,12 @@
 class AiohttpAnswerWriter:
     """Port ``AnswerWriter`` for one aiohttp request.
 
-    :param is_last: close the connection after this answer.
+    :param is_last: returns whether to close the connection after an answer
+        that starts now.
     """
 
     request: web.BaseRequest
-    is_last: bool = False
+    is_last: Callable[[], bool]
     response: web.StreamResponse | None = None
 
     @property
@@ -64,7 +65,7 @@
             status=status, headers=CIMultiDict(headers)
         )
         self.response = response
-        if self.is_last:
+        if self.is_last():
             response.force_close()
         try:
             await response.prepare(self.request)
@@ -196,7 +197,9 @@
                 headers=CIMultiDict(problem.headers),
                 body=problem.body,
             )
-        writer = AiohttpAnswerWriter(request=request, is_last=self._is_draining)
+        writer = AiohttpAnswerWriter(
+            request=request, is_last=lambda: self._is_draining
+        )
         if pending.answer_task is None:
             waited = protocol.queueing_time(pending)
             with self._bodies.body() as counted:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -407,6 +407,18 @@
     assert ('late' in stop.ran) == (status == _STATUS_OK)
 
 
+# Guards against a caller that keeps using a connection which the stopping VM
+# is about to close, because it was not told so.
+async def test_answer_to_request_in_progress_closes_its_connection() -> None:
+    async with stopping_vm() as stop:
+        caller = await stop.connect()
+        answer = asyncio.create_task(caller.ask('long', _BODY))
+        await asyncio.sleep(0.2)
+        stop.signal()
+        is_kept = await answer
+    assert not is_kept
+
+
 # Guards against the end of an answer that is lost with the process because the
 # caller reads it slowly.
 async def test_answer_is_sent_before_the_process_ends() -> None:
