Answer pipelined requests that run before a stop closes their connection

What callers saw: pipelined requests that an instance had run got no answer when a stop began. Requests that came behind another one during the stop were passed on too.

Cause: which answer is the last of its connection did not depend on what was started behind it.

Change: in a stop nothing more is started behind another request, an answer is the last one only if none behind it was started, and the stop waits for these.

--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -148,7 +148,8 @@
         """Close each connection after its next answer.
 
         A caller that reuses a connection could otherwise send a request
-        on it while the server closes it.
+        on it while the server closes it. Pipelined requests that may have
+        been sent to instances already are answered before.
         """
         self._is_draining = True
 
@@ -162,12 +163,12 @@
             if isinstance(connection, ProblemRequestHandler)
         ]
 
-    def unsent_bytes(self) -> int:
-        """Return the bytes of answers that callers have not taken yet.
+    def has_unsent_answers(self) -> bool:
+        """Return whether answers are still to be sent.
 
         Those in the kernel's buffers are sent after the process has ended.
         """
-        return sum(found.unsent_bytes() for found in self.connections())
+        return any(found.has_unsent_answers() for found in self.connections())
 
     def close_idle(self) -> int:
         """Close the connections on which no request is in progress.
@@ -198,7 +199,10 @@
                 body=problem.body,
             )
         writer = AiohttpAnswerWriter(
-            request=request, is_last=lambda: self._is_draining
+            request=request,
+            is_last=lambda: (
+                self._is_draining and not protocol.has_started_answers()
+            ),
         )
         if pending.answer_task is None:
             waited = protocol.queueing_time(pending)
@@ -213,7 +217,10 @@
 
     def _start_buffered_answer(
         self, message: RawRequestMessage
-    ) -> 'asyncio.Task[BufferedAnswer]':
+    ) -> 'asyncio.Task[BufferedAnswer] | None':
+        if self._is_draining:
+            # The answer before it closes the connection.
+            return None
         request = CallerRequest(
             method=message.method,
             target=message.path,
--- a/src/bronzewall/adapters/entry_protocol.py
+++ b/src/bronzewall/adapters/entry_protocol.py
@@ -31,7 +31,7 @@
 
 BadInputReporter = Callable[[str], Problem]
 BufferedAnswerStarter = Callable[
-    [RawRequestMessage], 'asyncio.Task[BufferedAnswer]'
+    [RawRequestMessage], 'asyncio.Task[BufferedAnswer] | None'
 ]
 
 
@@ -120,11 +120,18 @@
             return PendingRequest(received_at=self._loop.time())
         return self._pending_requests.popleft()
 
-    def unsent_bytes(self) -> int:
-        """Return the bytes of answers that the caller has not taken yet."""
-        if self.transport is None:
-            return 0
-        return self.transport.get_write_buffer_size()
+    def has_started_answers(self) -> bool:
+        """Return whether answers to queued requests are being prepared."""
+        return any(
+            pending.answer_task is not None
+            for pending in self._pending_requests
+        )
+
+    def has_unsent_answers(self) -> bool:
+        """Return whether answers are prepared or not taken by the caller."""
+        return self.has_started_answers() or bool(
+            self.transport and self.transport.get_write_buffer_size()
+        )
 
     def close_if_idle(self) -> bool:
         """Close the connection unless a request is in progress on it.
@@ -137,7 +144,7 @@
         # aiohttp sets ``_waiter`` while the connection waits for a request.
         is_waiting = self._waiter is not None and not self._messages
         is_new = self._loop.time() - self._opened_at <= _FIRST_REQUEST_S
-        if not is_waiting or is_new or self.unsent_bytes():
+        if not is_waiting or is_new or self.has_unsent_answers():
             return False
         # aiohttp's ``close`` leaves the connection open and drops what comes
         # on it.
--- a/src/bronzewall/daemon.py
+++ b/src/bronzewall/daemon.py
@@ -131,7 +131,9 @@
         notice_end = self.clock.now() + self.settings.notice_s
         while not stop_forced.is_set() and self.clock.now() < drain_end:
             is_noticed = self.clock.now() >= notice_end
-            is_busy = self.path.in_flight_by_request or entry.unsent_bytes()
+            is_busy = (
+                self.path.in_flight_by_request or entry.has_unsent_answers()
+            )
             if is_noticed and not is_busy:
                 return
             await self.clock.sleep(_DRAIN_CHECK_S)
--- a/src/bronzewall/edge/daemon.py
+++ b/src/bronzewall/edge/daemon.py
@@ -259,7 +259,7 @@
             if is_noticed:
                 # A request that comes later may not end in time.
                 self._close_idle()
-            is_busy = self.path.in_flight or self.entry.unsent_bytes()
+            is_busy = self.path.in_flight or self.entry.has_unsent_answers()
             if is_noticed and not is_busy:
                 return
             await self.clock.sleep(_TICK_S)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -266,3 +266,37 @@
         await long
     assert not rest
     assert is_running
+
+
+# Guards against a pipelined request that is passed on to an instance and then
+# lost, because the answer before it closes the connection in a stop.
+async def test_pipelined_requests_that_run_are_answered() -> None:
+    names = ['long', 'second', 'third']
+    async with stopping_vm() as stop:
+        caller = await stop.connect()
+        caller.writer.write(b''.join(map(request_text, names)))
+        await asyncio.sleep(0.5)
+        assert sorted(stop.ran) == sorted(names)
+        stop.signal()
+        for name in names:
+            await caller.read_answer(name)
+    answered = {one.name for one in stop.outcomes if one.is_whole}
+    assert set(stop.ran) <= answered
+
+
+# Guards against a request that a stopping VM passes on although the answer
+# before it closes the connection.
+async def test_pipelined_request_of_a_stop_is_answered_or_not_passed_on() -> (
+    None
+):
+    async with stopping_vm() as stop:
+        caller = await stop.connect()
+        caller.writer.write(request_text('long'))
+        await asyncio.sleep(0.2)
+        stop.signal()
+        await asyncio.sleep(0.3)
+        caller.writer.write(request_text('second'))
+        for name in ('long', 'second'):
+            await caller.read_answer(name)
+    answered = {one.name for one in stop.outcomes if one.is_whole}
+    assert set(stop.ran) <= answered
