Reject header blocks put together from two answers

A faulty instance may write the beginning of an earlier answer again, before its next answer or within the header block of it. The parser takes the status line of the second answer as a part of the header or reason phrase at which the first one broke off. The result has the status or the "not run" of one answer and the echoed attempt id of the other, so that the check of the id holds: a request that had run was reported as not run and sent to a second instance, a success appeared as a failure and a failure as a success.

Ruled out: bytes that come while a connection is idle, with the end of the answer before, or whole copies; these were dropped already.

A header block with a status line inside it now ends the exchange, for all clients that use SafeReuseConnector. An upstream that quotes a status line in a header of its own can no longer be used.

--- a/src/bronzewall/adapters/safe_reuse_connector.py
+++ b/src/bronzewall/adapters/safe_reuse_connector.py
@@ -2,17 +2,22 @@
 
 import asyncio
 import functools
+import re
 from collections.abc import Collection
 from http import HTTPStatus
 from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_parser import RawResponseMessage
 from aiohttp.streams import EMPTY_PAYLOAD
 
 from bronzewall.adapters.receive_limits import ReceivedBytes, ReceiveLimits
 
 _END_OF_HEAD = b'\r\n\r\n'
+# The start of an answer inside the header block of another one. The parser
+# takes it as a part of a header or of the reason phrase.
+_STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}')
 
 
 class SafeReuseHandler(ResponseHandler):
@@ -60,6 +65,9 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Receive the header block of an answer, which may be interim."""
         message, payload = data
+        if _is_spliced(message):
+            self.fail('a status line inside a header block')
+            return
         self._has_head = message.code >= HTTPStatus.OK
         length = message.headers.get('Content-Length', '')
         if not self._has_head:
@@ -162,6 +170,18 @@
         return data[:end], data[end:]
 
 
+def _is_spliced(message: RawResponseMessage) -> bool:
+    """Return whether a header block was put together from two answers.
+
+    If the start of a copy of an earlier answer comes before an answer, or a
+    whole one within its header block, the status of one answer appears with
+    the headers of the other.
+    """
+    texts = [message.reason.encode(errors='surrogateescape')]
+    texts.extend(text for _, text in message.raw_headers)
+    return any(map(_STATUS_LINE.search, texts))
+
+
 def handler_of(response: aiohttp.ClientResponse) -> SafeReuseHandler:
     """Return the connection of an answer, also after it was released."""
     protocol = response._protocol  # noqa: SLF001, WPS437
--- /dev/null
+++ b/tests/test_stale_refusals.py
@@ -0,0 +1,149 @@
+"""Tests of refusals that an instance writes once more, over raw sockets."""
+
+import contextlib
+from collections.abc import AsyncIterator, Callable
+
+import attrs
+import pytest
+from edge_builders import NAMES
+
+from bronzewall.adapters.instance_http import (
+    InstanceClient,
+    open_instance_client,
+)
+from bronzewall.edge.ports import InstanceAnswer, InstanceRequest
+from bronzewall.errors import (
+    UpstreamBrokenError,
+    UpstreamError,
+    UpstreamShedError,
+    WrongInstanceError,
+)
+from bronzewall.standins.raw_upstream import RawUpstream, Script
+
+NOT_RUN_ERRORS = (UpstreamShedError, WrongInstanceError)
+
+
+def an_answer(status: str, *lines: str, body: str = '') -> bytes:
+    """Return an answer with a length."""
+    head = (f'HTTP/1.1 {status}', *lines, f'Content-Length: {len(body)}')
+    return '\r\n'.join((*head, '', body)).encode()
+
+
+def a_success(attempt_id: str) -> bytes:
+    """Return the answer to a request that has run."""
+    return an_answer(
+        '200 OK', f'T-Attempt: {attempt_id}', 'T-Seal: s', body='body'
+    )
+
+
+def a_failure(attempt_id: str) -> bytes:
+    """Return the answer to a request that has run and failed."""
+    return an_answer(
+        '500 Failed', f'T-Attempt: {attempt_id}', 'T-Seal: s', body='fail'
+    )
+
+
+def a_refusal(attempt_id: str, *lines: str) -> bytes:
+    """Return the answer to a request that has not run."""
+    return an_answer(
+        '503 Full', 'T-Not-Run: 1', f'T-Attempt: {attempt_id}', *lines
+    )
+
+
+SILENT_REFUSAL = an_answer('503 Full', 'Date: now', 'T-Not-Run: 1')
+
+
+@attrs.frozen(kw_only=True)
+class Instance:
+    """One raw upstream and the client that calls it."""
+
+    client: InstanceClient
+    upstream: RawUpstream
+
+    async def send(self, attempt_id: str, **changes) -> InstanceAnswer:
+        """Send a request."""
+        fields = {
+            'instance_id': 'i-1',
+            'address': self.upstream.address,
+            'method': 'GET',
+            'target': '/x',
+            'headers': (('Host', 'h'), ('T-Attempt', attempt_id)),
+            'body': b'',
+            'attempt_id': attempt_id,
+            'timeout': 2.0,
+            'connect_timeout': 0.3,
+        }
+        return await self.client.send(InstanceRequest(**{**fields, **changes}))
+
+    async def outcome(self, attempt_id: str, **changes):
+        """Return the answer's status and body, or the type of the error."""
+        try:
+            answer = await self.send(attempt_id, **changes)
+        except UpstreamError as exc:
+            return type(exc)
+        return answer.status, answer.body
+
+
+@contextlib.asynccontextmanager
+async def an_instance(script: Script) -> AsyncIterator[Instance]:
+    client = open_instance_client(NAMES)
+    try:
+        async with RawUpstream(script=script) as upstream:
+            yield Instance(client=client, upstream=upstream)
+    finally:
+        await client.session.close()
+
+
+def answers_in_turn(*answers: bytes) -> Script:
+    """Return a script that sends one of the answers for each request."""
+
+    async def script(connection, _number) -> None:
+        for answer in answers:
+            await connection.read_request()
+            await connection.send(answer)
+
+    return script
+
+
+def beginnings(text: bytes) -> list[bytes]:
+    """Return every beginning of an answer, but not the whole of it."""
+    return [text[:end] for end in range(1, len(text))]
+
+
+COPIES: dict[str, Callable[[str], bytes]] = {
+    'refusal': a_refusal,
+    'refusal without an echo': lambda _attempt_id: SILENT_REFUSAL,
+    'success': a_success,
+    'failure': a_failure,
+}
+
+
+@pytest.mark.parametrize('copy', COPIES.values(), ids=COPIES)
+@pytest.mark.parametrize('own', [a_success, a_failure])
+async def test_half_copy_before_an_answer_is_not_its_beginning(
+    copy, own
+) -> None:
+    # Guards against a header block that begins with a part of an earlier
+    # answer: its "not run" or its status, with the echo of a request that ran.
+    earlier, answer = copy('a-1'), own('a-2')
+    whole = {(200, b'body'), (500, b'fail')}
+    for half in beginnings(earlier):
+        script = answers_in_turn(earlier, half + answer)
+        async with an_instance(script) as instance:
+            await instance.outcome('a-1')
+            found = await instance.outcome('a-2', timeout=0.5)
+            assert found not in NOT_RUN_ERRORS, half
+            assert found not in whole, half
+
+
+@pytest.mark.parametrize('copy', COPIES.values(), ids=COPIES)
+async def test_copy_within_a_header_block_is_no_part_of_it(copy) -> None:
+    # Guards against a "not run" or a status that a copy of an earlier answer
+    # adds to the answer within which it is written.
+    earlier, answer = copy('a-1'), a_success('a-2')
+    for cut in range(1, answer.index(b'\r\n\r\n')):
+        text = answer[:cut] + earlier + answer[cut:]
+        async with an_instance(answers_in_turn(earlier, text)) as instance:
+            await instance.outcome('a-1')
+            found = await instance.outcome('a-2', timeout=0.5)
+            assert found is UpstreamBrokenError, text
--- a/tests/test_upstream_http.py
+++ b/tests/test_upstream_http.py
@@ -247,6 +247,38 @@
             await _read(upstreams, server.request(request_id='r-2'))
 
 
+SHED = b'HTTP/1.1 503 Busy\r\nX-Load-Shed: 1\r\nContent-Length: 0\r\n\r\n'
+
+
+@pytest.mark.parametrize('late', [WHOLE, SILENT, SHED])
+async def test_half_copy_is_no_beginning_of_the_next_answer(
+    upstreams: AiohttpUpstreams, late: bytes
+) -> None:
+    """Guards against a header block put together from two answers."""
+    failure = (
+        b'HTTP/1.1 500 Failed\r\nBronzewall-Request-Id: r-2\r\n'
+        b'Content-Length: 4\r\n\r\nfail'
+    )
+
+    def script_of(half: bytes) -> Script:
+        async def script(connection: RawConnection, _number: int) -> None:
+            await connection.read_request()
+            await connection.send(WHOLE)
+            await connection.read_request()
+            await connection.send(half + failure)
+
+        return script
+
+    for end in range(len(late) - 1, 0, -1):
+        async with RawUpstream(script=script_of(late[:end])) as server:
+            await _read(upstreams, server.request())
+            # An answer without a body may also time out: it is not complete.
+            with pytest.raises((UpstreamBrokenError, UpstreamTimeoutError)):
+                await _read(
+                    upstreams, server.request(request_id='r-2', timeout=0.5)
+                )
+
+
 HALF_HEAD = b'HTTP/1.1 200 OK\r\nConte'
 
 
