Close connections whose answers belong to another request

A connection on which a copy of an earlier answer had come in place of the next one was used again: its answers were then one request late, and each request on it was lost or hung while the instance ran it. aiohttp releases an answer to the pool once it is complete, and closing it afterwards does nothing; the id was checked only after the whole body had been read. A copy that broke off was awaited until the deadline, and its Keep-Alive was applied.

The id is now checked as soon as the header block is there, before another request can take the connection, and the connection itself is closed.

Evidence: test_connection_ends_with_an_answer_to_another_request (4 of 4 kinds of copies failed before) and test_answer_to_another_request_is_not_awaited (failed before: UpstreamTimeoutError).

--- a/src/bronzewall/adapters/instance_http.py
+++ b/src/bronzewall/adapters/instance_http.py
@@ -14,6 +14,7 @@
 from bronzewall.adapters.receive_limits import ReceiveLimits
 from bronzewall.adapters.safe_reuse_connector import (
     SafeReuseConnector,
+    discard,
     handler_of,
 )
 from bronzewall.adapters.tcp_probe import accepts_connections
@@ -78,15 +79,14 @@
         async with start_request(
             self.session, request, connect_timeout=request.connect_timeout
         ) as response:
+            self._check_request(request, response)
             is_sent = _is_request_sent(response)
-            is_first = handler_of(response).is_first
             body = await response.read()
             if not is_sent:
                 # The instance answered before it had the whole request body.
                 # It still expects the rest, so the connection can't be reused.
                 response.close()
             self._apply_idle_timeout(response.headers)
-            self._check_request(request, response, is_first=is_first)
             self._check_answer(request, response)
             return InstanceAnswer(
                 status=response.status,
@@ -118,30 +118,25 @@
         return None
 
     def _check_request(
-        self,
-        request: InstanceRequest,
-        response: aiohttp.ClientResponse,
-        *,
-        is_first: bool,
+        self, request: InstanceRequest, response: aiohttp.ClientResponse
     ) -> None:
         """Raise an error unless this is the final answer to this request.
 
         A late copy of an answer to an earlier request may say that it has
         not run; this request may run nevertheless.
-
-        :param is_first: no request was sent on the connection before.
         """
         headers = response.headers
         instance_id = request.instance_id
         echoed = headers.get(self.names.attempt_id)
+        is_first = handler_of(response).is_first
         is_needed = not is_first or response.status in _STATUS_SUCCESS
         if echoed != request.attempt_id and (echoed is not None or is_needed):
-            response.close()
+            discard(response)
             raise UpstreamBrokenError(
                 f'{instance_id}: answer to attempt {echoed}'
             )
         if response.status < HTTPStatus.OK:
-            response.close()
+            discard(response)
             raise UpstreamBrokenError(
                 f'{instance_id}: no final answer, status {response.status}'
             )
--- a/src/bronzewall/adapters/safe_reuse_connector.py
+++ b/src/bronzewall/adapters/safe_reuse_connector.py
@@ -189,6 +189,17 @@
     return protocol
 
 
+def discard(response: aiohttp.ClientResponse) -> None:
+    """Close the connection of an answer that belongs to another request.
+
+    An answer without a body is released to the pool on arrival; then closing
+    the answer does not close the connection. Call this before any other
+    request can take the connection, thus before anything is awaited.
+    """
+    response.close()
+    handler_of(response).close()
+
+
 class SafeReuseConnector(aiohttp.TCPConnector):
     """Connector without limits; the dispatcher limits connections."""
 
--- a/tests/test_stale_refusals.py
+++ b/tests/test_stale_refusals.py
@@ -1,5 +1,6 @@
 """Tests of refusals that an instance writes once more, over raw sockets."""
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Callable
 
@@ -147,3 +148,41 @@
             await instance.outcome('a-1')
             found = await instance.outcome('a-2', timeout=0.5)
             assert found is UpstreamBrokenError, text
+
+
+@pytest.mark.parametrize('copy', COPIES.values(), ids=COPIES)
+async def test_connection_ends_with_an_answer_to_another_request(copy) -> None:
+    # Guards against further use of a connection on which answers are one
+    # request late: each request that follows would lose its answer.
+    ran = []
+
+    async def script(connection, number) -> None:
+        attempt_id = 'a-1'
+        if number:
+            attempt_id = 'a-3'
+        await connection.read_request()
+        await connection.send(a_success(attempt_id))
+        await connection.read_request()
+        ran.append(number)
+        await connection.send(copy('a-1'))
+
+    async with an_instance(script) as instance:
+        assert await instance.outcome('a-1') == (200, b'body')
+        assert await instance.outcome('a-2') is UpstreamBrokenError
+        async with asyncio.timeout(2):
+            await instance.upstream.connections[0].closed.wait()
+        assert await instance.outcome('a-3') == (200, b'body')
+    assert ran == [0]
+
+
+async def test_answer_to_another_request_is_not_awaited() -> None:
+    # Guards against a wait until the deadline for the rest of a copy, and
+    # against what it states about idle connections.
+    text = a_success('a-1').replace(b'T-Seal', b'Keep-Alive: timeout=1\r\nT-S')
+    async with an_instance(
+        answers_in_turn(a_success('a-1'), text[:-2])
+    ) as instance:
+        await instance.send('a-1')
+        before = instance.client.connector._keepalive_timeout
+        assert await instance.outcome('a-2') is UpstreamBrokenError
+        assert instance.client.connector._keepalive_timeout == before
