Close upstream connections whose answers belong to another request

The product's own client of upstreams had the fault that the client of instances had: a connection with an answer to another request went back to the pool, because closing an answer that was released on arrival does nothing.

Evidence: test_connection_ends_with_an_answer_to_another_request in tests/test_upstream_http.py (3 of 3 kinds of copies failed before).

--- a/src/bronzewall/adapters/upstream_http.py
+++ b/src/bronzewall/adapters/upstream_http.py
@@ -8,6 +8,7 @@
 from bronzewall import headers as header_rules
 from bronzewall.adapters.safe_reuse_connector import (
     SafeReuseConnector,
+    discard,
     handler_of,
 )
 from bronzewall.adapters.upstream_calls import (
@@ -61,7 +62,7 @@
             request, response
         )
         if problem is not None:
-            response.close()
+            discard(response)
             raise UpstreamBrokenError(f'{request.instance_id}: {problem}')
         answer = UpstreamAnswer(
             status=response.status,
--- a/tests/test_upstream_http.py
+++ b/tests/test_upstream_http.py
@@ -389,3 +389,25 @@
         await _cancel(lambda: _read(upstreams, request), started)
         async with asyncio.timeout(5):
             await server.connections[0].closed.wait()
+
+
+@pytest.mark.parametrize('late', [WHOLE, SILENT, SHED])
+async def test_connection_ends_with_an_answer_to_another_request(
+    upstreams: AiohttpUpstreams, late: bytes
+) -> None:
+    """Guards against a connection whose answers are one request late."""
+
+    async def script(connection: RawConnection, number: int) -> None:
+        await connection.read_request()
+        await connection.send(WHOLE)
+        if not number:
+            await connection.read_request()
+            await connection.send(late)
+
+    async with RawUpstream(script=script) as server:
+        assert await _read(upstreams, server.request()) == b'good'
+        with pytest.raises(UpstreamBrokenError):
+            await _read(upstreams, server.request(request_id='r-2'))
+        async with asyncio.timeout(2):
+            await server.connections[0].closed.wait()
+        assert await _read(upstreams, server.request()) == b'good'
