Reject answers that name several requests

Of several attempt ids in one header block the first one counted. A header block into which a copy of an earlier answer was written then passed as the answer to this request, with the "not run" of the copy.

All ids have to be this request's now, for instances and for upstreams of the product's own face.

--- a/src/bronzewall/adapters/instance_http.py
+++ b/src/bronzewall/adapters/instance_http.py
@@ -125,15 +125,15 @@
         A late copy of an answer to an earlier request may say that it has
         not run; this request may run nevertheless.
         """
-        headers = response.headers
         instance_id = request.instance_id
-        echoed = headers.get(self.names.attempt_id)
+        # Several different ids are the headers of several answers.
+        echoed = set(response.headers.getall(self.names.attempt_id, ()))
         is_first = handler_of(response).is_first
         is_needed = not is_first or response.status in _STATUS_SUCCESS
-        if echoed != request.attempt_id and (echoed is not None or is_needed):
+        if echoed != {request.attempt_id} and (echoed or is_needed):
             discard(response)
             raise UpstreamBrokenError(
-                f'{instance_id}: answer to attempt {echoed}'
+                f'{instance_id}: answer to attempt {sorted(echoed)}'
             )
         if response.status < HTTPStatus.OK:
             discard(response)
--- a/src/bronzewall/adapters/upstream_http.py
+++ b/src/bronzewall/adapters/upstream_http.py
@@ -108,11 +108,11 @@
     A connection is used again only while its answers echo the request's id:
     a second copy of an answer may arrive after the next request was sent.
     """
-    echoed = response.headers.get(header_rules.REQUEST_ID)
-    sent = header_rules.find(request.headers, header_rules.REQUEST_ID)
-    if echoed == sent and echoed is not None:
+    # Several different ids are the headers of several answers.
+    echoed = set(response.headers.getall(header_rules.REQUEST_ID, ()))
+    if echoed == {header_rules.find(request.headers, header_rules.REQUEST_ID)}:
         return None
-    if echoed is None:
+    if not echoed:
         handler = handler_of(response)
         handler.force_close()
         if handler.is_first:
--- a/tests/test_stale_refusals.py
+++ b/tests/test_stale_refusals.py
@@ -186,3 +186,30 @@
         before = instance.client.connector._keepalive_timeout
         assert await instance.outcome('a-2') is UpstreamBrokenError
         assert instance.client.connector._keepalive_timeout == before
+
+
+@pytest.mark.parametrize(
+    'lines',
+    [
+        ('T-Attempt: a-2', 'T-Attempt: a-1'),
+        ('T-Attempt: a-1', 'T-Attempt: a-2'),
+        ('T-Attempt: a-2, a-1',),
+        ('T-Attempt: a-2', 'T-Attempt:'),
+    ],
+)
+@pytest.mark.parametrize('is_first', [True, False])
+@pytest.mark.parametrize('status', ['503 Full', '421 Other', '200 OK'])
+async def test_answer_that_names_two_requests_is_believed_for_neither(
+    lines: tuple[str, ...], is_first: bool, status: str
+) -> None:
+    # Guards against the use of the first of several ids: the rest of a
+    # header block may be a copy's.
+    earlier = () if is_first else (a_success('a-0'),)
+    text = an_answer(status, *lines, 'T-Seal: s', 'T-Not-Run: 1')
+    script = answers_in_turn(*earlier, text)
+    async with an_instance(script) as instance:
+        for _ in earlier:
+            await instance.send('a-0')
+        assert await instance.outcome('a-2') is UpstreamBrokenError
+        async with asyncio.timeout(2):
+            await instance.upstream.connections[0].closed.wait()
--- a/tests/test_upstream_http.py
+++ b/tests/test_upstream_http.py
@@ -93,6 +93,15 @@
             ),
             id='crossed',
         ),
+        pytest.param(
+            _ok(
+                b'Bronzewall-Request-Id: r-1',
+                b'Bronzewall-Request-Id: r-0',
+                b'Content-Length: 4',
+                body=b'late',
+            ),
+            id='two-ids',
+        ),
     ],
 )
 async def test_incomplete_answer_raises(
