Believe no refusal that contradicts itself

"Not run" was believed whatever the status was, also with a success, or with the 500 and 504 of an instance, which count as run; a 421 was believed where the answer named the instance that had been asked. Such answers carry headers of a copy of another answer, or come from a faulty instance: the request may have run.

The statuses for which the users' page defines "not run" (and 408, which it lists as a promise) are now the only ones with which it counts. Everything else with that header, several different ones, or a 421 of the instance itself is an unknown outcome, and the connection is closed.

--- a/src/bronzewall/adapters/instance_http.py
+++ b/src/bronzewall/adapters/instance_http.py
@@ -33,6 +33,8 @@
 
 _MAX_LINE_BYTES = 32_768
 _STATUS_WRONG_INSTANCE = 421
+# Statuses of answers that may state that a request has not run.
+_STATUSES_NOT_RUN = frozenset((400, 408, _STATUS_WRONG_INSTANCE, 429, 503))
 _STATUS_SUCCESS = range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES)
 # Idle connections are closed well before instances close them; a request that
 # is sent while the instance closes the connection would be lost.
@@ -125,21 +127,48 @@
         A late copy of an answer to an earlier request may say that it has
         not run; this request may run nevertheless.
         """
-        instance_id = request.instance_id
+        problem = self._identity_problem(
+            request, response
+        ) or self._contradiction(request, response)
+        if problem is not None:
+            discard(response)
+            raise UpstreamBrokenError(f'{request.instance_id}: {problem}')
+
+    def _identity_problem(
+        self, request: InstanceRequest, response: aiohttp.ClientResponse
+    ) -> str | None:
+        """Return why an answer may belong to another request."""
         # Several different ids are the headers of several answers.
         echoed = set(response.headers.getall(self.names.attempt_id, ()))
         is_first = handler_of(response).is_first
         is_needed = not is_first or response.status in _STATUS_SUCCESS
         if echoed != {request.attempt_id} and (echoed or is_needed):
-            discard(response)
-            raise UpstreamBrokenError(
-                f'{instance_id}: answer to attempt {sorted(echoed)}'
-            )
+            return f'answer to attempt {sorted(echoed)}'
         if response.status < HTTPStatus.OK:
-            discard(response)
-            raise UpstreamBrokenError(
-                f'{instance_id}: no final answer, status {response.status}'
-            )
+            return f'no final answer, status {response.status}'
+        return None
+
+    def _contradiction(
+        self, request: InstanceRequest, response: aiohttp.ClientResponse
+    ) -> str | None:
+        """Return which statements of an answer exclude one another.
+
+        Its headers may be those of several answers.
+        """
+        headers = response.headers
+        status = response.status
+        lengths = set(headers.getall('Content-Length', ()))
+        not_run = set(headers.getall(self.names.not_run, ()))
+        responders = headers.getall(self.names.instance_id, ())
+        if len(lengths) + ('Transfer-Encoding' in headers) > 1:
+            return 'conflicting body lengths'
+        if len(not_run) > 1 or (not_run and status not in _STATUSES_NOT_RUN):
+            return f'status {status} with {sorted(not_run)} for "not run"'
+        if status == _STATUS_WRONG_INSTANCE and (
+            request.instance_id in responders
+        ):
+            return 'calls itself another instance'
+        return None
 
     def _check_answer(
         self, request: InstanceRequest, response: aiohttp.ClientResponse
@@ -157,11 +186,6 @@
                 is_leaving=self._is_leaving(response),
                 pause=_pause(request, response),
             )
-        lengths = set(headers.getall('Content-Length', ()))
-        if len(lengths) + ('Transfer-Encoding' in headers) > 1:
-            raise UpstreamBrokenError(
-                f'{instance_id}: conflicting body lengths'
-            )
         if response.status in _STATUS_SUCCESS and (
             self.names.answer_signature not in headers
         ):
--- a/tests/test_stale_refusals.py
+++ b/tests/test_stale_refusals.py
@@ -213,3 +213,52 @@
         assert await instance.outcome('a-2') is UpstreamBrokenError
         async with asyncio.timeout(2):
             await instance.upstream.connections[0].closed.wait()
+
+
+NOT_RUN = ('T-Attempt: a-1', 'T-Not-Run: 1')
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        # Success, and the two failures that count as run.
+        an_answer('200 OK', *NOT_RUN, 'T-Seal: s'),
+        an_answer('500 Failed', *NOT_RUN),
+        an_answer('504 Late', *NOT_RUN),
+        an_answer('302 Found', *NOT_RUN),
+        an_answer('503 Full', *NOT_RUN, 'T-Not-Run: 0'),
+        an_answer('503 Full', *NOT_RUN, 'Content-Length: 4'),
+        # The instance that was asked says that it is another one.
+        an_answer('421 Other', *NOT_RUN, 'T-Instance: i-1'),
+        an_answer('421 Other', 'T-Attempt: a-1', 'T-Instance: i-1'),
+        an_answer('421 Other', *NOT_RUN, 'T-Instance: i-2', 'T-Instance: i-1'),
+    ],
+)
+async def test_refusal_that_contradicts_itself_proves_nothing(
+    text: bytes,
+) -> None:
+    # Guards against a header of a copy that turns another answer into the
+    # statement that the request has not run.
+    async with an_instance(answers_in_turn(text)) as instance:
+        assert await instance.outcome('a-1') is UpstreamBrokenError
+        async with asyncio.timeout(2):
+            await instance.upstream.connections[0].closed.wait()
+
+
+@pytest.mark.parametrize(
+    ('status', 'error'),
+    [
+        ('400 Bad', UpstreamShedError),
+        ('408 Late', UpstreamShedError),
+        ('429 Many', UpstreamShedError),
+        ('503 Full', UpstreamShedError),
+        ('421 Other', WrongInstanceError),
+    ],
+)
+async def test_true_refusal_is_believed(
+    status: str, error: type[UpstreamError]
+) -> None:
+    # Guards against rules so strict that no refusal passes.
+    text = an_answer(status, *NOT_RUN)
+    async with an_instance(answers_in_turn(text, text)) as instance:
+        assert await instance.outcome('a-1') is error
