Believe one refusal of an attempt on each connection

Each attempt of a caller has its own id, but a caller may send one again, and a request that is relayed again may reach the same VM. If an instance refused the first request and runs the second one on the same connection, a copy of the refusal carries the right id: the request was reported as not run and sent to a second instance.

Ruled out: repeated ids within one request, since an instance that was tried is not tried again.

A connection remembers which requests were refused on it, as hashes, since callers choose the ids. A second refusal of one of them is an unknown outcome. So that the memory is bounded and nothing is forgotten, a connection is closed after 32 refusals. A caller that sends an id again after a true refusal may now get 502 in place of 503, if its request meets the same connection.

--- a/src/bronzewall/adapters/instance_http.py
+++ b/src/bronzewall/adapters/instance_http.py
@@ -35,6 +35,8 @@
 _STATUS_WRONG_INSTANCE = 421
 # Statuses of answers that may state that a request has not run.
 _STATUSES_NOT_RUN = frozenset((400, 408, _STATUS_WRONG_INSTANCE, 429, 503))
+# Statuses that promise a caller that a request has not run.
+_STATUSES_OF_REFUSALS = frozenset((408, _STATUS_WRONG_INSTANCE, 429, 503))
 _STATUS_SUCCESS = range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES)
 # Idle connections are closed well before instances close them; a request that
 # is sent while the instance closes the connection would be lost.
@@ -127,9 +129,11 @@
         A late copy of an answer to an earlier request may say that it has
         not run; this request may run nevertheless.
         """
-        problem = self._identity_problem(
-            request, response
-        ) or self._contradiction(request, response)
+        problem = (
+            self._identity_problem(request, response)
+            or self._contradiction(request, response)
+            or self._repetition(request, response)
+        )
         if problem is not None:
             discard(response)
             raise UpstreamBrokenError(f'{request.instance_id}: {problem}')
@@ -170,6 +174,23 @@
             return 'calls itself another instance'
         return None
 
+    def _repetition(
+        self, request: InstanceRequest, response: aiohttp.ClientResponse
+    ) -> str | None:
+        """Return whether a refusal may be a copy with the id of this request.
+
+        The status alone counts too: so another VM refuses a request.
+        """
+        is_refusal = (
+            response.status in _STATUSES_OF_REFUSALS
+            or self.names.not_run in response.headers
+        )
+        if is_refusal and not handler_of(response).record_refusal(
+            request.attempt_id
+        ):
+            return f'second refusal of attempt {request.attempt_id}'
+        return None
+
     def _check_answer(
         self, request: InstanceRequest, response: aiohttp.ClientResponse
     ) -> None:
--- a/src/bronzewall/adapters/safe_reuse_connector.py
+++ b/src/bronzewall/adapters/safe_reuse_connector.py
@@ -18,6 +18,9 @@
 # The start of an answer inside the header block of another one. The parser
 # takes it as a part of a header or of the reason phrase.
 _STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}')
+# A connection is closed after this many refused requests, since it remembers
+# their ids, which takes up to 1.4 KB.
+_MAX_REFUSED = 32
 
 
 class SafeReuseHandler(ResponseHandler):
@@ -41,6 +44,7 @@
         self.is_idle = False
         self.is_first = True
         self._has_sent = False
+        self._refused_digests: tuple[int, ...] = ()
         self._received = received
         self._head_bytes = 0
         self._has_head = False
@@ -120,6 +124,20 @@
         # Bytes that the event loop has read already are ignored.
         self.transport = None
 
+    def record_refusal(self, request_id: str) -> bool:
+        """Return whether this is the first refusal of a request here.
+
+        If a caller sends an id again, a second refusal may be a copy of the
+        first one that comes while the request runs.
+        """
+        # Hashes bound the memory for ids that callers choose.
+        digest = hash(request_id)
+        is_first = digest not in self._refused_digests
+        self._refused_digests = (*self._refused_digests, digest)
+        if len(self._refused_digests) >= _MAX_REFUSED:
+            self.force_close()
+        return is_first
+
     def finish(self) -> None:
         """Note that the answer was read; more bytes belong to no request."""
         self.is_idle = True
--- a/tests/test_stale_refusals.py
+++ b/tests/test_stale_refusals.py
@@ -262,3 +262,44 @@
     text = an_answer(status, *NOT_RUN)
     async with an_instance(answers_in_turn(text, text)) as instance:
         assert await instance.outcome('a-1') is error
+
+
+@pytest.mark.parametrize(
+    'refusal', [a_refusal('a-1'), an_answer('421 Other', 'T-Attempt: a-1')]
+)
+async def test_second_refusal_of_an_attempt_is_not_believed(
+    refusal: bytes,
+) -> None:
+    # Guards against a copy of the refusal of an attempt that comes while the
+    # instance runs the same attempt: the echoed id is right.
+    script = answers_in_turn(refusal, a_success('a-0'), refusal)
+    async with an_instance(script) as instance:
+        assert await instance.outcome('a-1') in NOT_RUN_ERRORS
+        assert await instance.outcome('a-0') == (200, b'body')
+        assert await instance.outcome('a-1') is UpstreamBrokenError
+        assert len(instance.upstream.connections) == 1
+        # On a connection that has not refused it, a refusal is its own.
+        assert await instance.outcome('a-1') in NOT_RUN_ERRORS
+
+
+@pytest.mark.parametrize('others', [1, 20, 50, 200])
+async def test_refusal_is_remembered_as_long_as_its_connection(
+    others: int,
+) -> None:
+    # Guards against a copy that comes after many further refusals.
+    sent = [f'a-{number}' for number in range(others)]
+
+    async def script(connection, _number) -> None:
+        while True:
+            head = await connection.read_request()
+            attempt_id = head.partition(b'T-Attempt: ')[2].split()[0]
+            await connection.send(a_refusal(attempt_id.decode()))
+
+    async with an_instance(script) as instance:
+        for attempt_id in sent:
+            assert await instance.outcome(attempt_id) in NOT_RUN_ERRORS
+        is_kept = len(instance.upstream.connections) == 1
+        found = await instance.outcome('a-0')
+        assert (found is UpstreamBrokenError) == is_kept
+        # New connections are few.
+        assert len(instance.upstream.connections) <= 1 + others / 30
