Do not use connections that begin with an answer

Bytes that came on a new connection before its first request was passed on as the beginning of the answer. On a new connection a refusal needs no echo, so that a copy of an earlier one, written on accept, was believed.

A connection now counts as idle until its first request, so that such bytes end it. Bytes that come after the request was handed to the socket can't be told from an early answer.

Evidence: test_connection_that_begins_with_an_answer_is_not_used (failed before: the connection stayed in use).

--- a/src/bronzewall/adapters/safe_reuse_connector.py
+++ b/src/bronzewall/adapters/safe_reuse_connector.py
@@ -24,11 +24,12 @@
 
 
 class SafeReuseHandler(ResponseHandler):
-    """Connection that is not reused if data arrived while it was idle.
+    """Connection that is not used if data arrived while it was idle.
 
     aiohttp checks a connection when it is returned to the pool, not when it
     is taken out. An answer that arrives in between would be mistaken for the
-    answer to the next request.
+    answer to the next request. A new connection is idle until its first
+    request.
 
     ``is_first`` is whether at most one request was sent on the connection.
     """
@@ -41,7 +42,7 @@
         :param received: counts the bytes of all connections.
         """
         super().__init__(loop)
-        self.is_idle = False
+        self.is_idle = True
         self.is_first = True
         self._has_sent = False
         self._refused_digests: tuple[int, ...] = ()
--- a/tests/test_stale_refusals.py
+++ b/tests/test_stale_refusals.py
@@ -303,3 +303,19 @@
         assert (found is UpstreamBrokenError) == is_kept
         # New connections are few.
         assert len(instance.upstream.connections) <= 1 + others / 30
+
+
+async def test_connection_that_begins_with_an_answer_is_not_used() -> None:
+    # Guards against a refusal that was written before any request was sent;
+    # on a new connection it needs no echo.
+    async def script(connection, _number) -> None:
+        await connection.send(SILENT_REFUSAL)
+
+    async with an_instance(script) as instance:
+        host, _, port = instance.upstream.address.partition(':')
+        _, handler = await asyncio.get_running_loop().create_connection(
+            instance.client.connector._factory, host, int(port)
+        )
+        async with asyncio.timeout(2):
+            await instance.upstream.connections[0].closed.wait()
+        assert not handler.is_connected()
