Drop platform connections on which unasked answers came

The product's own VMs and commands called the platform and other VMs over aiohttp's plain pool, which uses a connection again on which an answer came while it was idle. A copy of an earlier 503 then stood for the next transaction, which was reported as not written although it was.

The sessions now use SafeReuseConnector, as that of the users' store did already. A copy that comes after the next call was sent can't be told apart: answers of the platform carry no id.

Evidence: test_refused_write_of_the_store_is_not_read_from_a_copy (failed before: StoreUnavailableError).

--- a/src/bronzewall/adapters/platform_http.py
+++ b/src/bronzewall/adapters/platform_http.py
@@ -8,6 +8,7 @@
 import cbor2
 
 from bronzewall import platform_wire
+from bronzewall.adapters.safe_reuse_connector import SafeReuseConnector
 from bronzewall.errors import (
     ObjectMissingError,
     StoreAnswerLostError,
@@ -19,6 +20,15 @@
 _HTTP_OK = 200
 
 
+def open_platform_session() -> aiohttp.ClientSession:
+    """Return a session for calls to the platform and to VMs.
+
+    Their answers carry no id of the request: one that comes on an idle
+    connection must not be the answer to the next request.
+    """
+    return aiohttp.ClientSession(connector=SafeReuseConnector())
+
+
 @attrs.define(kw_only=True)
 class PlatformClient:
     """Ports ``TableService`` and ``ObjectStore`` over one base URL.
--- a/src/bronzewall/command_support.py
+++ b/src/bronzewall/command_support.py
@@ -11,7 +11,11 @@
 
 from bronzewall import fleet_report
 from bronzewall.adapters.admin_client import AdminClient
-from bronzewall.adapters.platform_http import PlatformClient, PlatformVmList
+from bronzewall.adapters.platform_http import (
+    PlatformClient,
+    PlatformVmList,
+    open_platform_session,
+)
 from bronzewall.errors import SettingsError
 from bronzewall.types import VmRecord
 
@@ -72,7 +76,7 @@
     work: Callable[[aiohttp.ClientSession], Awaitable[_ResultT]],
 ) -> _ResultT:
     async def run() -> _ResultT:
-        async with aiohttp.ClientSession() as session:
+        async with open_platform_session() as session:
             return await work(session)
 
     return asyncio.run(run())
--- a/src/bronzewall/composition.py
+++ b/src/bronzewall/composition.py
@@ -3,9 +3,11 @@
 import random
 import time
 
-import aiohttp
-
-from bronzewall.adapters.platform_http import PlatformClient, PlatformVmList
+from bronzewall.adapters.platform_http import (
+    PlatformClient,
+    PlatformVmList,
+    open_platform_session,
+)
 from bronzewall.adapters.system_clock import SystemClock
 from bronzewall.adapters.tcp_probe import refuses_connections
 from bronzewall.adapters.upstream_http import AiohttpUpstreams, open_session
@@ -30,7 +32,7 @@
 
 def build_daemon(settings: Settings, origins: tuple[Origin, ...]) -> Daemon:
     """Return the daemon; an event loop must be running."""
-    store_session = aiohttp.ClientSession()
+    store_session = open_platform_session()
     upstream_session = open_session()
     clock = SystemClock()
     store = PlatformClient(base_url=settings.platform, session=store_session)
--- a/tests/test_stale_refusals.py
+++ b/tests/test_stale_refusals.py
@@ -12,8 +12,13 @@
     InstanceClient,
     open_instance_client,
 )
+from bronzewall.adapters.platform_http import (
+    PlatformClient,
+    open_platform_session,
+)
 from bronzewall.edge.ports import InstanceAnswer, InstanceRequest
 from bronzewall.errors import (
+    StoreUnavailableError,
     UpstreamBrokenError,
     UpstreamError,
     UpstreamShedError,
@@ -319,3 +324,36 @@
         async with asyncio.timeout(2):
             await instance.upstream.connections[0].closed.wait()
         assert not handler.is_connected()
+
+
+REFUSED_WRITE = an_answer('503 Down', body='down')
+
+
+async def test_refused_write_of_the_store_is_not_read_from_a_copy() -> None:
+    # Guards against a write that was done and is reported as not done, since
+    # a copy of an earlier refusal had come on the idle connection.
+    done = []
+
+    async def script(connection, number) -> None:
+        head = await connection.read_request()
+        if number:
+            assert b'POST /table/transact ' in head
+            done.append(number)
+            await connection.send(an_answer('200 OK'))
+            return
+        await connection.send(REFUSED_WRITE)
+        await asyncio.sleep(0.02)
+        await connection.send(REFUSED_WRITE)
+
+    async with (
+        RawUpstream(script=script) as store,
+        open_platform_session() as session,
+    ):
+        client = PlatformClient(
+            base_url=f'http://{store.address}', session=session
+        )
+        with pytest.raises(StoreUnavailableError):
+            await client.transact(checks=(), writes=())
+        await asyncio.sleep(0.1)
+        await client.transact(checks=(), writes=())
+    assert done == [1]
