--- a/src/bronzewall/adapters/instance_http.py
+++ b/src/bronzewall/adapters/instance_http.py
@@ -168,10 +168,11 @@
             return 'conflicting body lengths'
         if len(not_run) > 1 or (not_run and status not in _STATUSES_NOT_RUN):
             return f'status {status} with {sorted(not_run)} for "not run"'
-        if status == _STATUS_WRONG_INSTANCE and (
-            request.instance_id in responders
-        ):
+        is_wrong = status == _STATUS_WRONG_INSTANCE
+        if is_wrong and request.instance_id in responders:
             return 'calls itself another instance'
+        if (is_wrong or not_run) and handler_of(response).has_begun:
+            return '"not run" after the work has begun'
         return None
 
     def _repetition(
--- a/src/bronzewall/adapters/safe_reuse_connector.py
+++ b/src/bronzewall/adapters/safe_reuse_connector.py
@@ -18,6 +18,8 @@
 # The start of an answer inside the header block of another one. The parser
 # takes it as a part of a header or of the reason phrase.
 _STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}')
+# Interim answers of a server that works on the request.
+_STATUSES_AT_WORK = frozenset((HTTPStatus.PROCESSING, HTTPStatus.EARLY_HINTS))
 # A connection is closed after this many refused requests, since it remembers
 # their ids, which takes up to 1.4 KB.
 _MAX_REFUSED = 32
@@ -31,7 +33,8 @@
     answer to the next request. A new connection is idle until its first
     request.
 
-    ``is_first`` is whether at most one request was sent on the connection.
+    ``is_first`` is whether at most one request was sent on the connection,
+    ``has_begun`` whether an interim answer says that the work has begun.
     """
 
     def __init__(
@@ -44,6 +47,7 @@
         super().__init__(loop)
         self.is_idle = True
         self.is_first = True
+        self.has_begun = False
         self._has_sent = False
         self._refused_digests: tuple[int, ...] = ()
         self._received = received
@@ -61,6 +65,7 @@
         self.is_idle = False
         self.is_first = not self._has_sent
         self._has_sent = True
+        self.has_begun = False
         self._head_bytes = 0
         self._has_head = False
         self._body_left = None
@@ -74,6 +79,7 @@
             self.fail('a status line inside a header block')
             return
         self._has_head = message.code >= HTTPStatus.OK
+        self.has_begun = self.has_begun or message.code in _STATUSES_AT_WORK
         length = message.headers.get('Content-Length', '')
         if not self._has_head:
             self._body_left = None
--- a/src/bronzewall/adapters/upstream_http.py
+++ b/src/bronzewall/adapters/upstream_http.py
@@ -61,6 +61,8 @@
         problem = _identity_problem(request, response) or _framing_problem(
             request, response
         )
+        if _is_shed(response) and handler_of(response).has_begun:
+            problem = 'refused after the work has begun'
         if problem is not None:
             discard(response)
             raise UpstreamBrokenError(f'{request.instance_id}: {problem}')
@@ -69,9 +71,7 @@
             headers=tuple(response.headers.items()),
             body=_body(response),
         )
-        if response.status == _STATUS_SHED and (
-            header_rules.SHED in response.headers
-        ):
+        if _is_shed(response):
             response.close()
             raise UpstreamShedError(f'{request.instance_id} shed the request')
         return AiohttpExchange(answer=answer, response=response)
@@ -84,6 +84,13 @@
     )
 
 
+def _is_shed(response: aiohttp.ClientResponse) -> bool:
+    """Return whether an upstream states that it did not run the request."""
+    return response.status == _STATUS_SHED and (
+        header_rules.SHED in response.headers
+    )
+
+
 def _framing_problem(
     request: UpstreamRequest, response: aiohttp.ClientResponse
 ) -> str | None:
--- a/tests/test_stale_refusals.py
+++ b/tests/test_stale_refusals.py
@@ -430,3 +430,29 @@
     async with an_instance(answers_in_turn(begin + surplus)) as instance:
         found = await instance.outcome('a-1', timeout=0.1)
         assert found in (UpstreamBrokenError, UpstreamTimeoutError)
+
+
+@pytest.mark.parametrize(
+    ('interim', 'is_believed'),
+    [('100 Continue', True), ('102 Processing', False), ('103 Hints', False)],
+)
+@pytest.mark.parametrize('status', ['503 Full', '421 Other'])
+@pytest.mark.parametrize('is_split', [True, False])
+async def test_refusal_after_the_start_of_work_is_not_believed(
+    interim: str, is_believed: bool, status: str, is_split: bool
+) -> None:
+    # Guards against "not run" for a request of which the instance has said
+    # that it works on it.
+    async def script(connection, _number) -> None:
+        await connection.read_request()
+        head = f'HTTP/1.1 {interim}\r\n\r\n'.encode()
+        if is_split:
+            await connection.send(head)
+            await asyncio.sleep(0.005)
+            head = b''
+        await connection.send(head + an_answer(status, *NOT_RUN))
+
+    async with an_instance(script) as instance:
+        found = await instance.outcome('a-1')
+        assert (found in NOT_RUN_ERRORS) == is_believed
+        assert is_believed or found is UpstreamBrokenError
--- a/tests/test_upstream_http.py
+++ b/tests/test_upstream_http.py
@@ -29,6 +29,7 @@
 # Connections are used again only if the answer echoes the request's id.
 WHOLE = _ok(b'Bronzewall-Request-Id: r-1', b'Content-Length: 4', body=b'good')
 SILENT = _ok(b'Content-Length: 4', body=b'good')
+SHED = b'HTTP/1.1 503 Busy\r\nX-Load-Shed: 1\r\nContent-Length: 0\r\n\r\n'
 CROSSED = _ok(b'Content-Length: 5', body=b'wrong')
 
 
@@ -124,6 +125,16 @@
             await _read(upstreams, server.request())
 
 
+async def test_shed_answer_after_the_start_of_work_is_not_believed(
+    upstreams: AiohttpUpstreams,
+) -> None:
+    """Guards against "not run" for a request that the upstream works on."""
+    answer = b'HTTP/1.1 102 Processing\r\n\r\n' + SHED
+    async with RawUpstream(script=_send_once(answer)) as server:
+        with pytest.raises(UpstreamBrokenError):
+            await _read(upstreams, server.request())
+
+
 async def test_refused_connection_is_not_run(
     upstreams: AiohttpUpstreams,
 ) -> None:
@@ -256,9 +267,6 @@
             await _read(upstreams, server.request(request_id='r-2'))
 
 
-SHED = b'HTTP/1.1 503 Busy\r\nX-Load-Shed: 1\r\nContent-Length: 0\r\n\r\n'
-
-
 @pytest.mark.parametrize('late', [WHOLE, SILENT, SHED])
 async def test_half_copy_is_no_beginning_of_the_next_answer(
     upstreams: AiohttpUpstreams, late: bytes
