Test that copies of refusals of other VMs are not believed

A VM that writes a refusal of a relayed request once more, with the id of the request before or with one that a caller sent again, gets no request sent to a third VM: the outcome is unknown.

Evidence, in a scratch copy: without the check of the echo the case of another id fails, without that of second refusals the case of the repeated id.

--- a/tests/test_stale_refusals.py
+++ b/tests/test_stale_refusals.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import AsyncIterator, Callable
 
 import attrs
 import pytest
-from edge_builders import NAMES
+from edge_builders import NAMES, a_caller_request, an_edge_vm
 
 from bronzewall.adapters.instance_http import (
     InstanceClient,
@@ -17,6 +18,7 @@
     open_platform_session,
 )
 from bronzewall.edge.ports import InstanceAnswer, InstanceRequest
+from bronzewall.edge.relay_peers import RelayPeer
 from bronzewall.errors import (
     StoreUnavailableError,
     UpstreamBrokenError,
@@ -25,7 +27,9 @@
     UpstreamTimeoutError,
     WrongInstanceError,
 )
+from bronzewall.problems import Reason, RefusalError, problem_document
 from bronzewall.standins.raw_upstream import RawUpstream, Script
+from bronzewall.types import RequestId, ServiceName, VmId
 
 NOT_RUN_ERRORS = (UpstreamShedError, WrongInstanceError)
 
@@ -456,3 +460,45 @@
         found = await instance.outcome('a-1')
         assert (found in NOT_RUN_ERRORS) == is_believed
         assert is_believed or found is UpstreamBrokenError
+
+
+def a_refusal_of_a_vm(attempt_id: str) -> bytes:
+    """Return the answer of a VM that has refused a relayed request."""
+    problem = problem_document(
+        refusal=RefusalError(reason=Reason.OVERLOADED, retry_after=0.3),
+        request_id=RequestId(attempt_id),
+        is_exact=True,
+    )
+    lines = [f'{name}: {text}' for name, text in problem.headers]
+    head = ('HTTP/1.1 503 Busy', *lines, f'T-Attempt: {attempt_id}', '', '')
+    return '\r\n'.join(head).encode() + problem.body
+
+
+@pytest.mark.parametrize('second_id', ['a-2', 'a-1'])
+async def test_refusal_of_another_vm_is_not_read_from_a_copy(
+    second_id: str,
+) -> None:
+    # Guards against "not run" for a relayed request that the other VM serves:
+    # it would be sent to a third VM, and its rate token be given back.
+    refusal = a_refusal_of_a_vm('a-1')
+    vm = an_edge_vm()
+    vm.serve_alone()
+    async with an_instance(answers_in_turn(refusal, refusal)) as instance:
+        vm.instances.behaviours_by_id['vm-2'] = instance.client.send
+        peer = RelayPeer(
+            service=ServiceName('drafts'),
+            vm_id=VmId('vm-2'),
+            address=instance.upstream.address,
+            ticket='ticket',
+            used_until=math.inf,
+        )
+        errors = []
+        for attempt_id in ('a-1', second_id):
+            exchange = vm.gate.open(
+                a_caller_request(), RequestId(attempt_id), vm.clock.now()
+            )
+            with pytest.raises(UpstreamError) as raised:
+                await vm.sender.relay._send_to(peer, exchange)
+            errors.append((type(raised.value), exchange.runs))
+        assert len(instance.upstream.connections) == 1
+    assert errors == [(UpstreamShedError, 0), (UpstreamBrokenError, 1)]
