Test copies of refusals of the users' store too

The session for the users' store drops connections on which an answer came while they were idle. It did before; nothing tested it with a refused write.

Evidence: with aiohttp's plain pool in a scratch copy the new case fails.

--- a/tests/test_stale_refusals.py
+++ b/tests/test_stale_refusals.py
@@ -17,6 +17,7 @@
     PlatformClient,
     open_platform_session,
 )
+from bronzewall.edge.composition import _open_store_session
 from bronzewall.edge.ports import InstanceAnswer, InstanceRequest
 from bronzewall.edge.relay_peers import RelayPeer
 from bronzewall.errors import (
@@ -335,7 +336,12 @@
 REFUSED_WRITE = an_answer('503 Down', body='down')
 
 
-async def test_refused_write_of_the_store_is_not_read_from_a_copy() -> None:
+@pytest.mark.parametrize(
+    'open_session', [open_platform_session, _open_store_session]
+)
+async def test_refused_write_of_the_store_is_not_read_from_a_copy(
+    open_session,
+) -> None:
     # Guards against a write that was done and is reported as not done, since
     # a copy of an earlier refusal had come on the idle connection.
     done = []
@@ -353,7 +359,7 @@
 
     async with (
         RawUpstream(script=script) as store,
-        open_platform_session() as session,
+        open_session() as session,
     ):
         client = PlatformClient(
             base_url=f'http://{store.address}', session=session
