Refuse a request whose body ends too late in a planned stop

What callers would see: a request is passed on late in a stop and cut off with the process.

Change: the time of the last byte decides.

--- a/src/bronzewall/edge/exchange.py
+++ b/src/bronzewall/edge/exchange.py
@@ -19,6 +19,7 @@
 
     :param key: key that the caller presented.
     :param started: clock time of the request's arrival.
+    :param received_at: clock time at which its last byte was read.
     :param deadline: clock time by which the final answer is due.
     :param fingerprint: identifies the request, also when it is sent again.
     :param tried_ids: instances already tried.
@@ -39,6 +40,9 @@
     key: str | None
     started: float
     deadline: float
+    received_at: float = attrs.field(
+        default=attrs.Factory(lambda found: found.started, takes_self=True)
+    )
     body: bytes = b''
     fingerprint: bytes = b''
     tried_ids: set[InstanceId] = attrs.field(factory=set)
--- a/src/bronzewall/edge/gate.py
+++ b/src/bronzewall/edge/gate.py
@@ -35,8 +35,8 @@
         waits.
     :param stops_at: clock time at which the process ends at the latest, once a
         planned stop has begun.
-    :param last_start: requests that came after this clock time are sent only if
-        their deadline is before the end of the process.
+    :param last_start: requests whose last byte came after this clock time are
+        sent only if their deadline is before the end of the process.
     """
 
     clock: Clock
@@ -84,7 +84,7 @@
         :raises RefusalError: the request must not be sent to an instance.
         """
         now = self.clock.now()
-        if exchange.started > self.last_start:
+        if exchange.received_at > self.last_start:
             self._check_stop(exchange, now)
         if self.state.crashes.is_refused(exchange.fingerprint, now=now):
             raise exchange.refusal(Reason.CRASH_SUSPECT)
--- a/src/bronzewall/edge/request_path.py
+++ b/src/bronzewall/edge/request_path.py
@@ -150,6 +150,8 @@
         exchange = self._open(arrival)
         arrival.exchange = exchange
         exchange.attach_body(await read_whole_body(request))
+        if exchange.body:
+            exchange.received_at = self.clock.now()
         self.gate.check(exchange)
         if not self._is_admitted(arrival):
             self.gate.admit(exchange)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -300,3 +300,22 @@
             await caller.read_answer(name)
     answered = {one.name for one in stop.outcomes if one.is_whole}
     assert set(stop.ran) <= answered
+
+
+# Guards against a request whose body ends late in a stop, which is passed on
+# and cut off at the end of the process.
+async def test_request_whose_body_ends_late_is_not_cut_off() -> None:
+    async with stopping_vm() as stop:
+        caller = await stop.connect()
+        loop = asyncio.get_running_loop()
+        killed_at = loop.time() + GRACE_S
+        stop.signal()
+        await asyncio.sleep(NOTICE_S)
+        text = request_text('last', BODY)
+        caller.writer.write(text[:-900])
+        await asyncio.sleep(killed_at - 1.2 - loop.time())
+        caller.writer.write(text[-900:])
+        await caller.read_answer('last')
+    outcome = stop.outcomes[0]
+    is_in_time = outcome.is_whole and outcome.at < killed_at
+    assert is_in_time or 'last' not in stop.ran
