Relay a request through another VM if one stops

What callers would see: a VM without a path to the instances refuses them as stopping, because the VM that it relays to stops, although others serve. The reason was missing in the list of those that hold for one VM only.

Evidence: test_request_is_relayed_to_another_vm_if_one_stops failed before (503 in place of 200).

--- a/src/bronzewall/edge/relay.py
+++ b/src/bronzewall/edge/relay.py
@@ -43,6 +43,7 @@
         Reason.CUT_OFF,
         Reason.NO_INSTANCE,
         Reason.OVERLOADED,
+        Reason.STOPPING,
     )
 )
 _REASONS_BY_CODE = {reason.code: reason for reason in Reason}
--- a/tests/test_edge_relay.py
+++ b/tests/test_edge_relay.py
@@ -1,6 +1,7 @@
 """Tests of VMs that reach no instance."""
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -13,12 +14,15 @@
 )
 from edge_path_world import PathWorld, a_path_world
 
+from bronzewall.edge.directory import Directory
 from bronzewall.edge.ports import InstanceAnswer, InstanceRequest
 from bronzewall.edge.relay_header import RelayHeader
+from bronzewall.edge.relay_peers import RelayPeer
 from bronzewall.ports import CallerRequest
+from bronzewall.problems import Reason, RefusalError, problem_document
 from bronzewall.standins.memory_store import answer_of
 from bronzewall.standins.virtual_time import run_virtual
-from bronzewall.types import ServiceName
+from bronzewall.types import RequestId, ServiceName, VmId
 
 _VMS = {'muscat-a': 8, 'muscat-b': 4, 'dhofar-a': 8}
 # Time after which callers of VMs without a path must be served, seconds.
@@ -286,3 +290,60 @@
         return len(vm.instances.requests)
 
     assert run_virtual(main()) == 1
+
+
+@attrs.define(kw_only=True, eq=False)
+class Peers:
+    """Two VMs that agreed to serve requests."""
+
+    directory: Directory
+    found: list[RelayPeer]
+
+    async def find(self, _service: ServiceName) -> RelayPeer | None:
+        return self.found[0] if self.found else None
+
+    def drop(self, peer: RelayPeer) -> None:
+        self.found.remove(peer)
+
+
+# Guards against callers of a VM without a path who are refused because the VM
+# that it relays to stops, although others serve.
+def test_request_is_relayed_to_another_vm_if_one_stops() -> None:
+    async def main() -> int:
+        vm = an_edge_vm()
+        vm.serve_alone()
+        vm.instance_paths.path_to(ServiceName('drafts')).is_lost = True
+        vm.path.sender.relay.peers = Peers(
+            directory=vm.path.gate.directory,
+            found=[
+                RelayPeer(
+                    service=ServiceName('drafts'),
+                    vm_id=VmId(name),
+                    address='127.0.0.1:1',
+                    ticket='t',
+                    used_until=math.inf,
+                )
+                for name in ('vm-2', 'vm-3')
+            ],
+        )
+
+        async def refuse(request: InstanceRequest) -> InstanceAnswer:
+            problem = problem_document(
+                refusal=RefusalError(reason=Reason.STOPPING),
+                request_id=RequestId(request.attempt_id),
+                is_exact=True,
+            )
+            return InstanceAnswer(
+                status=problem.status,
+                headers=tuple(problem.headers),
+                body=problem.body,
+            )
+
+        async def serve(request: InstanceRequest) -> InstanceAnswer:
+            return answer_of(request, status=200)
+
+        vm.instances.behaviours_by_id['vm-2'] = refuse
+        vm.instances.behaviours_by_id['vm-3'] = serve
+        return (await vm.ask(a_caller_request())).status
+
+    assert run_virtual(main()) == 200
