Give requests behind an upgrade request their own answers

They were matched by position. An error in a handler after its record was taken shifted them as well.

Change: a record names its message and is used only for that.

Evidence: test_requests_behind_an_upgrade_get_their_own_answers failed before (/1 /2 /4 /4).

--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -189,7 +189,7 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         assert isinstance(request.protocol, ProblemRequestHandler)
         protocol = request.protocol
-        pending = protocol.pop_pending_request()
+        pending = protocol.pop_pending_request(request)
         if request.version < HttpVersion10:
             # The parser accepts HTTP/0.9, whose answers have no status line.
             problem = self.on_bad_input('HttpVersion')
--- a/src/bronzewall/adapters/entry_protocol.py
+++ b/src/bronzewall/adapters/entry_protocol.py
@@ -39,10 +39,12 @@
 class PendingRequest:
     """A received request of a connection that is not handled yet.
 
+    :param message: the parsed message, ``None`` if it was not recorded.
     :param received_at: event loop time in seconds.
     :param answer_task: task that prepares the answer, if it was started.
     """
 
+    message: Any = None
     received_at: float
     answer_task: 'asyncio.Task[BufferedAnswer] | None' = None
 
@@ -111,14 +113,24 @@
             is_queued = count > 1 or not is_idle
             answer_task = self._start_if_concurrent(messages[:count], is_queued)
             self._pending_requests.append(
-                PendingRequest(received_at=now, answer_task=answer_task)
+                PendingRequest(
+                    message=messages[count - 1][0],
+                    received_at=now,
+                    answer_task=answer_task,
+                )
             )
 
-    def pop_pending_request(self) -> PendingRequest:
-        """Return and remove the request that is handled next."""
-        if not self._pending_requests:
+    def pop_pending_request(self, request: web.BaseRequest) -> PendingRequest:
+        """Return and remove what is recorded of a request, if anything.
+
+        aiohttp queues the requests behind an upgrade request without a call
+        of ``data_received``.
+        """
+        message = request._message  # noqa: SLF001, WPS437
+        pending = self._pending_requests
+        if not pending or pending[0].message is not message:
             return PendingRequest(received_at=self._loop.time())
-        return self._pending_requests.popleft()
+        return pending.popleft()
 
     def has_started_answers(self) -> bool:
         """Return whether answers to queued requests are being prepared."""
@@ -163,7 +175,6 @@
         message: str | None = None,
     ) -> web.StreamResponse:
         """Return the answer to a request that cannot be parsed."""
-        self.pop_pending_request()
         problem = self._on_bad_input(type(exc).__name__)
         response = web.Response(
             status=problem.status,
--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server for callers over raw sockets."""
 
 import asyncio
+import re
 import socket
 
 import pytest
@@ -214,3 +215,50 @@
     await asyncio.sleep(0.2)
     await server.stop()
     assert sorted(cancelled) == ['/0', '/1', '/2']
+
+
+# Guards against an answer that belongs to another request: requests behind an
+# upgrade request are parsed without a call of data_received.
+async def test_requests_behind_an_upgrade_get_their_own_answers(
+    unused_tcp_port: int,
+) -> None:
+    ran = []
+
+    async def answer_path(request: CallerRequest, writer: AnswerWriter) -> None:
+        ran.append(request.path)
+        await asyncio.sleep(0.3)
+        await writer.start(
+            status=200,
+            headers=[('X-Path', request.path), ('Content-Length', '0')],
+        )
+        await writer.finish()
+
+    server = EntryServer(
+        listen=f'127.0.0.1:{unused_tcp_port}',
+        handler=answer_path,
+        on_bad_input=lambda _error: pytest.fail('bad input'),
+        max_body_bytes=1000,
+        is_parallel=True,
+    )
+    await server.start()
+    reader, writer = await asyncio.open_connection('127.0.0.1', unused_tcp_port)
+    paths = ['/1', '/2', '/3', '/4']
+    heads = [
+        f'GET {path} HTTP/1.1\r\nHost: a\r\n\r\n'.encode() for path in paths
+    ]
+    heads[0] = heads[0].replace(
+        b'\r\n\r\n', b'\r\nConnection: Upgrade\r\nUpgrade: websocket\r\n\r\n'
+    )
+    writer.write(b''.join(heads[:3]))
+    # The second request is in progress, and the third one is queued.
+    while '/2' not in ran:
+        await asyncio.sleep(0.01)
+    writer.write(heads[3])
+    answers = [await reader.readuntil(b'\r\n\r\n') for _ in paths]
+    writer.close()
+    await server.stop()
+    answered = [
+        re.findall(rb'X-Path: (\S+)', answer)[0].decode() for answer in answers
+    ]
+    assert answered == paths
+    assert sorted(ran) == paths
