End a stopping process at its limit

A stop that reaches its limit logged what it cuts off and then waited for it in EntryServer.stop, for up to 120 s: aiohttp waits 60 s for a handler and 60 s for its task. stopped was not logged, and what VMs do at their end was not done before they were killed. In the product's daemon a second SIGTERM did not end the wait either, against OPERATIONS.md.

Change: EntryServer.stop takes the time for which answers may still end: 3 % of the stop limit in the edge, 0.5 s in the product's daemon.

Evidence: test_process_ends_at_its_stop_limit failed before.

--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import attrs
+import structlog
 from aiohttp import HttpVersion10, HttpVersion11, web
 from aiohttp.http_parser import RawRequestMessage
 from multidict import CIMultiDict
@@ -31,6 +32,7 @@
 _BODY_TIMEOUT_S = 10.0
 _MAX_LINE_BYTES = 8192
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+_LOG = structlog.get_logger()
 
 
 class _DelayedHeadersResponse(web.StreamResponse):
@@ -181,10 +183,18 @@
             connection.close_if_idle() for connection in self.connections()
         )
 
-    async def stop(self) -> None:
-        """Close idle connections and wait for requests in progress."""
-        if self._runner is not None:
-            await self._runner.cleanup()
+    async def stop(self, timeout: float | None = None) -> None:
+        """Close idle connections and wait for requests in progress.
+
+        :param timeout: seconds after which those in progress are cut off.
+        """
+        if self._runner is None:
+            return
+        try:
+            async with asyncio.timeout(timeout):
+                await self._runner.cleanup()
+        except TimeoutError:
+            _LOG.warning('connections_cut', connections=len(self.connections()))
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         assert isinstance(request.protocol, ProblemRequestHandler)
--- a/src/bronzewall/daemon.py
+++ b/src/bronzewall/daemon.py
@@ -29,6 +29,8 @@
 from bronzewall.types import RequestId, VmState
 
 _DRAIN_CHECK_S = 0.05
+# Time for which answers may still end after a stop has waited, seconds.
+_LAST_ANSWERS_S = 0.5
 _LOG = structlog.get_logger()
 
 
@@ -76,7 +78,7 @@
         await stop_requested.wait()
         entry.drain()
         await self._drain(entry, stop_forced)
-        await entry.stop()
+        await entry.stop(timeout=_LAST_ANSWERS_S)
         await admin.stop()
         await self._stop_background()
         _LOG.info('stopped', vm=self.settings.vm_id)
--- a/src/bronzewall/edge/daemon.py
+++ b/src/bronzewall/edge/daemon.py
@@ -46,8 +46,10 @@
 # The load balancer checks once a second and removes a VM after two failed
 # checks; this time covers both.
 _BALANCER_NOTICE_S = 2.6
-# Fraction of the stop limit after which the process ends in any case.
+# Fraction of the stop limit after which a stop waits for nothing more.
 _STOP_FRACTION = 0.95
+# Fraction of the stop limit for which answers may still end after that.
+_LAST_ANSWERS_FRACTION = 0.03
 # Requests that are logged when a planned stop cuts them off.
 _MAX_LOGGED_REQUESTS = 20
 _LOG = structlog.get_logger()
@@ -118,7 +120,9 @@
         await stop_requested.wait()
         await self._drain()
         open_connections = len(self.entry.connections())
-        await self.entry.stop()
+        await self.entry.stop(
+            timeout=self.settings.stop_limit * _LAST_ANSWERS_FRACTION
+        )
         for server in reports:
             await server.stop()
         await self._stop_background()
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -319,3 +319,18 @@
     outcome = stop.outcomes[0]
     is_in_time = outcome.is_whole and outcome.at < killed_at
     assert is_in_time or 'last' not in stop.ran
+
+
+# Guards against a process that goes on after its stop limit.
+async def test_process_ends_at_its_stop_limit() -> None:
+    async with stopping_vm() as stop:
+        caller = await stop.connect()
+        stop.signal()
+        await asyncio.sleep(NOTICE_S)
+        text = request_text('unfinished', BODY)
+        caller.writer.write(text[:-900])
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(GRACE_S - NOTICE_S):
+                await asyncio.shield(stop.running)
+        is_done = stop.running.done()
+    assert is_done
