Read on after the last answer of a connection in a stop

What callers would see: the end of an answer is missing. The VM closed the connection while the answer waited in the kernel's buffers, and the caller, who had not read yet that it is the last one, sent a request behind it: unread input resets a closed connection, and what is still to be sent is discarded.

Change: after the last answer the VM ends its side of the connection, and discards input until the caller closes, for 1 s at most (RFC 9112, 9.6). Idle connections are still closed at once: a request that crosses the close must stay unread, so that its caller knows that it may be sent again.

Evidence: test_last_answer_survives_a_request_behind_it failed before (the body broke off). Remains: an idle connection whose last answer is still in the kernel's buffers.

--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -223,6 +223,8 @@
         else:
             await _send_buffered_answer(pending.answer_task, writer)
         assert writer.response is not None
+        if self._is_draining and not writer.response.keep_alive:
+            await protocol.linger()
         return writer.response
 
     def _start_buffered_answer(
--- a/src/bronzewall/adapters/entry_protocol.py
+++ b/src/bronzewall/adapters/entry_protocol.py
@@ -1,6 +1,7 @@
 """aiohttp request handler that answers bad input with problem documents."""
 
 import asyncio
+import contextlib
 from collections import deque
 from collections.abc import Callable, Sequence
 from typing import Any
@@ -22,6 +23,10 @@
 # A caller sends its first request within this time, seconds.
 _FIRST_REQUEST_S = 1.0
 
+# Time for which a connection is read after its last answer, seconds. A caller
+# closes it as soon as it has read that the answer is the last one.
+_LINGER_S = 1.0
+
 # RFC 9112, 9.3.2: pipelined requests may run concurrently if all of them have
 # safe methods.
 _SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
@@ -55,6 +60,7 @@
     __slots__ = (
         '_has_dropped_input',
         '_header_timer',
+        '_lingering',
         '_on_bad_input',
         '_opened_at',
         '_pending_requests',
@@ -77,6 +83,7 @@
         self._pending_requests: deque[PendingRequest] = deque()
         self._opened_at = float(0)
         self._has_dropped_input = False
+        self._lingering: asyncio.Event | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start the timer of the first header block."""
@@ -93,6 +100,8 @@
         for pending in self._pending_requests:
             if pending.answer_task is not None:
                 pending.answer_task.cancel()
+        if self._lingering is not None:
+            self._lingering.set()
         super().connection_lost(exc)
 
     def data_received(self, data: bytes) -> None:
@@ -101,6 +110,8 @@
         aiohttp handles the requests of a connection one after the other, so
         a pipelined request may be queued for long before it is handled.
         """
+        if self._lingering is not None:
+            return
         if self._close or self._force_close:
             self._log_dropped_input(len(data))
         known_count = len(self._messages)
@@ -141,10 +152,28 @@
 
     def has_unsent_answers(self) -> bool:
         """Return whether answers are prepared or not taken by the caller."""
-        return self.has_started_answers() or bool(
-            self.transport and self.transport.get_write_buffer_size()
+        return (
+            self.has_started_answers()
+            or self._lingering is not None
+            or bool(self.transport and self.transport.get_write_buffer_size())
         )
 
+    async def linger(self) -> None:
+        """End the connection after its last answer.
+
+        Input that nobody reads would reset the connection when it is closed,
+        and the caller could lose the end of the answer (RFC 9112, 9.6).
+        Requests behind the last answer count as not read.
+        """
+        if self.transport is None or self.transport.is_closing():
+            return
+        self._lingering = asyncio.Event()
+        self.transport.write_eof()
+        # A caller may leave the close to this side.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_LINGER_S):
+                await self._lingering.wait()
+
     def close_if_idle(self) -> bool:
         """Close the connection unless a request is in progress on it.
 
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -334,3 +334,34 @@
                 await asyncio.shield(stop.running)
         is_done = stop.running.done()
     assert is_done
+
+
+# Guards against the end of an answer that is lost to a reset: the VM closes the
+# connection while the answer is in the kernel's buffers and the caller, who
+# has not read that this answer is the last, sends its next request.
+async def test_last_answer_survives_a_request_behind_it() -> None:
+    async with stopping_vm() as stop:
+        caller = await stop.connect(SMALL_BUFFER_BYTES)
+        assert await caller.ask('first')
+        for connection in stop.daemon.entry.connections():
+            assert connection.transport is not None
+            connection.transport.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET,
+                socket.SO_SNDBUF,
+                4 * BODY_BYTES_BY_NAME['large'],
+            )
+        stop.signal()
+        await asyncio.sleep(0.3)
+        caller.writer.write(request_text('large'))
+        await caller.reader.readexactly(1)
+        while stop.daemon.path.in_flight:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.1)
+        caller.writer.write(request_text('second'))
+        await asyncio.sleep(0.3)
+        rest = b''
+        with contextlib.suppress(OSError):
+            while part := await caller.reader.read(SMALL_BUFFER_BYTES):
+                rest += part
+    assert rest.endswith(b'y' * BODY_BYTES_BY_NAME['large'])
+    assert 'second' not in stop.ran
