Reset connections of the raw upstream with a TCP reset

RawConnection.reset() closed the socket without a linger time, which sends an orderly end unless bytes are unread. The rows of test_upstream_http.py that name a reset therefore played the same as those that close.

--- a/src/bronzewall/standins/raw_upstream.py
+++ b/src/bronzewall/standins/raw_upstream.py
@@ -1,6 +1,8 @@
 """Raw TCP upstream that runs a script; it can send invalid HTTP."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 import attrs
@@ -8,6 +10,10 @@
 from bronzewall.ports import UpstreamRequest
 from bronzewall.types import InstanceId
 
+# Value of the socket option SO_LINGER: on, 0 seconds. Closing the socket then
+# sends a TCP reset.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+
 
 @attrs.define(kw_only=True, eq=False)
 class RawConnection:
@@ -30,8 +36,20 @@
         await self.writer.drain()
 
     def reset(self) -> None:
-        """Abort the connection."""
-        self.writer.transport.abort()
+        """Reset the connection."""
+        transport = self.writer.transport
+        if not transport.is_closing():
+            transport.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+        transport.abort()
+
+    def end(self, *, is_reset: bool) -> None:
+        """Reset the connection, or close it in an orderly way."""
+        if is_reset:
+            self.reset()
+        else:
+            self.writer.close()
 
 
 Script = Callable[[RawConnection, int], Awaitable[None]]
--- a/tests/test_instance_http.py
+++ b/tests/test_instance_http.py
@@ -1,8 +1,6 @@
 """Tests of the client of instances against raw TCP upstreams."""
 
 import asyncio
-import socket
-import struct
 
 import pytest
 from edge_builders import NAMES
@@ -56,10 +54,6 @@
             connection.writer.close()
         if then == 'reset':
             await asyncio.sleep(0.05)
-            # With a linger time of 0, closing the socket sends a TCP reset.
-            connection.writer.get_extra_info('socket').setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
-            )
             connection.reset()
 
     return script
