Do not quote instances' answers in refusals

The 502 for an answer that broke off in its head, or was malformed, had the repr of aiohttp's error as its detail. That holds the incomplete header block, with the instance's signature, or the request that was sent, with the instance's address and the headers that the fleet adds. Found by the tests of answers that break off: 6 rows of test_broken_answers.py, extended by the check of the whole refusal, failed before (False-text0-False, False-text1-False, three of test_refusal_quotes_neither_answer_nor_request, test_attempts_bound_the_instances_that_break_off). The headers of the refusals never had the signature.

The detail now says what happened in words.

--- a/src/bronzewall/adapters/upstream_calls.py
+++ b/src/bronzewall/adapters/upstream_calls.py
@@ -96,4 +96,19 @@
             f'no complete answer within {timeout:.3f} s'
         ) from exc
     except (aiohttp.ClientError, OSError, ValueError) as exc:
-        raise UpstreamBrokenError(repr(exc)) from exc
+        raise UpstreamBrokenError(_describe(exc)) from exc
+
+
+def _describe(exc: Exception) -> str:
+    """Return a description that may be shown to callers.
+
+    Some of aiohttp's errors hold the request or the part of an answer that
+    was received.
+    """
+    if isinstance(exc, aiohttp.ServerDisconnectedError):
+        return 'the connection ended before the end of the header block'
+    if isinstance(exc, aiohttp.ClientResponseError):
+        # Further lines quote the answer.
+        problem = exc.message.partition('\n')[0].rstrip(':')
+        return f'malformed answer: {problem}'
+    return repr(exc)
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -186,7 +186,7 @@
     """Check that an answer is a 502 that nobody takes for an instance's."""
     head, _, body = received.partition(b'\r\n\r\n')
     assert head.startswith(b'HTTP/1.1 502 ')
-    assert b't-seal' not in head.lower()
+    assert b't-seal' not in received.lower()
     assert json.loads(body)['ran'] == 'unknown'
 
 
@@ -244,6 +244,30 @@
             assert (len(instance.heads), counts) == (1, [0, 1])
 
 
+@pytest.mark.parametrize(
+    'text', [START, START + b'Bad Name: 1\r\n\r\n', b'T-Seal: s\r\n\r\n']
+)
+async def test_refusal_quotes_neither_answer_nor_request(text: bytes) -> None:
+    """Guards against headers of instances and of the fleet in refusals."""
+    instance = Instance(text=text, is_reset=False, cuts=[len(text)])
+    async with (
+        a_client() as client,
+        RawUpstream(script=instance.run) as upstream,
+    ):
+        vm = an_edge_vm(a_vm())
+        vm.serve_alone(
+            an_edge_instance('i-1', address=upstream.address),
+            configuration=an_edge_configuration(
+                routes=(an_edge_route(idempotent=False),)
+            ),
+        )
+        async with a_front(vm, client) as port:
+            received = await ask(port)
+    assert_own_failure(received)
+    for hidden in ('T-Account', 'T-Target', upstream.address):
+        assert hidden.encode() not in received
+
+
 async def test_attempts_bound_the_instances_that_break_off() -> None:
     """Guards against a request that is sent on while answers break off."""
     instance = Instance(text=SIZED, is_reset=False, cuts=[60 for _ in range(9)])
