Reset connections whose answers to HTTP/1.0 callers break off

The product's own face streams chunked answers. To callers of HTTP/1.0 such a body ends with the connection. When the upstream broke off, the VM aborted the connection, but asyncio's abort closes the socket in order unless bytes are unread: the caller took the part for the whole answer. The same held for an answer that a planned stop cut. Callers of HTTP/1.1 were not affected: they get a length or chunks.

While such an answer is not finished, closing the socket resets the connection, whatever closes it. Edge VMs use the same writer; they have the whole answer before they start to send it.

--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import math
+import socket
+import struct
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -32,6 +34,10 @@
 _BODY_TIMEOUT_S = 10.0
 _MAX_LINE_BYTES = 8192
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+# Values of the socket option SO_LINGER: whether it is on, and seconds. On with
+# 0 seconds, closing the socket resets the connection.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+_ORDERLY_CLOSE = struct.pack('ii', 0, 0)
 _LOG = structlog.get_logger()
 
 
@@ -48,6 +54,10 @@
 class AiohttpAnswerWriter:
     """Port ``AnswerWriter`` for one aiohttp request.
 
+    To callers of HTTP/1.0, the connection's end marks the end of a body without
+    a length. Until the answer is finished, each way to close the connection
+    resets it, so that the caller does not take a part for the whole.
+
     :param is_last: returns whether to close the connection after an answer
         that starts now.
     """
@@ -69,6 +79,8 @@
         self.response = response
         if self.is_last():
             response.force_close()
+        if self._is_ended_by_close():
+            self._set_linger(_RESET_ON_CLOSE)
         try:
             await response.prepare(self.request)
         except OSError as exc:
@@ -89,6 +101,8 @@
             await self.response.write_eof()
         except OSError as exc:
             raise CallerGoneError(str(exc)) from exc
+        if self._is_ended_by_close():
+            self._set_linger(_ORDERLY_CLOSE)
 
     def abort(self) -> None:
         """Abort the connection."""
@@ -96,6 +110,20 @@
         if transport is not None:
             transport.abort()
 
+    def _is_ended_by_close(self) -> bool:
+        """Return whether the body has neither a length nor chunks."""
+        return (
+            self.response is not None
+            and self.response.content_length is None
+            and self.request.version < HttpVersion11
+        )
+
+    def _set_linger(self, linger: bytes) -> None:
+        transport = self.request.transport
+        if transport is not None:
+            connection = transport.get_extra_info('socket')
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
 
 @attrs.define(kw_only=True, eq=False)
 class EntryServer:
