End answers whose handler fails after their start

ProblemRequestHandler.handle_error replaces aiohttp's, and with it the check that nothing was sent yet. An exception that left a handler after the start of an answer put a 400 into its body; bytes of it could fill up the stated length, so that the answer looked whole. Both request paths catch their exceptions and abort the answer themselves, so that no caller is known to have met this.

The server now aborts the connection before aiohttp answers.

--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -242,19 +242,34 @@
                 self._is_draining and not protocol.has_started_answers()
             ),
         )
-        if pending.answer_task is None:
-            waited = protocol.queueing_time(pending)
-            with self._bodies.body() as counted:
-                await self.handler(
-                    self._caller_request(request, waited, counted), writer
-                )
-        else:
-            await _send_buffered_answer(pending.answer_task, writer)
+        try:
+            if pending.answer_task is None:
+                waited = protocol.queueing_time(pending)
+                await self._run_handler(request, writer, waited)
+            else:
+                await _send_buffered_answer(pending.answer_task, writer)
+        except Exception:
+            # aiohttp answers the error in the middle of a started answer
+            # unless the connection is closed.
+            if writer.is_started:
+                writer.abort()
+            raise
         assert writer.response is not None
         if self._is_draining and not writer.response.keep_alive:
             await protocol.linger()
         return writer.response
 
+    async def _run_handler(
+        self,
+        request: web.BaseRequest,
+        writer: AiohttpAnswerWriter,
+        waited: float,
+    ) -> None:
+        with self._bodies.body() as counted:
+            await self.handler(
+                self._caller_request(request, waited, counted), writer
+            )
+
     def _start_buffered_answer(
         self, message: RawRequestMessage
     ) -> 'asyncio.Task[BufferedAnswer] | None':
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -24,6 +24,7 @@
 from bronzewall.adapters.entry_http import EntryServer
 from bronzewall.adapters.upstream_http import AiohttpUpstreams, open_session
 from bronzewall.ports import AnswerWriter, CallerRequest
+from bronzewall.problems import Problem
 from bronzewall.standins.memory_fleet import MemoryVm
 from bronzewall.standins.raw_upstream import RawUpstream
 from bronzewall.types import VmId
@@ -183,3 +184,25 @@
     async with an_entry(handle, pytest.fail) as server:
         received, was_reset = await ask(port_of(server), '1.0')
     assert whole_body(received, is_reset=was_reset) == body
+
+
+@pytest.mark.parametrize('version', _VERSIONS)
+@pytest.mark.parametrize('size', [None, 90, 400])
+async def test_error_after_the_start_adds_nothing_to_an_answer(
+    version: str, size: int | None
+) -> None:
+    """Guards against a second answer in the body of the first."""
+    headers = [] if size is None else [('Content-Length', str(size))]
+
+    async def handle(_request: CallerRequest, writer: AnswerWriter) -> None:
+        await writer.start(status=200, headers=headers)
+        await writer.write(BODY)
+        raise KeyError
+
+    def on_bad_input(_error: str) -> Problem:
+        return Problem(status=400, headers=(), body=b'y' * 900)
+
+    async with an_entry(handle, on_bad_input) as server:
+        received, was_reset = await ask(port_of(server), version)
+    assert whole_body(received, is_reset=was_reset) is None
+    assert b'HTTP/1' not in received[8:]
