Test answers of the users' store that break off at any byte

Half an answer must not be read as a list without rows or as an older version. It is not: the session's connections fail a body without a length at a reset, and a part of the JSON object is no JSON.

--- a/tests/cut_answers.py
+++ b/tests/cut_answers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import attrs
+
 from bronzewall.standins.raw_upstream import RawConnection, Script
 
 BODY = b'x' * 50
@@ -63,3 +65,31 @@
         await send_cut(connection, text, number, is_reset=is_reset)
 
     return script
+
+
+@attrs.define(kw_only=True, eq=False)
+class CutServer:
+    """Server that breaks off each answer after the same number of bytes.
+
+    aiohttp asks again on another connection if the first one breaks.
+    """
+
+    text: bytes
+    is_reset: bool
+    cut: int = 0
+
+    async def run(self, connection: RawConnection, _number: int) -> None:
+        """Answer one request."""
+        await connection.read_request()
+        await send_cut(connection, self.text, self.cut, is_reset=self.is_reset)
+
+
+def framings(body: bytes, content_type: str) -> dict[str, bytes]:
+    """Return answers with a body, one for each way to mark its end."""
+    head = f'HTTP/1.1 200 OK\r\nContent-Type: {content_type}\r\n'.encode()
+    size = len(body)
+    return {
+        'sized': head + b'Content-Length: %d\r\n\r\n' % size + body,
+        'chunked': head + CHUNKED + b'%x\r\n%b\r\n0\r\n\r\n' % (size, body),
+        'unframed': head + b'\r\n' + body,
+    }
