Reject answers of the platform without a stated end

PlatformClient read a body without a length or chunks up to the end of its connection, also after a reset, since its session has aiohttp's own connections. An object that broke off was returned as whole; half a row raised cbor2's error in place of a StoreError, which ends the task of a reader. The digests of configuration parts would have caught half an object.

Such an answer now counts as broken off: unavailable for reads, lost for a transaction. 14 of 42 rows of test_cut_answer_of_the_platform failed before, all of the unframed kind; answers with a length or chunks held already.

--- a/src/bronzewall/adapters/platform_http.py
+++ b/src/bronzewall/adapters/platform_http.py
@@ -9,6 +9,7 @@
 
 from bronzewall import platform_wire
 from bronzewall.adapters.safe_reuse_connector import SafeReuseConnector
+from bronzewall.adapters.stated_end import check_stated_end
 from bronzewall.errors import (
     ObjectMissingError,
     StoreAnswerLostError,
@@ -105,6 +106,7 @@
         async with self.session.request(
             method, self.base_url + path, data=body, timeout=timeout
         ) as response:
+            check_stated_end(response)
             return response.status, await response.read()
 
 
--- a/tests/test_broken_store_answers.py
+++ b/tests/test_broken_store_answers.py
@@ -5,19 +5,30 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import aiohttp
+import cbor2
 import pytest
+from builders import a_vm_record
 from cut_answers import CutServer, framings
 from edge_builders import a_vm
 
+from bronzewall.adapters.platform_http import PlatformClient, PlatformVmList
 from bronzewall.adapters.system_clock import SystemClock
 from bronzewall.edge.composition import _open_store_session
 from bronzewall.edge.ports import Revision
-from bronzewall.errors import StoreUnavailableError
+from bronzewall.errors import (
+    StoreAnswerLostError,
+    StoreError,
+    StoreUnavailableError,
+)
 from bronzewall.metrics import Metrics
 from bronzewall.platform.store import PlatformStore
+from bronzewall.platform_wire import vm_record_to_wire
 from bronzewall.standins.raw_upstream import RawUpstream
 
 _FRAMINGS = ('sized', 'chunked', 'unframed')
+_ROW = {'value': b'v' * 9, 'version': 3}
+_RECORD = a_vm_record(admin_address='127.0.0.1:1')
 Call = Callable[[str], Awaitable[object]]
 
 
@@ -89,3 +100,77 @@
         assert isinstance(whole, StoreUnavailableError)
     elif call is not register:
         assert whole.revision == Revision(era=0, number=41)
+
+
+def read(client: PlatformClient) -> Awaitable[object]:
+    return client.read(table='t', key='k')
+
+
+def scan(client: PlatformClient) -> Awaitable[object]:
+    return client.scan(table='t', prefix='')
+
+
+def time(client: PlatformClient) -> Awaitable[object]:
+    return client.time()
+
+
+def get(client: PlatformClient) -> Awaitable[object]:
+    return client.get(name='n')
+
+
+def put(client: PlatformClient) -> Awaitable[object]:
+    return client.put(name='n', body=b'')
+
+
+def transact(client: PlatformClient) -> Awaitable[object]:
+    return client.transact(checks=[], writes=[])
+
+
+def read_vms(client: PlatformClient) -> Awaitable[object]:
+    return PlatformVmList(client=client).read()
+
+
+_OBJECT = b'object of some bytes'
+_ANSWERS_BY_CALL = {
+    read: cbor2.dumps(_ROW),
+    scan: cbor2.dumps({'a': _ROW, 'b': _ROW}),
+    time: cbor2.dumps(12.5),
+    get: _OBJECT,
+    put: b'done',
+    transact: b'done',
+    read_vms: cbor2.dumps([vm_record_to_wire(_RECORD)]),
+}
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+@pytest.mark.parametrize('framing', _FRAMINGS)
+@pytest.mark.parametrize('call', _ANSWERS_BY_CALL)
+async def test_cut_answer_of_the_platform(
+    call: Callable[[PlatformClient], Awaitable[object]],
+    framing: str,
+    is_reset: bool,
+) -> None:
+    """Guards against half an object, and errors that end a reader's task.
+
+    An answer that ends with its connection does not show whether it is whole.
+    """
+    body = _ANSWERS_BY_CALL[call]
+    text = framings(body, 'application/octet-stream')[framing]
+    async with aiohttp.ClientSession() as session:
+
+        async def on(address: str) -> object:
+            client = PlatformClient(
+                base_url=f'http://{address}', session=session
+            )
+            return await call(client)
+
+        server = CutServer(text=text, is_reset=is_reset)
+        *cut, whole = await outcomes(server, on)
+    expected: type[StoreError] = StoreUnavailableError
+    if call is transact:
+        expected = StoreAnswerLostError
+    if framing == 'unframed':
+        cut.append(whole)
+    else:
+        assert not isinstance(whole, Exception)
+    assert all(isinstance(found, expected) for found in cut)
