Report malformed answers of the platform as unavailable

The readers of rows, the clock and the VM list handle a StoreError and try again. A malformed answer raised cbor2's error, a TypeError or a KeyError instead, which ends the task of such a reader; a VM would go on with its old list of VMs. Found while looking for answers that break off, which no longer get this far. The 12 rows of test_malformed_answer_of_the_platform failed before.

--- a/src/bronzewall/adapters/platform_http.py
+++ b/src/bronzewall/adapters/platform_http.py
@@ -1,7 +1,7 @@
 """Table service, object store and VM list over HTTP."""
 
-from collections.abc import Mapping, Sequence
-from typing import Any
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, TypeVar
 
 import aiohttp
 import attrs
@@ -19,6 +19,7 @@
 from bronzewall.types import Row, RowCheck, RowWrite, VmRecord
 
 _HTTP_OK = 200
+_DecodedT = TypeVar('_DecodedT')
 
 
 def open_platform_session() -> aiohttp.ClientSession:
@@ -45,13 +46,13 @@
         """Return one row."""
         body = cbor2.dumps({'table': table, 'key': key})
         answer = await self._request(platform_wire.READ_PATH, body)
-        return platform_wire.row_from_wire(cbor2.loads(answer))
+        return _decode(answer, platform_wire.row_from_wire)
 
     async def scan(self, *, table: str, prefix: str) -> Mapping[str, Row]:
         """Return rows by key."""
         body = cbor2.dumps({'table': table, 'prefix': prefix})
         answer = await self._request(platform_wire.SCAN_PATH, body)
-        return {key: Row(**wire) for key, wire in cbor2.loads(answer).items()}
+        return _decode(answer, _rows_from_wire)
 
     async def transact(
         self, *, checks: Sequence[RowCheck], writes: Sequence[RowWrite]
@@ -72,7 +73,7 @@
     async def time(self) -> float:
         """Return the time of the service's clock."""
         answer = await self._request(platform_wire.TIME_PATH, b'')
-        return float(cbor2.loads(answer))
+        return _decode(answer, float)
 
     async def put(self, *, name: str, body: bytes) -> None:
         """Store an object; the operation is idempotent."""
@@ -119,5 +120,23 @@
     async def read(self) -> Sequence[VmRecord]:
         """Return the records."""
         answer = await self.client.get_path(platform_wire.VMS_PATH)
-        wires: list[Any] = cbor2.loads(answer)
-        return tuple(platform_wire.vm_record_from_wire(wire) for wire in wires)
+        return _decode(answer, _vm_records_from_wire)
+
+
+def _decode(answer: bytes, convert: Callable[[Any], _DecodedT]) -> _DecodedT:
+    """Return what an answer encodes.
+
+    :raises StoreUnavailableError: it is malformed.
+    """
+    try:
+        return convert(cbor2.loads(answer))
+    except Exception as exc:
+        raise StoreUnavailableError(f'malformed answer: {exc!r}') from exc
+
+
+def _rows_from_wire(wire: Any) -> dict[str, Row]:
+    return {key: Row(**row) for key, row in wire.items()}
+
+
+def _vm_records_from_wire(wire: Any) -> tuple[VmRecord, ...]:
+    return tuple(platform_wire.vm_record_from_wire(one) for one in wire)
--- a/tests/test_broken_store_answers.py
+++ b/tests/test_broken_store_answers.py
@@ -174,3 +174,22 @@
     else:
         assert not isinstance(whole, Exception)
     assert all(isinstance(found, expected) for found in cut)
+
+
+@pytest.mark.parametrize('body', [b'', b'\xff', b'\x81\xa0', b'\xf6'])
+@pytest.mark.parametrize('call', [scan, time, read_vms])
+async def test_malformed_answer_of_the_platform(
+    call: Callable[[PlatformClient], Awaitable[object]], body: bytes
+) -> None:
+    """Guards against an error that ends the task of a reader."""
+    text = framings(body, 'application/octet-stream')['sized']
+    server = CutServer(text=text, is_reset=False, cut=len(text))
+    async with (
+        RawUpstream(script=server.run) as upstream,
+        aiohttp.ClientSession() as session,
+    ):
+        client = PlatformClient(
+            base_url=f'http://{upstream.address}', session=session
+        )
+        with pytest.raises(StoreUnavailableError):
+            await call(client)
