Reject reports of VMs without a stated end

AdminClient took a report without a length or chunks up to the end of its connection. A part of it raised json's error out of the status and publish commands, and an empty part counted as the report null; VmAnswer(**None) ended a publish after it was stored. VMs state the length, so that only something else at a VM's address could cause this. Such an answer is now none.

--- a/src/bronzewall/adapters/admin_client.py
+++ b/src/bronzewall/adapters/admin_client.py
@@ -5,6 +5,7 @@
 import aiohttp
 import attrs
 
+from bronzewall.adapters.stated_end import check_stated_end
 from bronzewall.errors import AdminUnavailableError
 from bronzewall.publication_check import VmAnswer
 from bronzewall.published_change import PublishedChange, encode_change
@@ -29,8 +30,7 @@
             async with self.session.post(
                 url, data=encode_change(change), timeout=timeout
             ) as response:
-                response.raise_for_status()
-                return VmAnswer(**await response.json())
+                return VmAnswer(**await _document(response))
         except (aiohttp.ClientError, TimeoutError):
             return None
 
@@ -44,7 +44,16 @@
         url = f'http://{address}{path}'
         try:
             async with self.session.get(url, timeout=timeout) as response:
-                response.raise_for_status()
-                return await response.json()
+                return await _document(response)
         except (aiohttp.ClientError, TimeoutError) as exc:
             raise AdminUnavailableError(f'{address}: {exc!r}') from exc
+
+
+async def _document(response: aiohttp.ClientResponse) -> Any:
+    """Return the decoded JSON of an answer.
+
+    :raises aiohttp.ClientError: it is an error, or not certainly whole.
+    """
+    response.raise_for_status()
+    check_stated_end(response)
+    return await response.json()
--- a/tests/test_broken_store_answers.py
+++ b/tests/test_broken_store_answers.py
@@ -12,11 +12,13 @@
 from cut_answers import CutServer, framings
 from edge_builders import a_vm
 
+from bronzewall.adapters.admin_client import AdminClient
 from bronzewall.adapters.platform_http import PlatformClient, PlatformVmList
 from bronzewall.adapters.system_clock import SystemClock
 from bronzewall.edge.composition import _open_store_session
 from bronzewall.edge.ports import Revision
 from bronzewall.errors import (
+    AdminUnavailableError,
     StoreAnswerLostError,
     StoreError,
     StoreUnavailableError,
@@ -24,6 +26,7 @@
 from bronzewall.metrics import Metrics
 from bronzewall.platform.store import PlatformStore
 from bronzewall.platform_wire import vm_record_to_wire
+from bronzewall.published_change import PublishedChange
 from bronzewall.standins.raw_upstream import RawUpstream
 
 _FRAMINGS = ('sized', 'chunked', 'unframed')
@@ -193,3 +196,44 @@
         )
         with pytest.raises(StoreUnavailableError):
             await call(client)
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+@pytest.mark.parametrize('framing', _FRAMINGS)
+async def test_cut_report_of_a_vm(framing: str, is_reset: bool) -> None:
+    """Guards against a part of a report, and against a command that fails."""
+    text = framings(b'{"vm": "vm-1"}', 'application/json')[framing]
+    async with aiohttp.ClientSession() as session:
+        client = AdminClient(session=session)
+        server = CutServer(text=text, is_reset=is_reset)
+        *cut, whole = await outcomes(
+            server, lambda address: client.fetch(address, '/status')
+        )
+    if framing == 'unframed':
+        cut.append(whole)
+    else:
+        assert whole == {'vm': 'vm-1'}
+    assert all(isinstance(found, AdminUnavailableError) for found in cut)
+
+
+@pytest.mark.parametrize('is_reset', [False, True])
+@pytest.mark.parametrize('framing', _FRAMINGS)
+async def test_cut_answer_to_a_change(framing: str, is_reset: bool) -> None:
+    """Guards against a publish that fails after it was stored."""
+    body = json.dumps({'generation': 4, 'serves_keyed': True}).encode()
+    text = framings(body, 'application/json')[framing]
+    change = PublishedChange(generation=4, keys_generation=0)
+    async with aiohttp.ClientSession() as session:
+        client = AdminClient(session=session)
+
+        async def on(address: str) -> object:
+            record = a_vm_record(admin_address=address)
+            return await client.send_change(record, change)
+
+        server = CutServer(text=text, is_reset=is_reset)
+        *cut, whole = await outcomes(server, on)
+    if framing == 'unframed':
+        cut.append(whole)
+    else:
+        assert whole.generation == 4
+    assert cut == [None for _ in cut]
