Pass on encoded request bodies unchanged

aiohttp's server decompresses bodies with Content-Encoding gzip or deflate. The request handler got another body than the caller had sent, to be passed on with the header that still named the coding. Found while looking for requests that break off.

Two of three rows of test_encoded_body_is_passed_on_unchanged failed before.

--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -168,6 +168,9 @@
             handler_cancellation=True,
             max_line_size=self.max_line_bytes,
             max_field_size=self.max_line_bytes,
+            # Bodies are passed on as they were sent, with the header that
+            # names their coding.
+            auto_decompress=False,
             access_log=None,
             **self.options,
         )
--- a/tests/test_broken_requests.py
+++ b/tests/test_broken_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import zlib
 from collections.abc import AsyncIterator
 
 import attrs
@@ -38,6 +39,8 @@
     'HTTP/1.0': (_HEAD + _SIZED).replace(b'HTTP/1.1', b'HTTP/1.0'),
 }
 _BEFORE = b'GET /before HTTP/1.1\r\nHost: a\r\n\r\n'
+# Lets zlib write the header of gzip.
+_GZIP_WINDOW = zlib.MAX_WBITS | 16
 # Time for what a server might still do after a connection has ended, seconds.
 _SETTLE_S = 0.05
 
@@ -128,3 +131,26 @@
         connection.reset()
     body = b'' if name == 'no body' else _BODY
     assert entry.passed_on == [('/cut', body)]
+
+
+@pytest.mark.parametrize('coding', ['gzip', 'deflate', 'identity'])
+async def test_encoded_body_is_passed_on_unchanged(coding: str) -> None:
+    """Guards against an instance that gets another body than was sent.
+
+    Its request still has the header that names the coding.
+    """
+    window = _GZIP_WINDOW if coding == 'gzip' else zlib.MAX_WBITS
+    packer = zlib.compressobj(wbits=window)
+    body = packer.compress(_BODY * 9) + packer.flush()
+    async with an_entry(is_parallel=False) as entry:
+        connection = await entry.connect()
+        await connection.send(
+            _HEAD
+            + f'Content-Encoding: {coding}\r\n'.encode()
+            + f'Content-Length: {len(body)}\r\n\r\n'.encode()
+            + body
+        )
+        head = await connection.reader.readuntil(b'\r\n\r\n')
+        connection.reset()
+    assert head.startswith(b'HTTP/1.1 200 ')
+    assert entry.passed_on == [('/cut', body)]
