--- a/tests/test_body_budget.py
+++ b/tests/test_body_budget.py
@@ -4,7 +4,7 @@
 import contextlib
 
 import pytest
-from test_planned_stop import free_ports
+from stopping_vm import free_ports
 
 from bronzewall.adapters.body_budget import BodyBudget
 from bronzewall.adapters.entry_http import EntryServer
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -30,8 +30,8 @@
     an_edge_route,
     an_edge_vm,
 )
+from stopping_vm import free_ports
 from test_instance_http import a_request
-from test_planned_stop import free_ports
 
 from bronzewall.adapters.entry_http import EntryServer
 from bronzewall.adapters.instance_http import (
--- a/tests/test_broken_requests.py
+++ b/tests/test_broken_requests.py
@@ -7,7 +7,7 @@
 
 import attrs
 import pytest
-from test_planned_stop import free_ports
+from stopping_vm import free_ports
 
 from bronzewall.adapters.entry_http import EntryServer
 from bronzewall.metrics import Metrics
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -19,7 +19,7 @@
     CHUNKS,
     cut_one_byte_later_each_time,
 )
-from test_planned_stop import free_ports
+from stopping_vm import free_ports
 
 from bronzewall.adapters.entry_http import EntryServer
 from bronzewall.adapters.upstream_http import AiohttpUpstreams, open_session
