Treat an address that cannot be connected to as unreachable

What operators of similar systems saw: an entry with a port out of range made processes stop following the list.

Cause: the check of the path to a service connects to listed addresses. Port 99999 raised OverflowError there, a label over 63 characters UnicodeError and a NUL ValueError, none of which is an OSError. The probe ended with the exception; if the path was lost, the task that looks for its return ended too, and the VM relayed all requests for the service until its restart. A refused connection and a failed look-up were handled already.

Change: wire_checks reads an address and raises AddressError, which the probe treats like a refused connection.

--- a/src/bronzewall/adapters/tcp_probe.py
+++ b/src/bronzewall/adapters/tcp_probe.py
@@ -3,6 +3,8 @@
 import asyncio
 
 from bronzewall.config_model import Instance
+from bronzewall.errors import AddressError
+from bronzewall.wire_checks import split_address
 
 _TIMEOUT_S = 0.3
 
@@ -17,7 +19,7 @@
         await _connect(instance.address)
     except TimeoutError:
         return False
-    except OSError:
+    except (OSError, AddressError):
         return True
     return False
 
@@ -29,14 +31,17 @@
     """
     try:
         await _connect(address)
-    except OSError:
+    except (OSError, AddressError):
         return False
     return True
 
 
 async def _connect(address: str) -> None:
-    """Open a connection and close it."""
-    host, _, port = address.rpartition(':')
+    """Open a connection and close it.
+
+    :raises AddressError: the address is not valid.
+    """
+    host, port = split_address(address)
     async with asyncio.timeout(_TIMEOUT_S):
-        _, writer = await asyncio.open_connection(host, int(port))
+        _, writer = await asyncio.open_connection(host, port)
     writer.close()
--- a/src/bronzewall/errors.py
+++ b/src/bronzewall/errors.py
@@ -45,6 +45,10 @@
     """The admin endpoint of a VM did not answer."""
 
 
+class AddressError(BronzewallError):
+    """A text is not the address of a host and port."""
+
+
 class PeerError(BronzewallError):
     """Communication with another VM failed."""
 
