Read only texts and numbers of the platform that can be sent on

Cause: JSON may hold a lone surrogate, which no encoder takes. One in a key of the configuration raised UnicodeEncodeError where the configuration is put in force, after half of it was: the reader's loop ended and the VM followed no later version. A line break in an account's name failed each of its requests at the header, and the instances counted as failing. A value of 100 KB was logged whole. Wrong types, missing fields, nesting of 100,000 levels and numbers such as 1e400 were handled already.

Change: a text has to be printable and of at most 1,024 characters, a whole number at most 1e15; an error shows 100 characters of a value. A key that cannot be read leaves out its account, as a key of another type does.

Evidence: test_account_with_a_text_that_cannot_be_sent failed for its five texts before, test_rows_of_configurations_with_odd_values for the length of the error.

--- a/src/bronzewall/platform/configuration.py
+++ b/src/bronzewall/platform/configuration.py
@@ -197,6 +197,8 @@
 
 
 def _key(value: object) -> str:
-    if not isinstance(value, str):
-        raise StoreEntryError('a key is not a text')
-    return value
+    try:
+        return fields.plain_text(value, 'key')
+    except StoreEntryError:
+        # The error would show a part of the key.
+        raise StoreEntryError('a key is not a text') from None
--- a/src/bronzewall/platform/fields.py
+++ b/src/bronzewall/platform/fields.py
@@ -5,11 +5,15 @@
 from typing import Any, TypeVar
 
 from bronzewall.errors import StoreEntryError
+from bronzewall.wire_checks import is_plain_text, shown
 
 _FieldT = TypeVar('_FieldT')
 _NUMBER = (int, float)
 # Numbers beyond this are mistakes; arithmetic with them may fail.
 _MAX_NUMBER = 1e15
+# Longest text, characters. Names are logged, and paths of callers that are
+# longer than this by far are refused.
+_MAX_TEXT_CHARACTERS = 1024
 
 
 def document(raw: bytes) -> dict[str, Any]:
@@ -27,13 +31,23 @@
 
 
 def text(wire: Mapping[str, Any], name: str) -> str:
-    """Return a text that is not empty.
+    """Return a text that is not empty and can be sent and logged.
 
     :raises StoreEntryError: the field is missing or holds something else.
     """
-    value = _typed(wire, name, str)
-    if not value:
-        raise StoreEntryError(f'{name} is empty')
+    return plain_text(wire.get(name), name)
+
+
+def plain_text(value: object, name: str) -> str:
+    """Return a value that is a text as :func:`text` returns it.
+
+    :param name: name for the error.
+    :raises StoreEntryError: it is something else.
+    """
+    if not isinstance(value, str) or not is_plain_text(
+        value, limit=_MAX_TEXT_CHARACTERS
+    ):
+        raise StoreEntryError(f'{name} is {shown(value)}')
     return value
 
 
@@ -42,7 +56,10 @@
 
     :raises StoreEntryError: the field is missing or holds something else.
     """
-    return _typed(wire, name, int)
+    value = _typed(wire, name, int)
+    if abs(value) > _MAX_NUMBER:
+        raise StoreEntryError(f'{name} is {shown(value)}')
+    return value
 
 
 def number(wire: Mapping[str, Any], name: str) -> float:
@@ -52,7 +69,7 @@
     """
     value = _typed(wire, name, _NUMBER)
     if not 0 <= value < _MAX_NUMBER:
-        raise StoreEntryError(f'{name} is {value!r}')
+        raise StoreEntryError(f'{name} is {shown(value)}')
     return value
 
 
@@ -81,7 +98,7 @@
     :raises StoreEntryError: the item is something else.
     """
     if not isinstance(item, dict):
-        raise StoreEntryError(f'{item!r} is not an object')
+        raise StoreEntryError(f'{shown(item)} is not an object')
     return item
 
 
@@ -92,7 +109,7 @@
     """
     host, _, port = value.rpartition(':')
     if not host or not port.isdigit():
-        raise StoreEntryError(f'address {value!r} is not host:port')
+        raise StoreEntryError(f'address {shown(value)} is not host:port')
     return value
 
 
@@ -103,5 +120,5 @@
 ) -> _FieldT:
     value = wire.get(name)
     if not isinstance(value, types) or isinstance(value, bool):
-        raise StoreEntryError(f'{name} is {value!r}')
+        raise StoreEntryError(f'{name} is {shown(value)}')
     return value
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,13 +1,23 @@
 """Odd entries, messages and headers concern only themselves."""
 
+import json
+from collections.abc import Iterable
+from typing import Any
+
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from test_platform_adapter import CONFIGURATION, JSON_VALUES
 
 from bronzewall.adapters.tcp_probe import (
     accepts_connections,
     refuses_connections,
 )
 from bronzewall.config_model import Instance
-from bronzewall.errors import AddressError
+from bronzewall.edge.directory import Directory
+from bronzewall.edge.model import EdgeConfiguration
+from bronzewall.errors import AddressError, StoreEntryError
+from bronzewall.platform.configuration import ConfigurationDecoder
 from bronzewall.types import InstanceId, Placement
 from bronzewall.wire_checks import (
     is_plain_text,
@@ -16,6 +26,47 @@
     whole_number,
 )
 
+DEEP = '[' * 100_000 + ']' * 100_000
+# Texts of JSON values that no field has, or of which few have one.
+ODD_VALUES = (
+    'null',
+    'true',
+    '""',
+    '" "',
+    r'"\ud800"',
+    r'"a\u0000"',
+    r'"a\r\nX: y"',
+    r'"\u2028"',
+    json.dumps('x' * 100_000),
+    '"é"',
+    '"-1"',
+    '-1',
+    '-9e999',
+    '0',
+    '0.5',
+    '1e-320',
+    '1e308',
+    '1e400',
+    'NaN',
+    'Infinity',
+    str(2**53),
+    str(2**64),
+    str(10**16),
+    str(10**400),
+    str(10**4000),
+    '9' * 5000,
+    '[]',
+    '{}',
+    '[["a"]]',
+    DEEP,
+    '{"a":' * 100_000 + '1' + '}' * 100_000,
+    '"h:99999"',
+    r'"h:\u00b2"',
+    '"u@h/p?q#f:80"',
+    '"[::1]:80"',
+    f'"{"9" * 5000}"',
+)
+
 NO_ADDRESSES = (
     '',
     ':80',
@@ -125,3 +176,93 @@
     for value in (deep, 'a' * 10**6, 10**5000, {1: {2: ['x' * 10**6, 0]}}):
         assert len(shown(value)) < 150
     assert shown('x') == "'x'"
+
+
+def odd_rows(document: dict[str, Any]) -> Iterable[bytes]:
+    """Yield rows with one odd value in each field, twice, or at the end."""
+    wholes = {name: json.dumps(found) for name, found in document.items()}
+    for name in (*document, 'newField'):
+        for odd in ODD_VALUES:
+            yield object_of({**wholes, name: odd})
+        # Of two fields of one name, the last one counts.
+        whole = object_of(wholes)
+        yield whole[:-1] + f', "{name}": {wholes.get(name, 7)}}}'.encode()
+    yield from (odd.encode() for odd in ODD_VALUES)
+    yield from (
+        whole[:-1],
+        b'\xff' + whole,
+        b'',
+        whole.decode().encode('utf-16'),
+    )
+
+
+def object_of(texts_by_name: dict[str, str]) -> bytes:
+    members = (f'"{name}": {text}' for name, text in texts_by_name.items())
+    return f'{{{", ".join(members)}}}'.encode()
+
+
+def put_in_force(document: dict[str, Any] | bytes) -> EdgeConfiguration | None:
+    """Decode a configuration and put it in force, if it can be read."""
+    raw = document
+    if not isinstance(document, bytes):
+        raw = json.dumps(document).encode()
+    try:
+        found = ConfigurationDecoder().decode(raw)
+    except StoreEntryError as exc:
+        assert len(str(exc)) < 250
+        return None
+    Directory().accept(found, raw=raw, source='test')
+    # Names are sent in headers and messages.
+    for name in (
+        *(one.account_id for one in found.accounts),
+        *(share.service for one in found.routes for share in one.traffic_split),
+    ):
+        assert name.isprintable()
+    return found
+
+
+def with_account(**changes: object) -> dict[str, Any]:
+    """Return a configuration with a second, changed account."""
+    first = CONFIGURATION['tenants'][0]
+    second = {**first, 'name': 'y', 'apiKeys': ['k-2'], **changes}
+    return {**CONFIGURATION, 'tenants': [first, second]}
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'apiKeys': ['\ud800']},
+        {'apiKeys': ['k-2', 'a\nb']},
+        {'name': '\ud800'},
+        {'name': 'y\r\nX: z'},
+        {'name': 'y' * 10_000},
+    ],
+)
+def test_account_with_a_text_that_cannot_be_sent(change) -> None:
+    # Guards against a configuration that ends the reader of the store, a list
+    # of demands that cannot be encoded, and instances that count as failing
+    # because of a header.
+    found = put_in_force(with_account(**change))
+    assert found is not None
+    assert [one.account_id for one in found.accounts] == ['x']
+    assert found.has_unreadable_accounts
+
+
+def test_rows_of_configurations_with_odd_values() -> None:
+    # Guards against an exception that no reader of the configuration expects.
+    for raw in odd_rows(CONFIGURATION):
+        put_in_force(raw)
+    for part in ('routes', 'tenants'):
+        for entry in CONFIGURATION[part]:
+            for raw in odd_rows(entry):
+                whole = json.dumps({**CONFIGURATION, part: ['?']}).encode()
+                put_in_force(whole.replace(b'"?"', raw))
+
+
+@given(
+    part=st.sampled_from(['routes', 'tenants', 'limits', 'configVersion']),
+    odd=JSON_VALUES,
+)
+def test_any_part_of_a_configuration(part: str, odd: object) -> None:
+    put_in_force({**CONFIGURATION, part: odd})
+    put_in_force({**CONFIGURATION, part: [odd]})
