Log a row that cannot be read once for each error

Cause: a row was logged again whenever its content changed, and an instance changes the report count of its entry every interval. A row of the VMs and one of the instances with the same key took turns. The contents were kept for good.

Change: the error decides, by table and key. The line names the table. At most 1,000 errors are remembered, each until its row can be read again or is deleted.

--- a/src/bronzewall/platform/store.py
+++ b/src/bronzewall/platform/store.py
@@ -44,6 +44,8 @@
 _SLOW_ANSWER_S = 0.15
 # Rows that one transaction may write.
 _TRANSACTION_ROWS = 100
+# Malformed rows whose errors are remembered; the oldest are forgotten.
+_MAX_LOGGED_ERRORS = 1000
 _LOG = structlog.get_logger()
 _EntryT = TypeVar('_EntryT')
 
@@ -93,7 +95,8 @@
     store_clock: StoreClock = attrs.field(factory=StoreClock)
     _era: int = 0
     _read_timeout: float = _READ_TIMEOUT_S
-    _bad_entries: dict[str, bytes] = attrs.field(factory=dict)
+    # Errors of malformed rows by table and key, as logged.
+    _logged_errors: dict[tuple[str, str], str] = attrs.field(factory=dict)
 
     def decode_configuration(self, raw: bytes) -> EdgeConfiguration:
         """Decode the operators' row."""
@@ -120,7 +123,9 @@
     async def read_instances(self) -> InstancesReading:
         """Read the instances."""
         page = await self._read(names.INSTANCES_TABLE)
-        found = self._decode_rows(page, self._decode_instance)
+        found = self._decode_rows(
+            names.INSTANCES_TABLE, page, self._decode_instance
+        )
         return InstancesReading(
             instances=found,
             revision=page.revision,
@@ -138,7 +143,9 @@
         An entry changes when more than its count of reports does.
         """
         page = await self._watch(names.INSTANCES_TABLE, after, wait)
-        listed = self._decode_rows(page, self._decode_instance)
+        listed = self._decode_rows(
+            names.INSTANCES_TABLE, page, self._decode_instance
+        )
         kept = {item.instance_id for item in listed}
         return InstanceChanges(
             listed=listed,
@@ -158,7 +165,9 @@
         """Read the VMs."""
         page = await self._read(names.VMS_TABLE)
         return VmsReading(
-            entries=self._decode_rows(page, decoding.decode_vm),
+            entries=self._decode_rows(
+                names.VMS_TABLE, page, decoding.decode_vm
+            ),
             revision=page.revision,
         )
 
@@ -169,7 +178,9 @@
         """
         page = await self._watch(names.VMS_TABLE, after, wait)
         return VmsReading(
-            entries=self._decode_rows(page, decoding.decode_vm),
+            entries=self._decode_rows(
+                names.VMS_TABLE, page, decoding.decode_vm
+            ),
             revision=page.revision,
         )
 
@@ -204,27 +215,34 @@
         )
 
     def _decode_rows(
-        self, page: _Page, decode: Callable[[str, bytes], _EntryT]
+        self, table: str, page: _Page, decode: Callable[[str, bytes], _EntryT]
     ) -> tuple[_EntryT, ...]:
         """Return the entries of a page; malformed rows are skipped."""
         entries: list[_EntryT] = []
         for row in page.rows:
             if row.raw is None:
+                self._logged_errors.pop((table, row.key), None)
                 continue
             try:
                 entries.append(decode(row.key, row.raw))
             except StoreEntryError as exc:
-                self._record_bad_entry(row.key, row.raw, exc)
+                self._record_bad_entry(table, row.key, str(exc))
+            else:
+                self._logged_errors.pop((table, row.key), None)
         return tuple(entries)
 
-    def _record_bad_entry(
-        self, key: str, raw: bytes, exc: StoreEntryError
-    ) -> None:
-        """Count a malformed row and log it once for each content."""
+    def _record_bad_entry(self, table: str, key: str, error: str) -> None:
+        """Count a malformed row and log it once for each error.
+
+        Its other fields may change with every report of its writer.
+        """
         self.metrics.events['bad_store_entry'] += 1
-        if self._bad_entries.get(key) != raw:
-            self._bad_entries[key] = raw
-            _LOG.warning('store_entry_ignored', key=key, error=str(exc))
+        if self._logged_errors.get((table, key)) == error:
+            return
+        self._logged_errors[table, key] = error
+        _LOG.warning('store_entry_ignored', table=table, key=key, error=error)
+        while len(self._logged_errors) > _MAX_LOGGED_ERRORS:
+            self._logged_errors.pop(next(iter(self._logged_errors)))
 
     async def _read(self, table: str) -> _Page:
         """Return all rows of a table; each page is a consistent snapshot.
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -7,7 +7,13 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from test_platform_adapter import CONFIGURATION, JSON_VALUES
+from structlog.testing import capture_logs
+from test_platform_adapter import (
+    CONFIGURATION,
+    ENTRY,
+    JSON_VALUES,
+    StoreStandIn,
+)
 
 from bronzewall.adapters.tcp_probe import (
     accepts_connections,
@@ -266,3 +272,36 @@
 def test_any_part_of_a_configuration(part: str, odd: object) -> None:
     put_in_force({**CONFIGURATION, part: odd})
     put_in_force({**CONFIGURATION, part: [odd]})
+
+
+async def test_row_that_stays_odd_is_logged_once() -> None:
+    # Guards against a log line for each report of an instance whose entry
+    # cannot be read, and for each of two rows of one key.
+    async with StoreStandIn() as stand_in:
+        with capture_logs() as lines:
+            for number in range(3):
+                odd = {**ENTRY, 'serviceName': 'x' * 9_000, 'sequence': number}
+                stand_in.put('servers', 'i-1', odd)
+                stand_in.put('bronzewall-vms', 'i-1', odd)
+                await stand_in.store.read_instances()
+                await stand_in.store.read_vms()
+        ignored = [
+            line for line in lines if line['event'] == 'store_entry_ignored'
+        ]
+        assert [line['table'] for line in ignored] == [
+            'servers',
+            'bronzewall-vms',
+        ]
+        assert max(len(str(line)) for line in ignored) < 400
+        assert stand_in.store.metrics.events['bad_store_entry'] == 6
+
+
+async def test_row_that_is_odd_again_is_logged_again() -> None:
+    async with StoreStandIn() as stand_in:
+        with capture_logs() as lines:
+            for document in (b'', ENTRY, b''):
+                stand_in.put('servers', 'i-1', document)
+                await stand_in.store.read_instances()
+        names = [line['event'] for line in lines]
+        assert names.count('store_entry_ignored') == 2
+        assert len(stand_in.store._logged_errors) == 1
