Leave out instances whose values cannot be used later

What operators of similar systems saw: an entry with a number too large, or with a port out of range, ended processes that read the list.

Cause: a row was read by its types alone. What broke later: an address with a path or a user was sent to with another path or host; with port 99999 each attempt counted as broken, so a request that may run once was answered as possibly run and the instance as failing; an id with a line break failed at the header in the same way; a lone surrogate in an id or zone raised UnicodeEncodeError where the leader packs the list, which ended the task that sends reports and statuses. A start of 10**400 in a draining entry would have hidden the ready ones of later processes; slots without bound draw all requests of a service. Unknown states, missing fields and nesting were handled already.

Change: entry_checks states what an instance may have. Slots below 0 are no longer one slot; 0 still is.

--- a/src/bronzewall/platform/decoding.py
+++ b/src/bronzewall/platform/decoding.py
@@ -4,10 +4,12 @@
 import json
 from collections.abc import Mapping
 
+from bronzewall.edge.entry_checks import check_instance
 from bronzewall.edge.model import EdgeInstance, VmEntry
 from bronzewall.errors import StoreEntryError
 from bronzewall.platform import fields
 from bronzewall.types import InstanceId, Placement, ServiceName, VmId
+from bronzewall.wire_checks import shown
 
 _INSTANCE_STATES = ('ready', 'draining')
 
@@ -19,25 +21,29 @@
 
     :param key: key of the row; only it holds the instance id.
     :param region_by_zone: regions of the known zones.
-    :raises StoreEntryError: the row is malformed or its state unknown.
+    :raises StoreEntryError: the row is malformed, its state unknown, or a
+        value is none that an instance can have.
     """
     wire = fields.document(raw)
     zone = fields.text(wire, 'zone')
     state = fields.text(wire, 'instanceState')
     if state not in _INSTANCE_STATES:
-        raise StoreEntryError(f'unknown instance state {state!r}')
-    return EdgeInstance(
+        raise StoreEntryError(f'unknown instance state {shown(state)}')
+    found = EdgeInstance(
         instance_id=InstanceId(key),
         service=ServiceName(fields.text(wire, 'serviceName')),
-        address=fields.address(fields.text(wire, 'address')),
+        address=fields.text(wire, 'address'),
         placement=Placement(region=region_by_zone.get(zone, ''), zone=zone),
-        slots=max(1, fields.integer(wire, 'capacitySlots')),
+        # Without a slot, an instance still serves one request at a time.
+        slots=fields.integer(wire, 'capacitySlots') or 1,
         is_leaving=state == 'draining',
         # Seconds left of the slow start.
         warmup=fields.number(wire, 'warmupLeft'),
         # Start of the process, Unix milliseconds.
         started_ms=fields.integer(wire, 'born') if 'born' in wire else 0,
     )
+    check_instance(found)
+    return found
 
 
 def report_counts(raw_by_key: Mapping[str, bytes]) -> dict[InstanceId, int]:
--- a/src/bronzewall/wire_checks.py
+++ b/src/bronzewall/wire_checks.py
@@ -1,5 +1,6 @@
 """Checks of texts and numbers that other processes have written."""
 
+import functools
 import ipaddress
 import re
 import reprlib
@@ -11,6 +12,9 @@
 _MAX_HOST_CHARACTERS = 253
 _LABEL = re.compile('[A-Za-z0-9_-]{1,63}')
 _DOT = '.'
+# Addresses whose parts are kept. Lists of instances are read again with each
+# change of one entry, and the check took half of the time.
+_KNOWN_ADDRESSES = 4096
 # Longest value that is shown in an error or a log line, characters.
 _MAX_SHOWN_CHARACTERS = 100
 # Levels of a nested value that are shown; its repr may exceed the depth of
@@ -21,6 +25,7 @@
 _repr.maxstring = _MAX_SHOWN_CHARACTERS
 
 
+@functools.lru_cache(maxsize=_KNOWN_ADDRESSES)
 def split_address(address: str) -> tuple[str, int]:
     """Return the host and port of an address of the form ``host:port``.
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,10 +1,12 @@
 """Odd entries, messages and headers concern only themselves."""
 
 import json
+import math
 from collections.abc import Iterable
 from typing import Any
 
 import pytest
+from edge_builders import PATH, an_edge_instance, an_edge_vm
 from hypothesis import given
 from hypothesis import strategies as st
 from structlog.testing import capture_logs
@@ -12,8 +14,10 @@
     CONFIGURATION,
     ENTRY,
     JSON_VALUES,
+    REGIONS,
     StoreStandIn,
 )
+from yarl import URL
 
 from bronzewall.adapters.tcp_probe import (
     accepts_connections,
@@ -21,9 +25,12 @@
 )
 from bronzewall.config_model import Instance
 from bronzewall.edge.directory import Directory
-from bronzewall.edge.model import EdgeConfiguration
+from bronzewall.edge.model import EdgeConfiguration, EdgeInstance
+from bronzewall.edge.zone_packing import pack_instances, unpack_instances
 from bronzewall.errors import AddressError, StoreEntryError
+from bronzewall.platform import decoding
 from bronzewall.platform.configuration import ConfigurationDecoder
+from bronzewall.standins.virtual_time import run_virtual
 from bronzewall.types import InstanceId, Placement
 from bronzewall.wire_checks import (
     is_plain_text,
@@ -72,6 +79,7 @@
     '"[::1]:80"',
     f'"{"9" * 5000}"',
 )
+MANY_REQUESTS = 40
 
 NO_ADDRESSES = (
     '',
@@ -305,3 +313,103 @@
         names = [line['event'] for line in lines]
         assert names.count('store_entry_ignored') == 2
         assert len(stand_in.store._logged_errors) == 1
+
+
+def decoded_instance(key: str, raw: bytes) -> EdgeInstance | None:
+    try:
+        return decoding.decode_instance(key, raw, region_by_zone=REGIONS)
+    except StoreEntryError as exc:
+        assert len(str(exc)) < 250
+        return None
+
+
+def check_is_used(*instances: EdgeInstance) -> None:
+    """Use instances beside a good one, as a leader, follower and sender."""
+    assert unpack_instances(pack_instances(instances)) == instances
+    for item in instances:
+        host, port = split_address(item.address)
+        url = URL(f'http://{item.address}{PATH}', encoded=True)
+        assert (url.host, url.port, url.path) == (host, port, PATH)
+
+    async def main() -> None:
+        vm = an_edge_vm()
+        vm.serve_alone(an_edge_instance('good'), *instances)
+        for _ in range(MANY_REQUESTS):
+            vm.tick()
+            assert (await vm.ask()).status == 200
+        vm.leader.send_zone_summaries()
+        assert vm.path.in_flight == 0
+
+    run_virtual(main())
+
+
+def test_odd_rows_of_instances() -> None:
+    # Guards against an entry that decodes well and ends a task, a request or
+    # the sending of lists later.
+    raws = list(odd_rows(ENTRY))
+    found = [decoded_instance(f'i-{at}', raw) for at, raw in enumerate(raws)]
+    used = [item for item in found if item is not None]
+    assert len(used) < len(raws) / 2
+    check_is_used(*used)
+
+
+@pytest.mark.parametrize(
+    'key', ['', 'a\n', '\ud800', '\0', 'x' * 1000, 'i-1\r\nX: y']
+)
+def test_instance_whose_id_cannot_be_sent(key: str) -> None:
+    # Guards against a failed attempt at each request that the entry attracts.
+    raw = json.dumps(ENTRY).encode()
+    assert decoded_instance(key, raw) is None
+
+
+@pytest.mark.parametrize(
+    ('name', 'odd'),
+    [
+        ('address', '10.0.0.1:99999'),
+        ('address', 'h/p:80'),
+        ('address', 'u@h:80'),
+        ('serviceName', '\ud800'),
+        ('serviceName', 'x' * 1000),
+        ('zone', '\ud800'),
+        ('zone', ''),
+        ('capacitySlots', -1),
+        ('capacitySlots', 10**400),
+        ('capacitySlots', 1.5),
+        ('warmupLeft', 10**14),
+        ('warmupLeft', math.nan),
+        ('born', -1),
+        ('born', 10**400),
+        ('born', 1.5),
+        ('born', None),
+    ],
+)
+def test_instance_with_a_value_that_none_has(name: str, odd: object) -> None:
+    # Guards against requests that are sent to another path or to no server, a
+    # list that cannot be packed, and a start that hides all later ones.
+    raw = json.dumps({**ENTRY, name: odd}).encode()
+    assert decoded_instance('i-1', raw) is None
+
+
+@given(
+    name=st.sampled_from([*ENTRY, 'newField']),
+    odd=JSON_VALUES,
+    key=st.text(max_size=5),
+)
+def test_any_row_of_an_instance_is_used_or_left_out(
+    name: str, odd: object, key: str
+) -> None:
+    raw = json.dumps({**ENTRY, name: odd}).encode()
+    found = decoded_instance(key, raw)
+    if found is not None:
+        check_is_used(found)
+
+
+async def test_odd_rows_leave_the_other_instances() -> None:
+    # Guards against a list that is not read because of one entry.
+    async with StoreStandIn() as stand_in:
+        for number, raw in enumerate(odd_rows(ENTRY)):
+            stand_in.put('servers', f'i-{number}', raw)
+        stand_in.put('servers', 'good', ENTRY)
+        reading = await stand_in.store.read_instances()
+        assert 'good' in {item.instance_id for item in reading.instances}
+        assert stand_in.store.metrics.events['bad_store_entry'] > 100
