Leave out VMs whose values cannot be used later

Cause: as with instances, the row of a VM was read by its types alone. Strength 0 raised ZeroDivisionError in each request that is to be relayed, whose caller got status 500; a negative start made a VM precede all others in elections, and one in the far future could not be replaced by the VM that has the id.

Change: the row goes through entry_checks as well.

Evidence: test_odd_rows_of_vms failed with status 500 before, and six cases of test_vm_with_a_value_that_none_has.

--- a/src/bronzewall/platform/decoding.py
+++ b/src/bronzewall/platform/decoding.py
@@ -4,7 +4,7 @@
 import json
 from collections.abc import Mapping
 
-from bronzewall.edge.entry_checks import check_instance
+from bronzewall.edge.entry_checks import check_instance, check_vm
 from bronzewall.edge.model import EdgeInstance, VmEntry
 from bronzewall.errors import StoreEntryError
 from bronzewall.platform import fields
@@ -64,18 +64,21 @@
 def decode_vm(key: str, raw: bytes) -> VmEntry:
     """Return the VM from one row.
 
-    :raises StoreEntryError: the row is malformed.
+    :raises StoreEntryError: the row is malformed, or a value is none that a
+        VM can have.
     """
     wire = fields.document(raw)
-    return VmEntry(
+    found = VmEntry(
         vm_id=VmId(key),
         placement=Placement(
             region=fields.text(wire, 'region'), zone=fields.text(wire, 'zone')
         ),
-        address=fields.address(fields.text(wire, 'address')),
+        address=fields.text(wire, 'address'),
         strength=fields.number(wire, 'strength'),
         started_ms=fields.integer(wire, 'started_ms'),
     )
+    check_vm(found)
+    return found
 
 
 def encode_vm(entry: VmEntry) -> bytes:
--- a/src/bronzewall/platform/fields.py
+++ b/src/bronzewall/platform/fields.py
@@ -102,17 +102,6 @@
     return item
 
 
-def address(value: str) -> str:
-    """Return an address of the form ``host:port``.
-
-    :raises StoreEntryError: it has another form.
-    """
-    host, _, port = value.rpartition(':')
-    if not host or not port.isdigit():
-        raise StoreEntryError(f'address {shown(value)} is not host:port')
-    return value
-
-
 def _typed(
     wire: Mapping[str, Any],
     name: str,
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import pytest
-from edge_builders import PATH, an_edge_instance, an_edge_vm
+from edge_builders import PATH, a_vm, an_edge_instance, an_edge_vm
 from hypothesis import given
 from hypothesis import strategies as st
 from structlog.testing import capture_logs
@@ -25,9 +25,15 @@
 )
 from bronzewall.config_model import Instance
 from bronzewall.edge.directory import Directory
-from bronzewall.edge.model import EdgeConfiguration, EdgeInstance
-from bronzewall.edge.zone_packing import pack_instances, unpack_instances
-from bronzewall.errors import AddressError, StoreEntryError
+from bronzewall.edge.model import EdgeConfiguration, EdgeInstance, VmEntry
+from bronzewall.edge.ports import InstanceAnswer, InstanceRequest
+from bronzewall.edge.zone_packing import (
+    pack_instances,
+    pack_vms,
+    unpack_instances,
+    unpack_vms,
+)
+from bronzewall.errors import AddressError, ConnectFailedError, StoreEntryError
 from bronzewall.platform import decoding
 from bronzewall.platform.configuration import ConfigurationDecoder
 from bronzewall.standins.virtual_time import run_virtual
@@ -413,3 +419,78 @@
         reading = await stand_in.store.read_instances()
         assert 'good' in {item.instance_id for item in reading.instances}
         assert stand_in.store.metrics.events['bad_store_entry'] > 100
+
+
+def decoded_vm(key: str, raw: bytes) -> VmEntry | None:
+    try:
+        return decoding.decode_vm(key, raw)
+    except StoreEntryError as exc:
+        assert len(str(exc)) < 250
+        return None
+
+
+def check_vms_are_used(*entries: VmEntry) -> None:
+    """Use VMs in elections, in lists, as peers and as relays."""
+    assert unpack_vms(pack_vms(entries)) == entries
+
+    async def main() -> None:
+        vm = an_edge_vm()
+        vm.serve_alone()
+        for entry in entries:
+            vm.fleet.add(entry)
+        for _ in range(MANY_REQUESTS):
+            vm.tick()
+            vm.leader.send_zone_summaries()
+            await vm.clock.sleep(0.1)
+        # A VM that reaches no instance asks the others.
+        vm.instances.accepts = lambda _address: False
+        vm.instances.behaviours_by_id['i-1'] = refuse_connection
+        for _ in range(MANY_REQUESTS):
+            status = (await vm.ask()).status
+            assert status == 503, status
+        assert not vm.path.metrics.refusals['internal_error']
+
+    run_virtual(main())
+
+
+async def refuse_connection(request: InstanceRequest) -> InstanceAnswer:
+    raise ConnectFailedError(request.address)
+
+
+VM_ROW = json.loads(decoding.encode_vm(a_vm('vm-2')))
+
+
+def test_odd_rows_of_vms() -> None:
+    # Guards against an entry that decodes well and ends a task later.
+    raws = list(odd_rows(VM_ROW))
+    found = [decoded_vm(f'vm-{at + 2}', raw) for at, raw in enumerate(raws)]
+    used = [entry for entry in found if entry is not None]
+    assert len(used) < len(raws) / 2
+    check_vms_are_used(*used)
+
+
+@pytest.mark.parametrize(
+    ('name', 'odd'),
+    [
+        ('address', '10.0.0.1:99999'),
+        ('zone', '\ud800'),
+        ('region', 'x' * 1000),
+        ('strength', 0),
+        ('strength', 10**14),
+        ('started_ms', -1),
+        ('started_ms', 10**14),
+    ],
+)
+def test_vm_with_a_value_that_none_has(name: str, odd: object) -> None:
+    # Guards against requests that fail because work is divided by strength 0,
+    # a list that cannot be packed, and a VM that precedes all others.
+    raw = json.dumps({**VM_ROW, name: odd}).encode()
+    assert decoded_vm('vm-2', raw) is None
+
+
+@given(name=st.sampled_from([*VM_ROW, 'newField']), odd=JSON_VALUES)
+def test_any_row_of_a_vm_is_used_or_left_out(name: str, odd: object) -> None:
+    raw = json.dumps({**VM_ROW, name: odd}).encode()
+    found = decoded_vm('vm-2', raw)
+    if found is not None:
+        assert unpack_vms(pack_vms((found,))) == (found,)
