Go on sending to a peer after its address was odd

Cause: the task that sends to a peer goes on after errors of the network and of websockets. An address with port 99999, an empty label, a NUL or one bracket raises ValueError or UnicodeError. The task ended, the queue filled up, and the peer got nothing more from this process, whatever address it had later.

Change: these errors count as a lost connection, like the others.

--- a/src/bronzewall/adapters/websocket_link.py
+++ b/src/bronzewall/adapters/websocket_link.py
@@ -98,7 +98,9 @@
         while True:
             try:
                 await self._transmit_connected(to, queue)
-            except (OSError, WebSocketException, TimeoutError) as exc:
+            except (OSError, WebSocketException, ValueError) as exc:
+                # An address from which no URL can be built raises
+                # ``ValueError``. The peer may get another address.
                 self.counters['connection_lost'] += 1
                 _LOG.debug('peer_connection_lost', peer=to, error=str(exc))
             # Messages queued before a reconnect are outdated: the validity
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,7 +1,9 @@
 """Odd entries, messages and headers concern only themselves."""
 
+import asyncio
 import json
 import math
+import socket
 import zlib
 from collections.abc import Iterable
 from typing import Any
@@ -26,6 +28,7 @@
     accepts_connections,
     refuses_connections,
 )
+from bronzewall.adapters.websocket_link import WebSocketLink
 from bronzewall.config_model import Instance
 from bronzewall.edge.directory import Directory
 from bronzewall.edge.model import EdgeConfiguration, EdgeInstance, VmEntry
@@ -45,7 +48,7 @@
 from bronzewall.platform import decoding
 from bronzewall.platform.configuration import ConfigurationDecoder
 from bronzewall.standins.virtual_time import run_virtual
-from bronzewall.types import InstanceId, Placement
+from bronzewall.types import InstanceId, Placement, VmId
 from bronzewall.wire_checks import (
     is_plain_text,
     shown,
@@ -576,3 +579,33 @@
     # against a list that takes all memory.
     with pytest.raises(PeerMessageError):
         unpack(zlib.compress(raw))
+
+
+@pytest.mark.parametrize(
+    'odd',
+    ['127.0.0.1:99999', 'a..b:80', 'u@h:80', 'h\0:80', 'no-port', '[h:1'],
+)
+async def test_peer_whose_address_was_odd_gets_messages(odd: str) -> None:
+    # Guards against the end of the task that sends to a VM, which then gets no
+    # message until this process starts again.
+    arrived = asyncio.Event()
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        address = f'127.0.0.1:{probe.getsockname()[1]}'
+    receiving = WebSocketLink(listen=address)
+    receiving.on_payload(lambda _payload: arrived.set())
+    await receiving.start()
+    sending = WebSocketLink(listen='127.0.0.1:1')
+    peer = VmId('vm-2')
+    sending.set_addresses({peer: odd})
+    sending.send(to=peer, payload=b'lost')
+    while not sending.counters['connection_lost']:
+        await asyncio.sleep(0.01)
+        assert not sending._tasks_by_id[peer].done()
+    sending.set_addresses({peer: address})
+    async with asyncio.timeout(10):
+        while not arrived.is_set():
+            sending.send(to=peer, payload=b'x')
+            await asyncio.sleep(0.05)
+    await sending.stop()
+    await receiving.stop()
