Ignore entries of VMs that cannot be used, whoever states them

Cause: a VM states its entry also in its reports, whose fields are checked by type alone. Strength NaN has no rank, so that the VMs of a zone would order the candidates differently; strength 0 failed the requests to relay.

Change: FleetView.add checks every entry from another VM, and logs one that it ignores once for each error.

--- a/src/bronzewall/edge/fleet_view.py
+++ b/src/bronzewall/edge/fleet_view.py
@@ -1,9 +1,15 @@
 """VMs of the fleet and their ranking for leader election."""
 
 import attrs
+import structlog
 
+from bronzewall.edge.entry_checks import check_vm
 from bronzewall.edge.model import VmEntry
+from bronzewall.errors import StoreEntryError
 from bronzewall.types import VmId
+from bronzewall.wire_checks import shown
+
+_LOG = structlog.get_logger()
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -18,6 +24,7 @@
     entries_by_id: dict[VmId, VmEntry] = attrs.field(factory=dict)
     revision: int = 0
     _ranked_by_zone: dict[str, list[VmEntry]] = attrs.field(factory=dict)
+    _ignored_errors_by_vm: dict[str, str] = attrs.field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         """Add the own entry."""
@@ -26,13 +33,19 @@
     def add(self, entry: VmEntry) -> bool:
         """Add or update a VM; return whether this changed the view.
 
-        An entry of an earlier start of the same VM is ignored.
+        An entry of an earlier start of the same VM is ignored, and so is one
+        that cannot be used: VMs state their entries in their reports, too.
         """
         known = self.entries_by_id.get(entry.vm_id)
         if entry.vm_id == self.own.vm_id or known == entry:
             return False
         if known is not None and known.started_ms > entry.started_ms:
             return False
+        try:
+            check_vm(entry)
+        except StoreEntryError as exc:
+            self._log_ignored(shown(entry.vm_id), str(exc))
+            return False
         self.entries_by_id[entry.vm_id] = entry
         self.revision += 1
         self._ranked_by_zone.clear()
@@ -69,6 +82,12 @@
         """Return the zones that have VMs."""
         return {entry.placement.zone for entry in self.entries_by_id.values()}
 
+    def _log_ignored(self, vm: str, error: str) -> None:
+        """Log an entry that cannot be used, once for each error."""
+        if self._ignored_errors_by_vm.get(vm) != error:
+            self._ignored_errors_by_vm[vm] = error
+            _LOG.warning('vm_entry_ignored', vm=vm, error=error)
+
 
 def rank(entry: VmEntry) -> tuple[float, int, str]:
     """Return the sort key that ranks VMs for leader election.
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -33,6 +33,7 @@
 from bronzewall.edge.directory import Directory
 from bronzewall.edge.model import EdgeConfiguration, EdgeInstance, VmEntry
 from bronzewall.edge.ports import InstanceAnswer, InstanceRequest
+from bronzewall.edge.zone_messages import MemberReport
 from bronzewall.edge.zone_packing import (
     pack_instances,
     pack_vms,
@@ -45,6 +46,7 @@
     PeerMessageError,
     StoreEntryError,
 )
+from bronzewall.messages import Envelope
 from bronzewall.platform import decoding
 from bronzewall.platform.configuration import ConfigurationDecoder
 from bronzewall.standins.virtual_time import run_virtual
@@ -609,3 +611,36 @@
             await asyncio.sleep(0.05)
     await sending.stop()
     await receiving.stop()
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'strength': math.nan},
+        {'strength': 0},
+        {'address': 'h:99999'},
+        {'started_ms': -1},
+        {'vm_id': VmId('vm\n')},
+        {'placement': Placement(region='', zone='a')},
+    ],
+)
+def test_report_with_an_odd_entry_of_its_sender(change) -> None:
+    # Guards against a VM of an earlier build that states such an entry in its
+    # reports: NaN has no rank, so VMs would follow different leaders.
+    async def main() -> None:
+        vm = an_edge_vm()
+        vm.serve_alone()
+        odd = a_vm('vm-2', **change)
+        report = Envelope(
+            sender=VmId('vm-2'),
+            incarnation=1,
+            sequence=1,
+            body=MemberReport(stamp=1, entry=odd),
+        )
+        with capture_logs() as lines:
+            for _ in range(3):
+                vm.leader.handle_report(report)
+        assert list(vm.fleet.entries_by_id) == ['vm-1']
+        assert [line['event'] for line in lines] == ['vm_entry_ignored']
+
+    run_virtual(main())
