Take an answer of the store that cannot be read as no answer

Cause: the store's readers go on after errors of the store. Numbers such as 1e400 in an answer raised OverflowError, and a deeply nested body raised RecursionError, which ended the loop that follows a table for the rest of the process. With a clock of 2**64 s an answer was dated 700 s ahead, so that no later list would replace it and keys would count as confirmed too long. One row whose value is not base64 made the whole page unreadable. Wrong types, missing fields, NaN and answers that are not JSON were handled already.

Change: these are errors of the store. A clock beyond 1e12 s is malformed. A row whose value cannot be decoded is empty, and as such counted and left out. The text of the error is bounded.

--- a/src/bronzewall/platform/store.py
+++ b/src/bronzewall/platform/store.py
@@ -28,6 +28,7 @@
 from bronzewall.platform.store_clock import StoreClock
 from bronzewall.ports import Clock
 from bronzewall.types import InstanceId
+from bronzewall.wire_checks import shown
 
 _STATUS_OK = 200
 _STATUS_GONE = 410
@@ -46,6 +47,14 @@
 _TRANSACTION_ROWS = 100
 # Malformed rows whose errors are remembered; the oldest are forgotten.
 _MAX_LOGGED_ERRORS = 1000
+# The store's clock counts seconds; beyond this, arithmetic is too coarse to
+# date an answer.
+_MAX_CLOCK_S = 1e12
+# Errors of a call. ``TimeoutError`` is an ``OSError``; a deeply nested body
+# raises ``RecursionError``.
+_CALL_ERRORS = (aiohttp.ClientError, OSError, ValueError, RecursionError)
+# Errors of an answer whose fields cannot be read.
+_MALFORMED = (KeyError, TypeError, ValueError, OverflowError)
 _LOG = structlog.get_logger()
 _EntryT = TypeVar('_EntryT')
 
@@ -314,14 +323,15 @@
         self._read_timeout = _CALL_TIMEOUT_S if is_slow else _READ_TIMEOUT_S
         try:
             written_at = self.store_clock.date(
-                float(answer.wire['now']),
+                _clock_time(answer.wire['now']),
                 sent_at=sent_at,
                 received_at=received_at,
             )
             return _decode_page(answer, written_at)
-        except (KeyError, TypeError, ValueError) as exc:
+        except _MALFORMED as exc:
+            self.metrics.events['store_failures'] += 1
             raise StoreUnavailableError(
-                f'malformed answer to {path}: {exc!r}'
+                f'malformed answer to {path}: {shown(exc)}'
             ) from exc
 
     async def _call(
@@ -353,10 +363,9 @@
                         f'{path}: status {response.status}'
                     )
                 return _Answer(wire=await response.json(), era=era)
-        except (aiohttp.ClientError, OSError, ValueError) as exc:
-            # Timeouts are caught too: ``TimeoutError`` is an ``OSError``.
+        except _CALL_ERRORS as exc:
             self.metrics.events['store_failures'] += 1
-            raise StoreUnavailableError(f'{path}: {exc!r}') from exc
+            raise StoreUnavailableError(f'{path}: {shown(exc)}') from exc
 
     def _read_era(self, headers: Mapping[str, str]) -> int:
         """Return the era that an answer states, or else the last one known."""
@@ -385,18 +394,24 @@
         raise StoreHistoryLostError(f'era {era}, not {revision.era}')
 
 
+def _clock_time(stated: object) -> float:
+    """Return the store's clock as an answer states it, seconds.
+
+    :raises ValueError: it is no such time.
+    """
+    if not isinstance(stated, (int, float)) or not 0 <= stated < _MAX_CLOCK_S:
+        raise ValueError(f'now is {shown(stated)}')
+    return stated
+
+
 def _decode_page(answer: _Answer, written_at: float) -> _Page:
+    """Return the page that an answer holds.
+
+    Errors are those of ``_MALFORMED``.
+    """
     wire = answer.wire
     return _Page(
-        rows=tuple(
-            _Row(
-                key=row['key'],
-                raw=None
-                if row.get('deleted')
-                else base64.b64decode(row['value']),
-            )
-            for row in wire['tableRows']
-        ),
+        rows=tuple(map(_decode_row, wire['tableRows'])),
         # Despite its name this is the newest revision of the whole store.
         revision=Revision(era=answer.era, number=int(wire['schemaVersion'])),
         has_more=wire.get('hasMore') is True,
@@ -404,6 +419,24 @@
     )
 
 
+def _decode_row(wire: Mapping[str, Any]) -> _Row:
+    """Return a row; one whose value cannot be read is empty.
+
+    :raises TypeError: its key is not a text.
+    """
+    key = wire['key']
+    if not isinstance(key, str):
+        raise TypeError(f'key {shown(key)}')
+    if wire.get('deleted'):
+        return _Row(key=key, raw=None)
+    try:
+        raw = base64.b64decode(wire['value'])
+    except (KeyError, TypeError, ValueError):
+        # No entry is empty, so that it is counted and logged as malformed.
+        raw = b''
+    return _Row(key=key, raw=raw)
+
+
 def _configuration_reading(page: _Page) -> ConfigurationReading:
     raw = None
     for row in page.rows:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,11 +1,13 @@
 """Odd entries, messages and headers concern only themselves."""
 
 import asyncio
+import base64
+import contextlib
 import json
 import math
 import socket
 import zlib
-from collections.abc import Iterable
+from collections.abc import AsyncIterator, Iterable
 from typing import Any
 
 import attrs
@@ -24,15 +26,17 @@
 )
 from yarl import URL
 
+from bronzewall.adapters.system_clock import SystemClock
 from bronzewall.adapters.tcp_probe import (
     accepts_connections,
     refuses_connections,
 )
 from bronzewall.adapters.websocket_link import WebSocketLink
 from bronzewall.config_model import Instance
+from bronzewall.edge.composition import _open_store_session
 from bronzewall.edge.directory import Directory
 from bronzewall.edge.model import EdgeConfiguration, EdgeInstance, VmEntry
-from bronzewall.edge.ports import InstanceAnswer, InstanceRequest
+from bronzewall.edge.ports import InstanceAnswer, InstanceRequest, Revision
 from bronzewall.edge.zone_messages import MemberReport
 from bronzewall.edge.zone_packing import (
     pack_instances,
@@ -45,10 +49,15 @@
     ConnectFailedError,
     PeerMessageError,
     StoreEntryError,
+    StoreError,
+    StoreUnavailableError,
 )
 from bronzewall.messages import Envelope
+from bronzewall.metrics import Metrics
 from bronzewall.platform import decoding
 from bronzewall.platform.configuration import ConfigurationDecoder
+from bronzewall.platform.store import PlatformStore
+from bronzewall.standins.raw_upstream import RawUpstream
 from bronzewall.standins.virtual_time import run_virtual
 from bronzewall.types import InstanceId, Placement, VmId
 from bronzewall.wire_checks import (
@@ -644,3 +653,82 @@
         assert [line['event'] for line in lines] == ['vm_entry_ignored']
 
     run_virtual(main())
+
+
+GOOD_VALUE = base64.b64encode(json.dumps(ENTRY).encode()).decode()
+ANSWER = {
+    'tableRows': [{'key': 'good', 'value': GOOD_VALUE}],
+    'schemaVersion': 41,
+    'now': 1.5,
+}
+
+
+@contextlib.asynccontextmanager
+async def store_that_answers(body: bytes) -> AsyncIterator[PlatformStore]:
+    async def script(connection: Any, _number: int) -> None:
+        while True:
+            await connection.read_request()
+            await connection.send(
+                b'HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n'
+                b'Content-Length: %d\r\n\r\n%b' % (len(body), body)
+            )
+
+    async with RawUpstream(script=script) as upstream:
+        store = PlatformStore(
+            address=upstream.address,
+            session=_open_store_session(),
+            clock=SystemClock(),
+            metrics=Metrics(),
+            region_by_zone=REGIONS,
+        )
+        yield store
+        await store.close()
+
+
+@pytest.mark.parametrize('name', [*ANSWER, 'hasMore'])
+@pytest.mark.parametrize('odd', ODD_VALUES)
+async def test_answer_of_the_store_with_an_odd_field(
+    name: str, odd: str
+) -> None:
+    # Guards against a reader that ends: it expects only errors of the store.
+    wholes = {key: json.dumps(found) for key, found in ANSWER.items()}
+    body = object_of({**wholes, name: odd})
+    async with store_that_answers(body) as store:
+        sent_at = store.clock.now()
+        with contextlib.suppress(StoreError):
+            reading = await store.watch_instances(
+                after=Revision(era=0, number=1), wait=0
+            )
+            # Nothing that the store states makes a list newer than it is.
+            assert sent_at <= reading.confirmed_at <= store.clock.now()
+            assert {item.instance_id for item in reading.listed} <= {'good'}
+
+
+@pytest.mark.parametrize(
+    'body', [b'', b'[]', b'7', DEEP.encode(), b'\xff', b'"a"', b'null']
+)
+async def test_answer_of_the_store_of_another_form(body: bytes) -> None:
+    # Guards against a reader that ends: it expects only errors of the store.
+    async with store_that_answers(body) as store:
+        with pytest.raises(StoreUnavailableError) as raised:
+            await store.read_instances()
+        assert len(str(raised.value)) < 250
+
+
+@pytest.mark.parametrize('odd', ODD_VALUES)
+async def test_value_that_is_not_encoded_leaves_the_other_rows(
+    odd: str,
+) -> None:
+    # Guards against a list that is not read because of one row.
+    wholes = {key: json.dumps(found) for key, found in ANSWER.items()}
+    good = json.dumps(ANSWER['tableRows'][0])
+    rows = f'[{{"key": "odd", "value": {odd}}}, {good}]'
+    body = object_of({**wholes, 'tableRows': rows})
+    async with store_that_answers(body) as store:
+        with contextlib.suppress(StoreUnavailableError):
+            found = (await store.read_instances()).instances
+            assert [item.instance_id for item in found] == ['good']
+            assert store.metrics.events['bad_store_entry'] == 1
+            return
+        # Such a value makes the whole answer invalid JSON.
+        assert odd == DEEP or odd.startswith('{"a":{') or len(odd) == 5000
