Watch for the next version while a configuration cannot be read

Cause: after a configuration that cannot be read as a whole, the leader kept no revision to watch from, and took the read for answered. It read the row again without a pause, with a log line each time, until the row changed: the calls of the whole fleet to the store are limited and billed.

Change: the leader watches from the revision of the unreadable version, logs it once, and confirms no keys until a version can be read, as before. The stand-in of the store rejects a form that was not published.

--- a/src/bronzewall/edge/store_reader.py
+++ b/src/bronzewall/edge/store_reader.py
@@ -99,6 +99,8 @@
     _era: int | None = None
     # The store holds an older configuration than the one in force.
     _is_store_behind: bool = False
+    # The stored configuration, if it cannot be read.
+    _unreadable_raw: bytes | None = None
 
     def update_role(self, is_leader: bool) -> None:
         """Start reading when this VM becomes a leader, stop when it ceases."""
@@ -373,13 +375,15 @@
 
     def _apply_reading(self, reading: ConfigurationReading) -> None:
         self._note_era(reading.revision)
-        if reading.raw is not None:
+        if reading.raw is not None and reading.raw != self._unreadable_raw:
+            self._unreadable_raw = None
             try:
                 self._apply_stored(reading.raw, reading.revision)
             except StoreEntryError as exc:
+                # The next version is watched for as usual.
                 _LOG.warning('configuration_ignored', error=str(exc))
+                self._unreadable_raw = reading.raw
                 self.directory.stop_waiting()
-                return
         self._configuration_revision = reading.revision
         self._confirm_keys(reading.confirmed_at)
 
@@ -408,9 +412,9 @@
         """Confirm that no key was withdrawn until a clock time.
 
         A store that has lost the configuration in force may have lost a
-        withdrawal as well.
+        withdrawal as well, and one that cannot be read may contain one.
         """
-        if not self._is_store_behind:
+        if not self._is_store_behind and self._unreadable_raw is None:
             self.freshness.confirm(at)
 
     def _mark_updates(self, *, is_new: bool) -> None:
--- a/src/bronzewall/standins/memory_store.py
+++ b/src/bronzewall/standins/memory_store.py
@@ -16,7 +16,11 @@
     Revision,
     VmsReading,
 )
-from bronzewall.errors import StoreHistoryLostError, StoreUnavailableError
+from bronzewall.errors import (
+    StoreEntryError,
+    StoreHistoryLostError,
+    StoreUnavailableError,
+)
 from bronzewall.ports import Clock
 from bronzewall.types import InstanceId, VmId
 
@@ -126,6 +130,8 @@
 
     def decode_configuration(self, raw: bytes) -> EdgeConfiguration:
         """Return the configuration that was published as ``raw``."""
+        if raw not in self.shared.configurations:
+            raise StoreEntryError('not published')
         return self.shared.configurations[raw]
 
     async def _watch(
@@ -247,6 +253,10 @@
         """Store a configuration as the current one."""
         raw = str(configuration.version).encode()
         self.configurations[raw] = configuration
+        self.store_raw(raw)
+
+    def store_raw(self, raw: bytes) -> None:
+        """Store a configuration in any form as the current one."""
         self.raw = raw
         self.revision += 1
         self.changed_at = self.revision
--- a/tests/test_edge_store_reader.py
+++ b/tests/test_edge_store_reader.py
@@ -3,8 +3,14 @@
 import asyncio
 
 import pytest
-from edge_builders import a_vm, an_edge_instance, some_settings
+from edge_builders import (
+    a_vm,
+    an_edge_configuration,
+    an_edge_instance,
+    some_settings,
+)
 from edge_fleet import Fleet, settled
+from structlog.testing import capture_logs
 
 from bronzewall.edge.settings import edge_settings
 from bronzewall.errors import SettingsError
@@ -146,3 +152,36 @@
         run_virtual(main(size))
     assert calls[34] <= calls[17] * 1.2
     assert calls[17] < 80
+
+
+def test_configuration_that_cannot_be_read_is_not_read_again_and_again() -> (
+    None
+):
+    # Guards against a leader that reads an unreadable configuration without a
+    # pause, with a log line for each read, and against keys that count as
+    # confirmed although it may withdraw them.
+    async def main() -> None:
+        fleet = await settled('a', 'b', 'c')
+        await asyncio.sleep(2)
+        vms = fleet.vms.values()
+        before = sum(vm.store.calls for vm in vms)
+        with capture_logs() as lines:
+            fleet.shared.store_raw(b'odd')
+            await asyncio.sleep(4)
+            assert sum(vm.store.calls for vm in vms) - before < 40
+            fleet.list_instances(an_edge_instance('i-9'))
+            await asyncio.sleep(4)
+        events = [line['event'] for line in lines]
+        assert 1 <= events.count('configuration_ignored') <= len(vms)
+        for vm in vms:
+            assert vm.directory.version == 1
+            assert not vm.freshness.is_fresh()
+            usable = vm.catalog.usable('drafts')
+            assert [item.instance_id for item in usable] == ['i-9']
+        fleet.shared.publish(an_edge_configuration(2))
+        await asyncio.sleep(1)
+        assert {vm.directory.version for vm in vms} == {2}
+        assert all(vm.freshness.is_fresh() for vm in vms)
+        await fleet.stop()
+
+    run_virtual(main())
