Read numbers in headers by one function

Cause: texts that isdigit takes went to int, which rejects superscript digits and more than 4,300 digits; a number of 400 digits fails where it is divided or multiplied. In an instance's Keep-Alive, that made a complete answer count as a broken exchange, and the request as possibly run. A caller's deadline gave status 500, and its relay header an exception outside of what answers errors. The era of the store made it count as unreachable. Lengths of bodies are checked by the HTTP parser already.

Change: whole_number reads all of them, with a limit each.

--- a/src/bronzewall/adapters/instance_http.py
+++ b/src/bronzewall/adapters/instance_http.py
@@ -30,6 +30,7 @@
     UpstreamShedError,
     WrongInstanceError,
 )
+from bronzewall.wire_checks import whole_number
 
 _MAX_LINE_BYTES = 32_768
 _STATUS_WRONG_INSTANCE = 421
@@ -44,6 +45,8 @@
 # Fraction of an instance's stated idle timeout during which an idle connection
 # is kept.
 _IDLE_FRACTION = 0.6
+# A longer idle timeout does not matter, seconds.
+_MAX_IDLE_S = 3600
 # The connection fails when sent bytes are not acknowledged for this long; the
 # peer is then unreachable. TCP retransmits lost packets after 0.2 s.
 _USER_TIMEOUT_MS = 1500
@@ -219,9 +222,11 @@
         """Keep idle connections for less time than the instance does."""
         keep_alive = headers.get('Keep-Alive', '')
         _, parameter, text = keep_alive.partition(_TIMEOUT_PARAMETER)
-        seconds = text.partition(',')[0].strip()
-        if parameter and seconds.isdigit():
-            self.connector.limit_keepalive(int(seconds) * _IDLE_FRACTION)
+        seconds = whole_number(
+            text.partition(',')[0].strip(), limit=_MAX_IDLE_S
+        )
+        if parameter and seconds is not None:
+            self.connector.limit_keepalive(seconds * _IDLE_FRACTION)
 
 
 def open_instance_client(
--- a/src/bronzewall/adapters/safe_reuse_connector.py
+++ b/src/bronzewall/adapters/safe_reuse_connector.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import re
+import sys
 from collections.abc import Collection
 from http import HTTPStatus
 from typing import Any
@@ -13,6 +14,7 @@
 from aiohttp.streams import EMPTY_PAYLOAD
 
 from bronzewall.adapters.receive_limits import ReceivedBytes, ReceiveLimits
+from bronzewall.wire_checks import whole_number
 
 _END_OF_HEAD = b'\r\n\r\n'
 # The start of an answer inside the header block of another one. The parser
@@ -80,13 +82,15 @@
             return
         self._has_head = message.code >= HTTPStatus.OK
         self.has_begun = self.has_begun or message.code in _STATUSES_AT_WORK
-        length = message.headers.get('Content-Length', '')
+        length = whole_number(
+            message.headers.get('Content-Length', ''), limit=sys.maxsize
+        )
         if not self._has_head:
             self._body_left = None
         elif payload is EMPTY_PAYLOAD:
             self._body_left = 0
-        elif length.isdigit() and not message.chunked:
-            self._body_left = int(length)
+        elif length is not None and not message.chunked:
+            self._body_left = length
         super().feed_data(data, size)
 
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/src/bronzewall/edge/gate.py
+++ b/src/bronzewall/edge/gate.py
@@ -15,10 +15,13 @@
 from bronzewall.ports import CallerRequest, Clock, Headers
 from bronzewall.problems import Reason, RefusalError
 from bronzewall.types import RequestId
+from bronzewall.wire_checks import whole_number
 
 _MS_PER_S = 1000
 # Timeout of a request if neither the caller nor the route sets one, seconds.
 _DEFAULT_TIMEOUT_S = 30.0
+# Callers that state more wait for this time, milliseconds.
+_MAX_TIMEOUT_MS = 86_400_000
 # Retry-After while this VM cannot serve, seconds. It is short because another
 # VM may be able to serve the retry.
 _RETRY_AFTER_S = 0.2
@@ -151,9 +154,10 @@
     def _caller_timeout(self, headers: Headers) -> float:
         """Return the seconds for which the caller waits for an answer."""
         text = header_rules.find(headers, self.deadline_header) or ''
-        if text.isdigit():
-            return int(text) / _MS_PER_S
-        return _DEFAULT_TIMEOUT_S
+        timeout_ms = whole_number(text, limit=_MAX_TIMEOUT_MS)
+        if timeout_ms is None:
+            return _DEFAULT_TIMEOUT_S
+        return timeout_ms / _MS_PER_S
 
     def _find_account(
         self,
--- a/src/bronzewall/edge/relay_header.py
+++ b/src/bronzewall/edge/relay_header.py
@@ -1,9 +1,15 @@
 """Header with which a VM sends a caller's request to another VM."""
 
+import sys
+
 import attrs
 
 from bronzewall import headers as header_rules
 from bronzewall.ports import Headers
+from bronzewall.wire_checks import whole_number
+
+# Greater than any version, whose digits are eight hexadecimal ones.
+_MAX_NUMBER = sys.maxsize
 
 
 @attrs.frozen(kw_only=True)
@@ -30,8 +36,13 @@
     if text is None:
         return None
     parts = text.split()
-    if len(parts) != 3 or not (parts[1].isdigit() and parts[2].isdigit()):
+    if len(parts) != 3:
+        return None
+    version, max_instances = (
+        whole_number(part, limit=_MAX_NUMBER) for part in parts[1:]
+    )
+    if version is None or max_instances is None:
         return None
     return RelayHeader(
-        ticket=parts[0], version=int(parts[1]), max_instances=int(parts[2])
+        ticket=parts[0], version=version, max_instances=max_instances
     )
--- a/src/bronzewall/platform/store.py
+++ b/src/bronzewall/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import math
+import sys
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, TypeVar
 
@@ -28,7 +29,7 @@
 from bronzewall.platform.store_clock import StoreClock
 from bronzewall.ports import Clock
 from bronzewall.types import InstanceId
-from bronzewall.wire_checks import shown
+from bronzewall.wire_checks import shown, whole_number
 
 _STATUS_OK = 200
 _STATUS_GONE = 410
@@ -370,9 +371,9 @@
     def _read_era(self, headers: Mapping[str, str]) -> int:
         """Return the era that an answer states, or else the last one known."""
         stated = headers.get(names.STORE_ERA_HEADER, '')
-        if not stated.isdecimal():
+        era = whole_number(stated, limit=sys.maxsize)
+        if era is None:
             return self._era
-        era = int(stated)
         if era != self._era:
             _LOG.info('store_era', era=era, before=self._era)
             self.metrics.events['store_eras'] += 1
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -6,6 +6,7 @@
 import json
 import math
 import socket
+import sys
 import zlib
 from collections.abc import AsyncIterator, Iterable
 from typing import Any
@@ -13,10 +14,18 @@
 import attrs
 import cbor2
 import pytest
-from edge_builders import PATH, a_vm, an_edge_instance, an_edge_vm
+from edge_builders import (
+    NAMES,
+    PATH,
+    a_caller_request,
+    a_vm,
+    an_edge_instance,
+    an_edge_vm,
+)
 from hypothesis import given
 from hypothesis import strategies as st
 from structlog.testing import capture_logs
+from test_instance_http import WHOLE, a_request
 from test_platform_adapter import (
     CONFIGURATION,
     ENTRY,
@@ -26,6 +35,7 @@
 )
 from yarl import URL
 
+from bronzewall.adapters.instance_http import open_instance_client
 from bronzewall.adapters.system_clock import SystemClock
 from bronzewall.adapters.tcp_probe import (
     accepts_connections,
@@ -52,6 +62,7 @@
     StoreError,
     StoreUnavailableError,
 )
+from bronzewall.headers import RELAY
 from bronzewall.messages import Envelope
 from bronzewall.metrics import Metrics
 from bronzewall.platform import decoding
@@ -732,3 +743,51 @@
             return
         # Such a value makes the whole answer invalid JSON.
         assert odd == DEEP or odd.startswith('{"a":{') or len(odd) == 5000
+
+
+ODD_DIGITS = ('²', '٣', '9' * 400, '9' * 5000, '-1', '1.5', '0x10', '1_0', '')
+
+
+@pytest.mark.parametrize('odd', ODD_DIGITS)
+async def test_whole_answer_with_an_odd_idle_timeout(odd: str) -> None:
+    # Guards against a complete answer that is taken for a broken exchange
+    # because of one of its headers.
+    client = open_instance_client(NAMES)
+    line = f'Keep-Alive: timeout={odd}\r\nT-Seal'.encode()
+
+    async def script(connection: Any, _number: int) -> None:
+        await connection.read_request()
+        await connection.send(WHOLE.replace(b'T-Seal', line))
+
+    async with RawUpstream(script=script) as upstream:
+        answer = await client.send(a_request(upstream.address))
+    assert answer.body == b'body'
+    await client.session.close()
+
+
+@pytest.mark.parametrize('odd', ODD_DIGITS)
+@pytest.mark.parametrize('name', ['T-Deadline', RELAY, 'Content-Length'])
+def test_request_with_an_odd_number_in_a_header(name: str, odd: str) -> None:
+    # Guards against an exception that the request path does not expect: the
+    # caller got status 500, or no answer.
+    headers = [item for item in a_caller_request().headers if item[0] != name]
+    text = f'ticket {odd} {odd}' if name == RELAY else odd
+    request = a_caller_request(headers=(*headers, (name, text)))
+
+    async def main() -> None:
+        vm = an_edge_vm()
+        vm.serve_alone()
+        # A greater version than that of this VM is refused as always.
+        assert (await vm.ask(request)).status in {200, 503}
+        assert not vm.path.metrics.refusals['internal_error']
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize('odd', ['9' * 400, '9' * 5000])
+async def test_era_of_the_store_beyond_any_number(odd: str) -> None:
+    # Guards against a store that counts as unreachable because of one header.
+    async with StoreStandIn() as stand_in:
+        stand_in.era = odd
+        reading = await stand_in.store.read_instances()
+        assert reading.revision.era == sys.maxsize
