Reject messages whose envelope holds a number without decimal form

Cause: the errors of an envelope showed the odd field. A whole number of more than 4,300 digits, which CBOR can hold, raised ValueError there, which ended the connection of the sender in place of the one message. Nesting and fields of other types were rejected already.

Change: the fields are shown in a bounded form, and the type is a text.

--- a/src/bronzewall/messages.py
+++ b/src/bronzewall/messages.py
@@ -13,6 +13,7 @@
     PeerVersionError,
 )
 from bronzewall.types import VmId
+from bronzewall.wire_checks import shown
 
 PROTOCOL_VERSION = 1
 
@@ -101,17 +102,18 @@
     wire = _decode_map(payload)
     version = wire.get('v')
     if version != PROTOCOL_VERSION:
-        raise PeerVersionError(f'protocol version {version!r} is not supported')
-    message_class = _classes_by_kind.get(str(wire.get('t')))
+        raise PeerVersionError(
+            f'protocol version {shown(version)} is not supported'
+        )
+    kind = _field(wire, 't', str)
+    message_class = _classes_by_kind.get(kind)
     if message_class is None:
-        raise PeerKindError(f'unknown message type {wire.get("t")!r}')
+        raise PeerKindError(f'unknown message type {shown(kind)}')
     sent: Any = wire.get('b')
     try:
         body: Any = _converter.structure(sent, message_class)
     except Exception as exc:
-        raise PeerKindError(
-            f'invalid body of {wire.get("t")!r}: {exc}'
-        ) from exc
+        raise PeerKindError(f'invalid body of {kind!r}: {exc}') from exc
     known = {field.name for field in attrs.fields(message_class)}
     return _envelope(
         wire, body, unread_fields=frozenset(map(str, sent)) - known
@@ -148,7 +150,7 @@
     found = wire.get(key)
     if not isinstance(found, kind):
         raise PeerMessageError(
-            f'field {key!r} of the envelope is {found!r}; '
+            f'field {key!r} of the envelope is {shown(found)}; '
             f'expected {kind.__name__}'
         )
     return found
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -63,7 +63,7 @@
     StoreUnavailableError,
 )
 from bronzewall.headers import RELAY
-from bronzewall.messages import Envelope
+from bronzewall.messages import Envelope, decode, encode
 from bronzewall.metrics import Metrics
 from bronzewall.platform import decoding
 from bronzewall.platform.configuration import ConfigurationDecoder
@@ -745,6 +745,32 @@
         assert odd == DEEP or odd.startswith('{"a":{') or len(odd) == 5000
 
 
+@pytest.mark.parametrize('name', 'vtfin')
+@pytest.mark.parametrize(
+    'odd',
+    [10**5000, [[[[1]]]], None, b'', {1: 2}],
+    ids=['long', 'nested', 'none', 'bytes', 'map'],
+)
+def test_envelope_with_an_odd_field(name: str, odd: object) -> None:
+    # Guards against an exception that ends the connection of a peer: numbers
+    # of more than 4,300 digits have no decimal form for an error.
+    payload = encode(
+        Envelope(
+            sender=VmId('vm-2'),
+            incarnation=1,
+            sequence=1,
+            body=MemberReport(stamp=1),
+        )
+    )
+    wire = {**cbor2.loads(payload), name: odd}
+    if isinstance(odd, int) and name in 'in':
+        assert decode(cbor2.dumps(wire)).sender == 'vm-2'
+        return
+    with pytest.raises(PeerMessageError) as raised:
+        decode(cbor2.dumps(wire))
+    assert len(str(raised.value)) < 250
+
+
 ODD_DIGITS = ('²', '٣', '9' * 400, '9' * 5000, '-1', '1.5', '0x10', '1_0', '')
 
 
