Keep the reader's loops and peers' connections after unexpected errors

Defence in depth beside the reading of each value: an error that nobody expects ended a loop that follows the store for the rest of the process, and one in a handler ended the connection of the peer that sent the message.

Change: the reader logs and counts such an error and goes on as after a failed call, with its pauses; the endpoint drops the message.

Evidence: the two tests of unexpected errors failed before.

--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -157,6 +157,7 @@
         ),
         first_start=settings.first_start,
         schedule=WatchSchedule(period=age.list_bound * WATCH_FRACTION),
+        events=ports.metrics.events,
     )
     transfers = TokenTransfers(leader=leader)
     refresher = Refresher(
--- a/src/bronzewall/edge/store_reader.py
+++ b/src/bronzewall/edge/store_reader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
@@ -74,6 +75,7 @@
 
     :param first_start: whether the whole fleet starts for the first time.
     :param schedule: lengths of the watches.
+    :param events: counters by name.
     :param active: set while this VM reads the store as a leader.
     """
 
@@ -88,6 +90,7 @@
     registrations: Registrations
     first_start: bool
     schedule: WatchSchedule
+    events: Counter[str] = attrs.field(factory=Counter)
     active: asyncio.Event = attrs.field(factory=asyncio.Event)
     # Set while the last call to the store was answered.
     _reached: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -194,13 +197,20 @@
         except StoreError as exc:
             self._record_failure(exc)
             return False
+        except Exception as exc:
+            # A fault of this program. Without its loops, the VM would serve
+            # on with data that grows older.
+            _LOG.exception('store_reader_failed')
+            self.events['store_reader_failed'] += 1
+            self._record_failure(exc)
+            return False
         if not self.leader.has_store:
             _LOG.info('store_reached')
             self.leader.has_store = True
         self._reached.set()
         return True
 
-    def _record_failure(self, exc: StoreError) -> None:
+    def _record_failure(self, exc: Exception) -> None:
         if self.leader.has_store or self.election.store_failed_at < 0:
             _LOG.warning('store_lost', error=str(exc))
         self.election.store_failed_at = self.clock.now()
--- a/src/bronzewall/peer_calls.py
+++ b/src/bronzewall/peer_calls.py
@@ -86,6 +86,11 @@
             self._handle(messages.decode(payload))
         except PeerMessageError as exc:
             self.counters[type(exc).__name__] += 1
+        except Exception:
+            # A fault of this program, which must not end the connection of
+            # the peer or the other messages.
+            self.counters['handler_failed'] += 1
+            _LOG.exception('peer_handler_failed')
 
     async def close(self) -> None:
         """Cancel the running handlers and wait for their end."""
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -22,6 +22,7 @@
     an_edge_instance,
     an_edge_vm,
 )
+from edge_fleet import settled
 from hypothesis import given
 from hypothesis import strategies as st
 from structlog.testing import capture_logs
@@ -771,6 +772,52 @@
     assert len(str(raised.value)) < 250
 
 
+def fail(_given: object) -> None:
+    raise KeyError('unexpected')
+
+
+def test_reader_goes_on_after_an_unexpected_error() -> None:
+    # Guards against a leader that follows the store no more after one error.
+    async def main() -> None:
+        fleet = await settled('a')
+        vm = fleet.vms['a']
+        on_removed = vm.catalog.on_removed
+        vm.catalog.on_removed = fail
+        fleet.list_instances(an_edge_instance('i-8'))
+        await asyncio.sleep(1)
+        assert vm.reader.events['store_reader_failed'] > 0
+        assert vm.reader.events['store_reader_failed'] < 10
+        vm.catalog.on_removed = on_removed
+        fleet.list_instances(an_edge_instance('i-9'))
+        await asyncio.sleep(2)
+        assert [item.instance_id for item in vm.catalog.usable('drafts')] == [
+            'i-9'
+        ]
+        await fleet.stop()
+
+    run_virtual(main())
+
+
+def test_endpoint_goes_on_after_an_unexpected_error() -> None:
+    # Guards against a handler whose error ends the connection of a peer.
+    async def main() -> None:
+        vm = an_edge_vm()
+        endpoint = vm.leader.endpoint
+        endpoint.serve(MemberReport, fail)
+        payload = encode(
+            Envelope(
+                sender=VmId('vm-2'),
+                incarnation=1,
+                sequence=1,
+                body=MemberReport(stamp=1),
+            )
+        )
+        endpoint.receive(payload)
+        assert endpoint.counters['handler_failed'] == 1
+
+    run_virtual(main())
+
+
 ODD_DIGITS = ('²', '٣', '9' * 400, '9' * 5000, '-1', '1.5', '0x10', '1_0', '')
 
 
