Clean idempotency keys beside a row that cannot be read

Evidence: test_row_that_cannot_be_read_leaves_the_rest_to_be_deleted failed before with OnceRowError.

--- a/src/bronzewall/once_cleanup.py
+++ b/src/bronzewall/once_cleanup.py
@@ -3,13 +3,15 @@
 import itertools
 
 import attrs
+import structlog
 
-from bronzewall.errors import StoreError
+from bronzewall.errors import OnceRowError, StoreError
 from bronzewall.membership import Members
 from bronzewall.once_rows import ONCE_TABLE, TableClock, decode_entry
 from bronzewall.ports import Clock, TableService
 from bronzewall.rendezvous import rank_vms
-from bronzewall.types import RowCheck, RowWrite
+from bronzewall.types import Row, RowCheck, RowWrite
+from bronzewall.wire_checks import shown
 
 # Rows are spread evenly over prefixes of their hexadecimal keys; with 4
 # digits a prefix holds 66 rows at 50 claims/s.
@@ -20,6 +22,7 @@
 _BATCH_ROWS = 25
 # Expired rows are kept for this long, so that clocks need not agree closely.
 _GRACE_S = 600.0
+_LOG = structlog.get_logger()
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -45,9 +48,9 @@
             if self._is_coordinator(prefix):
                 try:
                     await self.clean(prefix)
-                except StoreError:
+                except StoreError as exc:
                     # The next sweep covers this prefix again.
-                    pass
+                    _LOG.info('once_not_cleaned', error=str(exc))
             await self.clock.sleep(_SWEEP_INTERVAL_S / PREFIXES)
 
     async def clean(self, prefix: str) -> None:
@@ -60,7 +63,7 @@
         expired = {
             key: row
             for key, row in rows.items()
-            if decode_entry(row).expires < expired_before
+            if _has_expired(key, row, expired_before)
         }
         batch = dict(itertools.islice(expired.items(), _BATCH_ROWS))
         if not batch:
@@ -81,3 +84,12 @@
             duty=f'once-sweep/{prefix}', vm_ids=self.members.usable_ids()
         )
         return coordinators[:1] == [self.members.own_id]
+
+
+def _has_expired(key: str, row: Row, before: float) -> bool:
+    """Return whether a row has expired; one that cannot be read has not."""
+    try:
+        return decode_entry(row).expires < before
+    except OnceRowError as exc:
+        _LOG.info('once_row_kept', key=shown(key), error=shown(str(exc)))
+        return False
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -284,6 +284,30 @@
     run_virtual(main())
 
 
+def test_row_that_cannot_be_read_leaves_the_rest_to_be_deleted() -> None:
+    """Guards against a prefix that one odd row keeps from being cleaned."""
+
+    async def main() -> None:
+        keys = Keys()
+        ledger = keys.ledger('a')
+        (await keys.claim(ledger)).done(OUTCOME)
+        prefix = row_key(keys.run_request())[:4]
+        odd = RowWrite(table=ONCE_TABLE, key=f'{prefix}odd', value=b'\xa0')
+        await keys.platform.transact(checks=[], writes=[odd])
+        await asyncio.sleep(RETENTION_S + 2000)
+        sweep = OnceSweep(
+            clock=ledger.clock,
+            table=ledger.table,
+            table_clock=ledger.table_clock,
+            members=Members(own_id=VmId('a'), own_placement=a_placement()),
+        )
+        await sweep.clean(prefix)
+        rows = keys.platform.store.rows_by_table[ONCE_TABLE]
+        assert list(rows) == [f'{prefix}odd']
+
+    run_virtual(main())
+
+
 def test_expired_key_can_be_claimed_by_one_attempt() -> None:
     """Guards against two runs of a request whose old row has expired."""
 
