Take an answer of the table service that cannot be read as no answer

Cause: the readers of the table service and of the VM list go on after errors of the store; an answer that is not CBOR or of another form raised others, which ended their loops.

Change: such an answer is StoreUnavailableError.

Evidence: the 20 cases of test_answer_of_the_table_service_of_another_form failed before.

--- a/src/bronzewall/adapters/platform_http.py
+++ b/src/bronzewall/adapters/platform_http.py
@@ -17,6 +17,7 @@
     StoreUnavailableError,
 )
 from bronzewall.types import Row, RowCheck, RowWrite, VmRecord
+from bronzewall.wire_checks import shown
 
 _HTTP_OK = 200
 _DecodedT = TypeVar('_DecodedT')
@@ -131,7 +132,7 @@
     try:
         return convert(cbor2.loads(answer))
     except Exception as exc:
-        raise StoreUnavailableError(f'malformed answer: {exc!r}') from exc
+        raise StoreUnavailableError(f'malformed answer: {shown(exc)}') from exc
 
 
 def _rows_from_wire(wire: Any) -> dict[str, Row]:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -11,6 +11,7 @@
 from collections.abc import AsyncIterator, Iterable
 from typing import Any
 
+import aiohttp
 import attrs
 import cbor2
 import pytest
@@ -37,6 +38,7 @@
 from yarl import URL
 
 from bronzewall.adapters.instance_http import open_instance_client
+from bronzewall.adapters.platform_http import PlatformClient, PlatformVmList
 from bronzewall.adapters.system_clock import SystemClock
 from bronzewall.adapters.tcp_probe import (
     accepts_connections,
@@ -675,8 +677,9 @@
 }
 
 
-@contextlib.asynccontextmanager
-async def store_that_answers(body: bytes) -> AsyncIterator[PlatformStore]:
+def answers_with(body: bytes) -> Any:
+    """Return a script that answers each request with a body."""
+
     async def script(connection: Any, _number: int) -> None:
         while True:
             await connection.read_request()
@@ -685,7 +688,12 @@
                 b'Content-Length: %d\r\n\r\n%b' % (len(body), body)
             )
 
-    async with RawUpstream(script=script) as upstream:
+    return script
+
+
+@contextlib.asynccontextmanager
+async def store_that_answers(body: bytes) -> AsyncIterator[PlatformStore]:
+    async with RawUpstream(script=answers_with(body)) as upstream:
         store = PlatformStore(
             address=upstream.address,
             session=_open_store_session(),
@@ -772,6 +780,32 @@
     assert len(str(raised.value)) < 250
 
 
+@pytest.mark.parametrize(
+    'body',
+    [b'', b'\xff', cbor2.dumps(10**400), cbor2.dumps([7]), b'\x81' * 100_000],
+    ids=['empty', 'break', 'long', 'list', 'nested'],
+)
+@pytest.mark.parametrize(
+    'call',
+    [
+        lambda client: client.read(table='t', key='a'),
+        lambda client: client.scan(table='t', prefix=''),
+        lambda client: client.time(),
+        lambda client: PlatformVmList(client=client).read(),
+    ],
+    ids=['read', 'scan', 'time', 'vms'],
+)
+async def test_answer_of_the_table_service_of_another_form(call, body) -> None:
+    # Guards against a loop that ends: it expects only errors of the store.
+    async with RawUpstream(script=answers_with(body)) as upstream:
+        async with aiohttp.ClientSession() as session:
+            client = PlatformClient(
+                base_url=f'http://{upstream.address}', session=session
+            )
+            with pytest.raises(StoreUnavailableError):
+                await call(client)
+
+
 def fail(_given: object) -> None:
     raise KeyError('unexpected')
 
