Soak: add callers with idle, pipelining and slow connections

Cause: all callers of the soak sent a request every 50 ms on a kept connection, for which instances worked 30 ms.

Change: each VM has besides its three frequent callers six that keep idle connections for 1 to 6 s, also new ones, two with requests of 1 to 2 s, one that pipelines idempotent requests, one that sends requests in two parts and one that opens a connection for each request. Deadlines are 3 to 8 s on routes with a timeout of 8 s. Instances record the end of their work and drop a request whose connection is closed. A caller looks whether its connection was closed before it sends on it.

The run with two builds keeps its callers: earlier builds lose requests of the others in planned stops, which no change can mend.

Evidence: tests/test_soak.py holds.

--- a/soak/instances.py
+++ b/soak/instances.py
@@ -1,6 +1,7 @@
 """Upstream instances that record the requests they run, with faults."""
 
 import asyncio
+import math
 import random
 import time
 
@@ -10,13 +11,18 @@
 _STATUS_FAILED = 500
 _STATUS_WRONG_INSTANCE = 421
 _HANG_S = 30
+# Seconds that a caller wants an instance to work on its request.
+WORK_TIME_HEADER = 'X-Work-Time'
 
 
 @attrs.define(kw_only=True)
 class Run:
     """One request that an instance began to run.
 
-    :param at: monotonic time in seconds.
+    :param at: monotonic time in seconds, as is ``ended_at``.
+    :param ended_at: when the instance ended its work, infinite before.
+    :param has_answered: the instance gave a whole answer.
+    :param has_broken_off: the instance reset the connection.
     """
 
     attempt_id: str
@@ -24,6 +30,9 @@
     account: str
     path: str
     at: float
+    ended_at: float = math.inf
+    has_answered: bool = False
+    has_broken_off: bool = False
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -55,7 +64,13 @@
         """Listen on a free port."""
         app = web.Application()
         app.router.add_route('*', '/{path:.*}', self._handle)
-        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        # Instances drop a request whose connection is closed.
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            shutdown_timeout=0.1,
+            handler_cancellation=True,
+        )
         await self._runner.setup()
         await web.TCPSite(self._runner, '127.0.0.1', 0).start()
         self.address = f'127.0.0.1:{self._runner.addresses[0][1]}'
@@ -93,24 +108,42 @@
             return web.Response(
                 status=503, headers={**echo, 'X-Not-Executed': '1'}
             )
-        self.runs.append(
-            Run(
-                attempt_id=attempt_id,
-                instance_id=self.instance_id,
-                account=request.headers.get('X-Tenant-Name', ''),
-                path=request.path,
-                at=time.monotonic(),
-            )
+        run = Run(
+            attempt_id=attempt_id,
+            instance_id=self.instance_id,
+            account=request.headers.get('X-Tenant-Name', ''),
+            path=request.path,
+            at=time.monotonic(),
         )
+        self.runs.append(run)
+        try:
+            return await self._work(request, run, fault, echo)
+        finally:
+            run.ended_at = time.monotonic()
+
+    async def _work(
+        self,
+        request: web.Request,
+        run: Run,
+        fault: str,
+        echo: dict[str, str],
+    ) -> web.Response:
+        """Return the answer to a request after the time that it takes."""
         await request.read()
         sealed = {**echo, 'X-Response-Seal': self.instance_id}
         if fault == 'errors':
+            run.has_answered = True
             return web.Response(status=_STATUS_FAILED, headers=sealed)
-        await asyncio.sleep(_HANG_S if fault == 'hang' else self.response_time)
+        asked = float(request.headers.get(WORK_TIME_HEADER, 0))
+        work_time = _HANG_S if fault == 'hang' else asked or self.response_time
+        await asyncio.sleep(work_time)
         if fault == 'reset':
             assert request.transport is not None
             request.transport.abort()
-        return web.Response(body=body_of(attempt_id), headers=sealed)
+            run.has_broken_off = True
+        else:
+            run.has_answered = True
+        return web.Response(body=body_of(run.attempt_id), headers=sealed)
 
 
 def body_of(attempt_id: str) -> bytes:
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,14 +12,22 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
 import attrs
 
 from bronzewall.errors import SettingsError
 from soak.builds import PRESENT, sources_of
-from soak.callers import Attempt, Caller
+from soak.callers import (
+    CALLER_HABITS,
+    FREQUENT_CALLERS,
+    LONG_TIMEOUT_S,
+    SHORT_TIMEOUT_S,
+    Attempt,
+    Caller,
+    Habits,
+)
 from soak.guarantees import Event, Limits, count_statuses, find_violations
 from soak.instances import Run, SoakInstance
 from soak.paths import ZonePaths
@@ -34,7 +42,6 @@
 _PORTS_PER_SOAK = 64
 _ZONES = ('a', 'b')
 _INSTANCES = 5
-_CALLERS_PER_VM = 3
 _KEYS = ('k0', 'k1', 'k2', 'k3')
 _LIMITED_KEY = 'k3'
 _RATE = 20.0
@@ -116,6 +123,7 @@
     :param only: names of the faults that are injected, all if empty.
     :param older: commit of the build on which the VMs begin; they are upgraded
         and rolled back among the faults.
+    :param habits: habits of the callers of each VM.
     """
 
     seed: int
@@ -124,6 +132,7 @@
     random: random.Random
     only: tuple[str, ...] = ()
     older: str = ''
+    habits: Sequence[Habits] = CALLER_HABITS
     store: SoakStore = attrs.field(factory=SoakStore)
     paths: ZonePaths = attrs.field(factory=ZonePaths)
     vms: list[SoakVm] = attrs.field(factory=list)
@@ -232,18 +241,20 @@
         self.version += 1
         routes = [
             {
-                'name': kind,
+                'name': prefix.strip('/'),
                 'hostName': 'soak.example',
                 'prefix': prefix,
                 'routeType': kind,
-                'timeout': 2.5,
+                'timeout': timeout,
                 'targetLatency': 1,
                 'serviceName': 'soak',
                 'attempts': 2,
             }
-            for kind, prefix in (
-                ('idempotent', '/read/'),
-                ('non_idempotent', '/write/'),
+            for kind, prefix, timeout in (
+                ('idempotent', '/read/', SHORT_TIMEOUT_S),
+                ('non_idempotent', '/write/', SHORT_TIMEOUT_S),
+                ('idempotent', '/long/read/', LONG_TIMEOUT_S),
+                ('non_idempotent', '/long/write/', LONG_TIMEOUT_S),
             )
         ]
         accounts = [
@@ -284,9 +295,10 @@
                 number=offset,
                 random=self._random(vm.vm_id, offset),
                 attempts=self.attempts,
+                habits=habits,
             )
             for number, vm in enumerate(self.vms)
-            for offset in range(_CALLERS_PER_VM)
+            for offset, habits in enumerate(self.habits)
         ]
 
     async def _wait_until_serving(self) -> None:
@@ -601,6 +613,7 @@
         random=random.Random(seed),
         only=only,
         older=older,
+        habits=FREQUENT_CALLERS if older else CALLER_HABITS,
     )
     violations = await soak.run()
     report = {
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from soak.callers import Attempt
+from soak.callers import FREQUENT_CALLERS, Attempt
 from soak.guarantees import Event, Limits, find_violations
 from soak.instances import Run, body_of
 from soak.run import Soak, free_ports
@@ -187,6 +187,7 @@
         random=random.Random(5),
         older='1cc2605',
         only=('upgrade', 'roll_back', 'publish', 'key_withdrawn'),
+        habits=FREQUENT_CALLERS,
     )
     violations = asyncio.run(soak.run())
     assert not violations
