Soak: check planned stops by the users' rule

Cause: `lost` found only requests that had run, were sent in the first 3 s after SIGTERM and ended more than 0.2 s after they were sent. A fault of any kind within 6 s of the stop also ended the check.

Change: from SIGTERM until 1 s after the grace period of 6 s, a request whose bytes were all sent is lost if its connection ends without a whole answer, once it was passed on or more than 0.2 s after its last byte, or if the VM answers itself while an instance works on it. SIGHUP is planned. The last request of a connection that ends with a reset was not read: the system resets what is closed with unread bytes.

As the platform does, the soak sends SIGKILL after the grace period. A second SIGTERM is an event of its own and begins no further grace period.

Evidence: planted losses and allowed ends in tests/test_soak.py.

--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -17,9 +17,16 @@
 # requests more, because messages between VMs take time.
 _RATE_TOLERANCE = 1.1
 _REQUEST_TOLERANCE = 20
-# Seconds after the start of a planned stop in which answers may be
-# interrupted: the stop limit of the daemons.
-STOP_LIMIT_S = 6.0
+# Seconds from SIGTERM until SIGKILL, and the time after it in which losses
+# still count for the stop.
+GRACE_S = 6.0
+_AFTER_GRACE_S = 1.0
+# A request may be interrupted if its instance works on it in this last part of
+# the grace period, and it was sent at most so many seconds after SIGTERM.
+_LAST_PART = 1 / 6
+_LATEST_SENT_S = 3.0
+# Longest time until the soak ends a fault whose end is not recorded, seconds.
+LONGEST_FAULT_S = 4.0
 # After this time without other disturbance VMs must keep limits of instances,
 # and serve callers although they reach no instance, seconds.
 STABILITY_S = 3.0
@@ -34,11 +41,13 @@
 _LEAST_RATIO = 2 / 3
 _TOLERATED_FAILURES = 10
 _TOLERATED_SHARE = 0.02
-# Attempts that end sooner were sent while the daemon closed an idle
-# connection; they are not counted.
-_CLOSE_RACE_S = 0.2
+# A request that was not passed on may have crossed the close of its connection
+# if that ended at most so many seconds after its last byte was sent.
+_LOSS_SLACK_S = 0.2
 # Events that excuse nothing by themselves.
-_PLANNED = frozenset(('term', 'withdraw', 'upgrade', 'roll_back'))
+_PLANNED = frozenset(
+    ('term', 'term_again', 'reload', 'withdraw', 'upgrade', 'roll_back')
+)
 
 
 @attrs.frozen(kw_only=True)
@@ -174,34 +183,94 @@
     runs: Mapping[str, Sequence[Run]],
     events: Sequence[Event],
 ) -> list[str]:
-    """Return requests that ran and were interrupted by a planned stop.
-
-    A planned stop with an unplanned fault close to it is not checked.
-    """
+    """Return requests that a VM read and lost in a planned stop."""
     unplanned = [event for event in events if event.kind not in _PLANNED]
     found = []
-    for event in events:
-        if event.kind != 'term' or _is_disturbed(event, unplanned):
-            continue
-        found.extend(
-            f'lost: {attempt.attempt_id} was interrupted by a planned stop'
-            for attempt in attempts
-            if attempt.vm_id == event.subject
-            and event.at <= attempt.sent_at <= event.at + STOP_LIMIT_S / 2
-            and not attempt.is_whole
-            and runs.get(attempt.attempt_id)
-            and attempt.ended_at - attempt.sent_at > _CLOSE_RACE_S
-        )
+    for attempt in attempts:
+        stop = _planned_stop_of(attempt, events)
+        passed_on = runs.get(attempt.attempt_id, ())
+        if (
+            stop is not None
+            and _is_given_up(attempt, passed_on, stop)
+            and not _has_excuse(attempt, passed_on, stop)
+            and not _is_disturbed(attempt, unplanned)
+        ):
+            found.append(_loss_line(attempt, passed_on, stop))
     return found
 
 
-def _is_disturbed(stop: Event, unplanned: Sequence[Event]) -> bool:
+def _planned_stop_of(attempt: Attempt, events: Sequence[Event]) -> Event | None:
+    """Return the last planned stop of the VM before the attempt ended."""
+    stops = [
+        event
+        for event in events
+        if event.kind == 'term'
+        and event.subject == attempt.vm_id
+        and event.at <= attempt.ended_at <= event.at + GRACE_S + _AFTER_GRACE_S
+    ]
+    return max(stops, key=lambda event: event.at, default=None)
+
+
+def _is_given_up(
+    attempt: Attempt, passed_on: Sequence[Run], stop: Event
+) -> bool:
+    """Return whether a request that a VM read got no answer it was due."""
+    if attempt.is_whole:
+        # The VM answered in place of an instance that was still at work.
+        return not attempt.instance_id and any(
+            not run.has_answered or run.ended_at > attempt.ended_at
+            for run in passed_on
+            if run.ended_at >= stop.at
+        )
+    if not attempt.written_at:
+        return False
+    if passed_on:
+        return True
+    return (
+        not attempt.is_behind
+        and not attempt.is_unread
+        and attempt.ended_at - attempt.written_at > _LOSS_SLACK_S
+    )
+
+
+def _has_excuse(
+    attempt: Attempt, passed_on: Sequence[Run], stop: Event
+) -> bool:
+    """Return whether the request need not have been answered."""
+    timeout = min(attempt.deadline, attempt.route_timeout)
+    worked_until = max(
+        (min(run.ended_at, attempt.ended_at) for run in passed_on),
+        default=0,
+    )
+    return (
+        attempt.ended_at - attempt.sent_at >= timeout
+        or any(run.has_broken_off for run in passed_on)
+        or (
+            attempt.sent_at <= stop.at + _LATEST_SENT_S
+            and worked_until >= stop.at + GRACE_S * (1 - _LAST_PART)
+        )
+    )
+
+
+def _is_disturbed(attempt: Attempt, unplanned: Sequence[Event]) -> bool:
     return any(
-        stop.at - STOP_LIMIT_S <= event.at <= stop.at + STOP_LIMIT_S
+        event.at <= attempt.ended_at
+        and (event.ended_at or event.at + LONGEST_FAULT_S)
+        >= attempt.sent_at - STABILITY_S
         for event in unplanned
     )
 
 
+def _loss_line(attempt: Attempt, passed_on: Sequence[Run], stop: Event) -> str:
+    end = 'got an answer of the VM' if attempt.is_whole else 'got no answer'
+    work = 'passed on' if passed_on else 'not passed on'
+    return (
+        f'lost: {attempt.attempt_id}, sent {attempt.sent_at - stop.at:.2f} s'
+        f' after SIGTERM, {end} {attempt.ended_at - attempt.sent_at:.2f} s'
+        f' later, {work}'
+    )
+
+
 def _wrong_accounts(
     attempts: Sequence[Attempt], runs: Mapping[str, Sequence[Run]]
 ) -> list[str]:
--- a/soak/run.py
+++ b/soak/run.py
@@ -28,7 +28,14 @@
     Caller,
     Habits,
 )
-from soak.guarantees import Event, Limits, count_statuses, find_violations
+from soak.guarantees import (
+    GRACE_S,
+    LONGEST_FAULT_S,
+    Event,
+    Limits,
+    count_statuses,
+    find_violations,
+)
 from soak.instances import Run, SoakInstance
 from soak.paths import ZonePaths
 from soak.proxy import FaultyProxy
@@ -84,10 +91,12 @@
     log: Any
     sources: pathlib.Path
     process: asyncio.subprocess.Process | None = None
+    is_stopping: bool = False
     is_stopped: bool = False
 
     async def start(self) -> None:
         """Start the process."""
+        self.is_stopping = False
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             '-m',
@@ -106,6 +115,19 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(signal_number)
 
+    def stop(self) -> None:
+        """Send SIGTERM, and SIGKILL if the process runs on after its grace."""
+        self.send(signal.SIGTERM)
+        if not self.is_stopping:
+            self.is_stopping = True
+            asyncio.get_running_loop().call_later(
+                GRACE_S, self._kill, self.process
+            )
+
+    def _kill(self, process: asyncio.subprocess.Process) -> None:
+        if process.returncode is None:
+            process.kill()
+
     async def keep_running(self) -> None:
         """Start the process again whenever it ends."""
         while not self.is_stopped:
@@ -353,7 +375,7 @@
         self._heal()
 
     def _call_later(self, action: Callable[[], object]) -> None:
-        delay = self.random.uniform(0.5, 4)
+        delay = self.random.uniform(0.5, LONGEST_FAULT_S)
         asyncio.get_running_loop().call_later(delay, action)
 
     def _record_event(self, kind: str, subject: str) -> None:
@@ -369,7 +391,13 @@
         self._pick_vm('kill').send(signal.SIGKILL)
 
     def _signal_term(self) -> None:
-        self._pick_vm('term').send(signal.SIGTERM)
+        self._stop_vm(self.random.choice(self.vms))
+
+    def _stop_vm(self, vm: SoakVm) -> None:
+        """Stop a VM as the platform does; it starts again."""
+        kind = 'term_again' if vm.is_stopping else 'term'
+        self._record_event(kind, vm.vm_id)
+        vm.stop()
 
     def _upgrade(self) -> None:
         self._replace_build(PRESENT, 'upgrade')
@@ -383,9 +411,8 @@
         if others:
             vm = self.random.choice(others)
             self._record_event(kind, vm.vm_id)
-            self._record_event('term', vm.vm_id)
             vm.sources = sources
-            vm.send(signal.SIGTERM)
+            self._stop_vm(vm)
 
     def _signal_pause(self) -> None:
         vm = self._pick_vm('pause')
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -31,6 +31,7 @@
         'path': '/write/x',
         'idempotent': False,
         'sent_at': 100.0,
+        'written_at': 100.0,
         'status': 200,
         'body': body_of('a'),
         'is_whole': True,
@@ -46,6 +47,8 @@
         'account': 'account-k0',
         'path': '/write/x',
         'at': 100.1,
+        'ended_at': 100.4,
+        'has_answered': True,
     }
     return Run(**{**fields, **changes})
 
@@ -91,6 +94,95 @@
     assert {line.partition(':')[0] for line in violations} == found
 
 
+def losses(changes, runs, *faults: Event) -> list[str]:
+    """Return losses of a request whose VM is to stop from second 98 on."""
+    without_answer = {'status': 0, 'is_whole': False, 'body': b''}
+    return find_violations(
+        attempts=[attempt(**{**without_answer, **changes})],
+        runs=runs,
+        events=[Event(kind='term', subject='vm-0', at=98), *faults],
+        limits=LIMITS,
+    )
+
+
+AT_WORK = {'ended_at': 103.6, 'has_answered': False}
+LATE = {
+    'sent_at': 101.1,
+    'written_at': 101.1,
+    'ended_at': 103.6,
+    'route_timeout': 8,
+}
+
+
+@pytest.mark.parametrize(
+    ('changes', 'runs'),
+    [
+        # Passed on, and cut off at once, late or with its answer at hand.
+        ({'ended_at': 100.1}, [run()]),
+        ({}, [run(ended_at=100.5, has_answered=False)]),
+        (LATE, [run(**AT_WORK)]),
+        ({'ended_at': 102.4}, [run(ended_at=102.4, has_answered=False)]),
+        # Sent behind another request or cut off by a reset, but passed on.
+        ({'is_behind': True}, [run()]),
+        ({'is_unread': True}, [run()]),
+        # Read and not passed on.
+        ({'ended_at': 100.3}, []),
+        ({'sent_at': 97.0, 'ended_at': 98.1, 'written_at': 97.0}, []),
+        # Still at work when the VM answered itself.
+        (
+            {'status': 503, 'is_whole': True, 'idempotent': True},
+            [run(ended_at=100.4, has_answered=False)],
+        ),
+        (
+            {'status': 502, 'is_whole': True},
+            [run(ended_at=101, has_answered=True)],
+        ),
+    ],
+)
+def test_losses_at_planned_stops_are_found(changes, runs) -> None:
+    assert any(line.startswith('lost') for line in losses(changes, runs))
+
+
+@pytest.mark.parametrize(
+    ('changes', 'runs'),
+    [
+        # The instance broke off, or a timeout was reached.
+        ({}, [run(has_answered=False, has_broken_off=True)]),
+        ({'deadline': 0.5}, [run()]),
+        ({'route_timeout': 0.5}, [run()]),
+        # At work in the last second of the grace period, and sent early.
+        ({**LATE, 'sent_at': 101.0}, [run(**AT_WORK)]),
+        # Not read, or it crossed the close of its connection.
+        ({'written_at': 0}, []),
+        ({'is_unread': True}, []),
+        ({'is_behind': True}, []),
+        ({'ended_at': 100.19}, []),
+        # Answered by the VM after the instance had failed.
+        ({'status': 502, 'is_whole': True}, [run()]),
+        # No planned stop around the end.
+        ({'sent_at': 97.1, 'ended_at': 97.9}, [run()]),
+        ({'sent_at': 104.5, 'ended_at': 105.1}, [run()]),
+    ],
+)
+def test_other_ends_are_no_losses(changes, runs) -> None:
+    assert not losses(changes, runs)
+
+
+@pytest.mark.parametrize(
+    ('fault', 'is_counted'),
+    [
+        (Event(kind='kill', subject='vm-0', at=99), False),
+        (Event(kind='limit', subject='i-0', at=90, ended_at=96.9), True),
+        (Event(kind='limit', subject='i-0', at=90, ended_at=97.1), False),
+        (Event(kind='pause', subject='vm-0', at=100.6), True),
+        (Event(kind='reload', subject='vm-0', at=99), True),
+        (Event(kind='term_again', subject='vm-0', at=99), True),
+    ],
+)
+def test_unplanned_faults_excuse_losses(fault: Event, is_counted: bool) -> None:
+    assert bool(losses({}, [run()], fault)) == is_counted
+
+
 def limited_run(requests: int, **changes) -> list[str]:
     """Return violations of a limit of one request a second.
 
