Soak: choose the number of VMs

Cause: series of stops overlap the restarts of other VMs longer the more VMs there are; the soak had four.

Change: `--vms` sets the number. Frequent callers send less often as it grows, others keep their pauses. Soaks that run at the same time begin 256 ports apart, which is enough for 40 VMs and more.

--- a/soak/run.py
+++ b/soak/run.py
@@ -22,6 +22,7 @@
 from soak.builds import PRESENT, sources_of
 from soak.callers import (
     CALLER_HABITS,
+    FREQUENT,
     FREQUENT_CALLERS,
     LONG_TIMEOUT_S,
     SHORT_TIMEOUT_S,
@@ -42,12 +43,13 @@
 from soak.proxy import FaultyProxy
 from soak.store import SoakStore
 
+# Default number of VMs, for which the pauses of callers are meant.
 _VMS = 4
 _PORTS_PER_VM = 4
 # Below the range from which Linux takes ports of outgoing connections.
 _PORTS = range(10_000, 30_000)
 # Distance between the first ports of two soaks that run at the same time.
-_PORTS_PER_SOAK = 64
+_PORTS_PER_SOAK = 256
 _ZONES = ('a', 'b')
 _INSTANCES = 5
 _KEYS = ('k0', 'k1', 'k2', 'k3')
@@ -55,7 +57,9 @@
 _RATE = 20.0
 _BURST = 10.0
 _REVOCATION_BOUND_S = 5.0
+# Time for the VMs to start, and that for each further VM, seconds.
 _START_TIMEOUT_S = 20.0
+_START_TIMEOUT_PER_VM_S = 1.0
 # Seconds that the run goes on after the last fault. In their second half
 # valid requests must be served again.
 _RECOVERY_S = 8.0
@@ -85,15 +89,6 @@
     'publish',
 )
 _REQUEST_LIMITS = (0.5, 1, 2.5, 5)
-_LIMITS = Limits(
-    revocation_bound=_REVOCATION_BOUND_S,
-    rate=_RATE,
-    burst=_BURST,
-    account=f'account-{_LIMITED_KEY}',
-    zone_by_vm={
-        f'vm-{number}': _ZONES[number % len(_ZONES)] for number in range(_VMS)
-    },
-)
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -169,6 +164,8 @@
     :param older: commit of the build on which the VMs begin; they are upgraded
         and rolled back among the faults.
     :param habits: habits of the callers of each VM.
+    :param vm_count: number of VMs; if there are many, frequent callers send
+        less often, so that the soak itself keeps up.
     :param recovery: seconds for which the run goes on after the last fault.
     """
 
@@ -179,6 +176,7 @@
     only: tuple[str, ...] = ()
     older: str = ''
     habits: Sequence[Habits] = CALLER_HABITS
+    vm_count: int = _VMS
     recovery: float = _RECOVERY_S
     store: SoakStore = attrs.field(factory=SoakStore)
     paths: ZonePaths = attrs.field(factory=ZonePaths)
@@ -218,10 +216,19 @@
             attempts=self.attempts,
             runs=self.runs,
             events=self.events,
-            limits=_LIMITS,
+            limits=self._limits(),
         )
         return [*violations, *self._not_recovered(faults_ended_at)]
 
+    def _limits(self) -> Limits:
+        return Limits(
+            revocation_bound=_REVOCATION_BOUND_S,
+            rate=_RATE,
+            burst=_BURST,
+            account=f'account-{_LIMITED_KEY}',
+            zone_by_vm={vm.vm_id: vm.zone for vm in self.vms},
+        )
+
     async def _build(self) -> None:
         for number in range(_INSTANCES):
             instance = SoakInstance(
@@ -236,8 +243,8 @@
         for zone in _ZONES:
             await self.paths.build(zone, self.instances)
         self.publish()
-        ports = free_ports(_VMS * _PORTS_PER_VM)
-        for number in range(_VMS):
+        ports = free_ports(self.vm_count * _PORTS_PER_VM)
+        for number in range(self.vm_count):
             first = number * _PORTS_PER_VM
             self.vms.append(
                 await self._build_vm(
@@ -335,6 +342,7 @@
         return random.Random(f'{self.seed}.{name}.{number}')
 
     def _callers(self) -> list[Caller]:
+        slowdown = max(1, self.vm_count / _VMS)
         return [
             Caller(
                 vm_id=vm.vm_id,
@@ -344,13 +352,18 @@
                 random=self._random(vm.vm_id, offset),
                 attempts=self.attempts,
                 habits=habits,
+                slowdown=slowdown if habits is FREQUENT else 1,
             )
             for number, vm in enumerate(self.vms)
             for offset, habits in enumerate(self.habits)
         ]
 
     async def _wait_until_serving(self) -> None:
-        ends_at = time.monotonic() + _START_TIMEOUT_S
+        ends_at = (
+            time.monotonic()
+            + _START_TIMEOUT_S
+            + self.vm_count * _START_TIMEOUT_PER_VM_S
+        )
         for vm in self.vms:
             host, _, port = vm.listen.rpartition(':')
             while time.monotonic() < ends_at:
@@ -693,7 +706,11 @@
 
 
 async def run_seed(
-    seed: int, seconds: float, only: tuple[str, ...], older: str
+    seed: int,
+    seconds: float,
+    only: tuple[str, ...],
+    older: str,
+    vm_count: int,
 ) -> int:
     """Run one seed, print one JSON line, return the exit code."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
@@ -705,6 +722,7 @@
         only=only,
         older=older,
         habits=FREQUENT_CALLERS if older else CALLER_HABITS,
+        vm_count=vm_count,
     )
     violations = await soak.run()
     report = {
@@ -737,6 +755,7 @@
     parser.add_argument(
         '--planned', action='store_true', help='planned work only'
     )
+    parser.add_argument('--vms', type=int, default=_VMS, help='number of VMs')
     options = parser.parse_args()
     only = tuple(filter(None, options.only.split(',')))
     if options.planned:
@@ -745,7 +764,9 @@
     # the VMs.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
     codes = [
-        asyncio.run(run_seed(seed, options.seconds, only, options.older))
+        asyncio.run(
+            run_seed(seed, options.seconds, only, options.older, options.vms)
+        )
         for seed in range(options.seed, options.seed + options.seeds)
     ]
     sys.exit(max(codes))
