Soak: show processes that run on after their grace period

Cause: a process that SIGKILL ended after the grace period looked like one that had stopped by itself in time.

Change: the timeline says `grace_over`.

--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -46,7 +46,15 @@
 _LOSS_SLACK_S = 0.2
 # Events that excuse nothing by themselves.
 _PLANNED = frozenset(
-    ('term', 'term_again', 'reload', 'withdraw', 'upgrade', 'roll_back')
+    (
+        'term',
+        'term_again',
+        'grace_over',
+        'reload',
+        'withdraw',
+        'upgrade',
+        'roll_back',
+    )
 )
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -128,19 +128,6 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(signal_number)
 
-    def stop(self) -> None:
-        """Send SIGTERM, and SIGKILL if the process runs on after its grace."""
-        self.send(signal.SIGTERM)
-        if not self.is_stopping:
-            self.is_stopping = True
-            asyncio.get_running_loop().call_later(
-                GRACE_S, self._kill, self.process
-            )
-
-    def _kill(self, process: asyncio.subprocess.Process) -> None:
-        if process.returncode is None:
-            process.kill()
-
     async def wait_until_started(self) -> None:
         """Wait until a process that is to stop has been replaced."""
         while self.is_stopping and not self.is_stopped:
@@ -442,7 +429,20 @@
         """Stop a VM as the platform does; it starts again."""
         kind = 'term_again' if vm.is_stopping else 'term'
         self._record_event(kind, vm.vm_id)
-        vm.stop()
+        vm.send(signal.SIGTERM)
+        if not vm.is_stopping:
+            vm.is_stopping = True
+            asyncio.get_running_loop().call_later(
+                GRACE_S, self._end_grace, vm, vm.process
+            )
+
+    def _end_grace(
+        self, vm: SoakVm, process: asyncio.subprocess.Process
+    ) -> None:
+        """Kill a process that runs on after its grace period."""
+        if process.returncode is None:
+            self._record_event('grace_over', vm.vm_id)
+            process.kill()
 
     def _stop_in_series(self) -> None:
         """Stop most VMs one after the other; two series may overlap."""
