Show that a stop waits for a connection that it accepted meanwhile

What callers see: LOST. A request on a new connection, sent 2.6 to 2.8 s after SIGTERM, has no answer when SIGKILL ends the process 3.3 s later.

Cause: EntryServer.stop lets aiohttp close all connections and then waits for their handlers, 60 s at most. A connection that was accepted in the same moment has a handler that has not begun to wait for a request: close() only marks it, the handler then waits, and what comes is dropped. The tasks of a process that SIGKILL ended showed this one handler waiting for a request and RequestHandler.shutdown waiting for it.

--- a/tests/test_entry_http.py
+++ b/tests/test_entry_http.py
@@ -17,6 +17,7 @@
 from bronzewall.types import RequestId
 
 _LIMIT = 1000
+_STOP_TIMEOUT_S = 3
 _HEAD = b'POST /drafts/1 HTTP/1.1\r\nHost: a\r\n'
 
 
@@ -86,6 +87,25 @@
     assert not errors
 
 
+@pytest.mark.parametrize('turns', range(8))
+async def test_stop_does_not_wait_for_a_connection_that_it_accepted(
+    turns: int, unused_tcp_port: int
+) -> None:
+    # Guards against a connection that is accepted while all others are closed,
+    # stays open, drops its request and holds the stop up until SIGKILL.
+    server = _a_server(_handle, unused_tcp_port)
+    await server.start()
+    with socket.socket() as caller:
+        caller.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(
+            caller, ('127.0.0.1', unused_tcp_port)
+        )
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        async with asyncio.timeout(_STOP_TIMEOUT_S):
+            await server.stop()
+
+
 async def test_pipelined_request_reports_its_queueing_time(
     unused_tcp_port: int,
 ) -> None:
