Soak: close a call of the store only if its caller has not

Cause: a caller that closes its connection while its call is delayed has no transport any more; the store's answer then failed with an AssertionError.

Change: the connection is closed only if it is still there.

--- a/soak/store.py
+++ b/soak/store.py
@@ -120,8 +120,9 @@
         vm_id = request.app[_VM]
         await asyncio.sleep(self.delay)
         if self.is_away:
-            assert request.transport is not None
-            request.transport.abort()
+            # The caller may have closed the connection during the delay.
+            if request.transport is not None:
+                request.transport.abort()
             raise web.HTTPServiceUnavailable
         while vm_id in self.unanswered_vms:
             await asyncio.sleep(_POLL_S)
