Close connections that a stopping VM accepts while it closes all others

Change: close() of our handler closes a connection that has no request. One whose request has arrived but is not handled yet is left to its handler.

--- a/src/bronzewall/adapters/entry_protocol.py
+++ b/src/bronzewall/adapters/entry_protocol.py
@@ -174,6 +174,17 @@
             async with asyncio.timeout(_LINGER_S):
                 await self._lingering.wait()
 
+    def close(self) -> None:
+        """Close the connection after the request in progress, if any.
+
+        aiohttp's method only stops reading: a connection without a request
+        would stay open, and drop what comes on it.
+        """
+        is_waiting = self._waiter is not None or not self._request_count
+        super().close()
+        if is_waiting and not self._messages:
+            self.force_close()
+
     def close_if_idle(self) -> bool:
         """Close the connection unless a request is in progress on it.
 
@@ -187,9 +198,7 @@
         is_new = self._loop.time() - self._opened_at <= _FIRST_REQUEST_S
         if not is_waiting or is_new or self.has_unsent_answers():
             return False
-        # aiohttp's ``close`` leaves the connection open and drops what comes
-        # on it.
-        self.force_close()
+        self.close()
         return True
 
     def queueing_time(self, pending: PendingRequest) -> float:
