Read refusals of relaying VMs with odd numbers or nesting

Cause: a Retry-After of inf, nan or a negative number in the refusal of another VM was taken over into this VM's refusal, whose document could then not be written; a deeply nested refusal raised RecursionError. Either way its caller got an internal error in place of a refusal.

Change: such a number is none, and such a refusal an unknown outcome.

--- a/src/bronzewall/edge/relay.py
+++ b/src/bronzewall/edge/relay.py
@@ -1,6 +1,7 @@
 """Sends requests through another VM while this one reaches no instance."""
 
 import json
+import math
 
 import attrs
 import structlog
@@ -27,6 +28,7 @@
 from bronzewall.ports import Clock
 from bronzewall.problems import Ran, Reason
 from bronzewall.types import InstanceId
+from bronzewall.wire_checks import shown
 
 _MS_PER_S = 1000
 # VMs to which one request is sent at most, if they do not take it.
@@ -47,6 +49,9 @@
     )
 )
 _REASONS_BY_CODE = {reason.code: reason for reason in Reason}
+# Errors of a refusal that cannot be read; a deeply nested one raises
+# ``RecursionError``.
+_UNREADABLE = (ValueError, KeyError, TypeError, RecursionError)
 _LOG = structlog.get_logger()
 
 
@@ -121,9 +126,9 @@
             problem = json.loads(answer.body)
             reason = _REASONS_BY_CODE[problem['reason']]
             ran = Ran(problem['ran'])
-        except (ValueError, KeyError, TypeError) as exc:
+        except _UNREADABLE as exc:
             raise UpstreamBrokenError(
-                f'{peer.vm_id}: unreadable refusal, {exc!r}'
+                f'{peer.vm_id}: unreadable refusal, {shown(exc)}'
             ) from exc
         detail = f'{peer.vm_id}: {problem.get("detail", "")}'
         if ran is Ran.NO:
@@ -169,8 +174,10 @@
 
 
 def _retry_after(answer: InstanceAnswer) -> float | None:
+    """Return the seconds that a refusal states; odd ones are none."""
     text = header_rules.find(answer.headers, 'Retry-After')
     try:
-        return None if text is None else float(text)
+        seconds = math.nan if text is None else float(text)
     except ValueError:
         return None
+    return seconds if 0 <= seconds < math.inf else None
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -50,6 +50,8 @@
 from bronzewall.edge.directory import Directory
 from bronzewall.edge.model import EdgeConfiguration, EdgeInstance, VmEntry
 from bronzewall.edge.ports import InstanceAnswer, InstanceRequest, Revision
+from bronzewall.edge.relay import _retry_after
+from bronzewall.edge.relay_peers import RelayPeer
 from bronzewall.edge.zone_messages import MemberReport
 from bronzewall.edge.zone_packing import (
     pack_instances,
@@ -64,8 +66,9 @@
     StoreEntryError,
     StoreError,
     StoreUnavailableError,
+    UpstreamBrokenError,
 )
-from bronzewall.headers import RELAY
+from bronzewall.headers import RELAY, REQUEST_ID
 from bronzewall.messages import Envelope, decode, encode
 from bronzewall.metrics import Metrics
 from bronzewall.platform import decoding
@@ -73,7 +76,7 @@
 from bronzewall.platform.store import PlatformStore
 from bronzewall.standins.raw_upstream import RawUpstream
 from bronzewall.standins.virtual_time import run_virtual
-from bronzewall.types import InstanceId, Placement, VmId
+from bronzewall.types import InstanceId, Placement, ServiceName, VmId
 from bronzewall.wire_checks import (
     is_plain_text,
     shown,
@@ -806,6 +809,36 @@
                 await call(client)
 
 
+@pytest.mark.parametrize('odd', ['inf', '1e400', 'nan', '-5', 'x', '9' * 5000])
+def test_refusal_of_a_relay_with_an_odd_pause(odd: str) -> None:
+    # Guards against a caller without an answer: the refusal that this VM
+    # passes on could not be written.
+    answer = InstanceAnswer(
+        status=503, headers=(('Retry-After', odd),), body=b''
+    )
+    assert _retry_after(answer) is None
+
+
+def test_refusal_of_a_relay_that_cannot_be_read() -> None:
+    # Guards against an exception in place of a lost answer.
+    async def main() -> None:
+        vm = an_edge_vm()
+        answer = InstanceAnswer(
+            status=503, headers=((REQUEST_ID, 'r-1'),), body=DEEP.encode()
+        )
+        peer = RelayPeer(
+            service=ServiceName('drafts'),
+            vm_id=VmId('vm-2'),
+            address='h:1',
+            ticket='t',
+            used_until=0,
+        )
+        with pytest.raises(UpstreamBrokenError):
+            vm.path.sender.relay._check_refusal(peer, None, answer)
+
+    run_virtual(main())
+
+
 def fail(_given: object) -> None:
     raise KeyError('unexpected')
 
