Reject run ids with a time beyond any number

A caller's made-up run id whose time is 10**400 raised OverflowError, which is no error of its reader, and ended in an internal error in place of a refusal.

Evidence: test_run_id_with_a_time_beyond_any_float failed before.

--- a/src/bronzewall/run_tokens.py
+++ b/src/bronzewall/run_tokens.py
@@ -17,6 +17,11 @@
 _MS_PER_S = 1000
 
 
+# Errors of a text that is no run id; one with a time beyond any float raises
+# ``OverflowError``.
+_MALFORMED = (cbor2.CBORDecodeError, TypeError, ValueError, OverflowError)
+
+
 @attrs.frozen(kw_only=True)
 class RunToken:
     """The fields of an issued id.
@@ -67,7 +72,7 @@
             account=_require_type(account, str),
             nonce=_require_type(nonce, bytes),
         )
-    except (cbor2.CBORDecodeError, TypeError, ValueError) as exc:
+    except _MALFORMED as exc:
         raise RunIdError(f'not a run id: {exc}') from exc
 
 
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -63,6 +63,7 @@
     AddressError,
     ConnectFailedError,
     PeerMessageError,
+    RunIdError,
     StoreEntryError,
     StoreError,
     StoreUnavailableError,
@@ -74,6 +75,7 @@
 from bronzewall.platform import decoding
 from bronzewall.platform.configuration import ConfigurationDecoder
 from bronzewall.platform.store import PlatformStore
+from bronzewall.run_tokens import _to_text, parse_token
 from bronzewall.standins.raw_upstream import RawUpstream
 from bronzewall.standins.virtual_time import run_virtual
 from bronzewall.types import InstanceId, Placement, ServiceName, VmId
@@ -839,6 +841,13 @@
     run_virtual(main())
 
 
+def test_run_id_with_a_time_beyond_any_float() -> None:
+    # Guards against status 500 for an id that a caller has made up.
+    fields = ['vm-1', 1, 10**400, 'one', b'n']
+    with pytest.raises(RunIdError):
+        parse_token(f'{_to_text(cbor2.dumps(fields))}.x')
+
+
 def fail(_given: object) -> None:
     raise KeyError('unexpected')
 
