--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -848,6 +848,23 @@
         parse_token(f'{_to_text(cbor2.dumps(fields))}.x')
 
 
+@pytest.mark.parametrize('age', [math.nan, -math.inf, -5.0, math.inf])
+def test_list_with_an_odd_age(age: float) -> None:
+    # Guards against a list that no later one replaces.
+    async def main() -> None:
+        vm = an_edge_vm()
+        vm.serve_alone(an_edge_instance('i-1'))
+        now = vm.clock.now()
+        vm.catalog.adopt((an_edge_instance('i-2'),), confirmed_at=now - age)
+        await asyncio.sleep(1)
+        assert vm.catalog.adopt(
+            (an_edge_instance('i-3'),), confirmed_at=vm.clock.now()
+        )
+        assert list(vm.catalog.instances_by_id) == ['i-3']
+
+    run_virtual(main())
+
+
 def fail(_given: object) -> None:
     raise KeyError('unexpected')
 
