--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -199,7 +199,8 @@
     def has_unsent_answers(self) -> bool:
         """Return whether answers are still to be sent.
 
-        Those in the kernel's buffers are sent after the process has ended.
+        Those in the kernel's buffers are sent after the process has ended,
+        unless the caller sends more.
         """
         return any(found.has_unsent_answers() for found in self.connections())
 
