Read download routes as idempotent

Cause: the route type `download` was not known, so its requests counted as not idempotent: they were neither retried nor hedged, and each configuration logged a warning for each such route.

Ruled out: treating every unknown type as idempotent; an unknown type may have effects.

Test: test_downloads_may_run_twice failed before the change and passes now (tests/test_platform_adapter.py: 67 passed).

--- a/src/bronzewall/platform/configuration.py
+++ b/src/bronzewall/platform/configuration.py
@@ -22,10 +22,11 @@
 from bronzewall.platform import fields
 from bronzewall.types import AccountId, RouteId, ServiceName
 
-# The only route type whose requests may run more than once. ``upload`` routes
-# take large bodies and are otherwise ``non_idempotent``.
-_IDEMPOTENT = 'idempotent'
-_ROUTE_TYPES = frozenset((_IDEMPOTENT, 'non_idempotent', 'upload'))
+# Route types whose requests may run more than once. ``download`` routes have
+# large answers and are otherwise ``idempotent``; ``upload`` routes take large
+# bodies and are otherwise ``non_idempotent``.
+_IDEMPOTENT_TYPES = frozenset(('idempotent', 'download'))
+_ROUTE_TYPES = _IDEMPOTENT_TYPES | {'non_idempotent', 'upload'}
 # Rank of routes and accounts whose priority cannot be read.
 _LOWEST_PRIORITY = 9
 _LOG = structlog.get_logger()
@@ -116,7 +117,7 @@
             _LOG.warning(
                 'unknown_route_type', route=wire['name'], found=route_type
             )
-        return route_type == _IDEMPOTENT
+        return route_type in _IDEMPOTENT_TYPES
 
     def _account(self, wire: Mapping[str, Any]) -> EdgeAccount:
         """Return an account.
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -176,6 +176,13 @@
     assert second.idempotent
 
 
+def test_downloads_may_run_twice() -> None:
+    # Large answers may be fetched again; as an unknown type they were neither
+    # retried nor hedged.
+    first, _ = decode_configuration(with_route(routeType='download')).routes
+    assert first.idempotent
+
+
 @pytest.mark.parametrize(
     'change',
     [
