Let requests wait in the VM for room at the instances

Cause: nobody held a queue. A request was sent at once or refused, and waiting happened in the queues of instances, first come first served, where no order can be kept. A rejected request was refused as soon as the retry budget was empty, although credit came back within its time.

Change: edge/scheduling holds requests of a service while its instances have no room (one queued request for each slot), in the order rank, still in time, use of the account's share, end of its time. What would come too late is refused at once; refused callers are told times to return at the pace at which instances take requests. Rejected requests wait for a retry of the budget. While all instances of a service reject, a rejection is no sign against one of them and nothing is hedged. On with the setting `scheduling`, by default only while the configuration has routes of large requests or answers.

Ruled out: queues at the instances alone (no order, rejections when full); a grant of each slot by the zone's leader (two messages a request).

--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -29,6 +29,7 @@
 from bronzewall.edge.relay_tickets import RelayTickets
 from bronzewall.edge.request_path import EdgeRequestHandler
 from bronzewall.edge.retry_budget import RetryBudget
+from bronzewall.edge.scheduling.scheduler import Scheduler
 from bronzewall.edge.selection import Selector
 from bronzewall.edge.sending import Sender
 from bronzewall.edge.settings import EdgeSettings
@@ -212,6 +213,16 @@
         is_leaving=lambda: member.is_leaving,
     )
     ports.endpoint.serve(RelayRequest, tickets.handle_request)
+    budget = RetryBudget(ratio=settings.retry_ratio, slack=settings.retry_slack)
+    scheduler = Scheduler(
+        clock=clock,
+        selector=selector,
+        state=state,
+        budget=budget,
+        metrics=ports.metrics,
+        is_enabled=lambda: settings.scheduling.is_on(directory.configuration),
+    )
+    scheduler.connect()
     sender = Sender(
         clock=clock,
         names=ports.names,
@@ -220,9 +231,7 @@
         state=state,
         selector=selector,
         instances=ports.instances,
-        budget=RetryBudget(
-            ratio=settings.retry_ratio, slack=settings.retry_slack
-        ),
+        budget=budget,
         metrics=ports.metrics,
         paths=instance_paths,
         relay=Relay(
@@ -243,6 +252,7 @@
             selector=selector,
             permits=permits,
             metrics=ports.metrics,
+            scheduler=scheduler,
         ),
         limits=limit_sharing,
     )
--- a/src/bronzewall/edge/exchange.py
+++ b/src/bronzewall/edge/exchange.py
@@ -25,6 +25,8 @@
     :param tried_ids: instances already tried.
     :param runs: number of instances that may have started to run it.
     :param rejections: number of attempts after which it had certainly not run.
+    :param owes_retry: it was rejected and has not yet consumed the retry with
+        which it may be sent again.
     :param last_answer: last error response of an instance, delivered if no
         retry succeeds.
     :param is_relayed: another VM relayed it to this one.
@@ -48,6 +50,7 @@
     tried_ids: set[InstanceId] = attrs.field(factory=set)
     runs: int = 0
     rejections: int = 0
+    owes_retry: bool = False
     last_answer: InstanceAnswer | None = None
     is_relayed: bool = False
     relayed_instances: int | None = None
--- a/src/bronzewall/edge/instance_choice.py
+++ b/src/bronzewall/edge/instance_choice.py
@@ -6,14 +6,18 @@
 from bronzewall.edge.exchange import EdgeExchange
 from bronzewall.edge.limit_permits import LimitPermits
 from bronzewall.edge.recent_ranks import RecentRanks
-from bronzewall.edge.selection import Candidate, RequestProfile, Selector
+from bronzewall.edge.scheduling.scheduler import Scheduler
+from bronzewall.edge.selection import (
+    Candidate,
+    RequestProfile,
+    Selector,
+    least_time,
+)
 from bronzewall.metrics import Metrics
 from bronzewall.ports import Clock
 from bronzewall.problems import Reason, RefusalError
+from bronzewall.types import InstanceId
 
-# A request is refused if less than this fraction of the expected response
-# time is left before its deadline.
-_MIN_RESPONSE_TIME_FRACTION = 0.3
 # Retry-After of requests that no instance can take, seconds.
 RETRY_AFTER_S = 0.5
 # Instances whose limit may refuse a request before the VM refuses it.
@@ -29,6 +33,7 @@
     selector: Selector
     permits: LimitPermits
     metrics: Metrics
+    scheduler: Scheduler
     recent_ranks: RecentRanks = attrs.field(factory=RecentRanks)
 
     async def choose(
@@ -41,12 +46,10 @@
         excluded = set(exchange.tried_ids)
         waits: list[float] = []
         while len(waits) < _MAX_PERMIT_REFUSALS:
-            now = self.clock.now()
-            candidate = self.selector.choose(
-                profile, excluded=excluded, now=now
-            )
+            candidate = await self._next(exchange, profile, excluded)
             if candidate is None:
                 break
+            now = self.clock.now()
             max_wait = self._check_queue(exchange, profile, candidate, now)
             if self._limit(candidate) is None:
                 return candidate
@@ -62,6 +65,24 @@
             waits.append(wait)
         raise self._refusal(exchange, waits)
 
+    async def _next(
+        self,
+        exchange: EdgeExchange,
+        profile: RequestProfile,
+        excluded: set[InstanceId],
+    ) -> Candidate | None:
+        """Return the best instance, one with room if the VM schedules.
+
+        :raises RefusalError: the request cannot wait until there is room.
+        """
+        if self.scheduler.is_enabled():
+            return await self.scheduler.choose(
+                exchange, profile, excluded=frozenset(excluded)
+            )
+        return self.selector.choose(
+            profile, excluded=excluded, now=self.clock.now()
+        )
+
     def _limit(self, candidate: Candidate) -> float | None:
         return self.permits.limits.limit(candidate.instance.instance_id)
 
@@ -80,12 +101,8 @@
         :raises RefusalError: the expected wait is too long already.
         """
         remaining = exchange.deadline - now
-        fraction = self.recent_ranks.queue_fraction(
-            exchange.service, exchange.rank, now=now
-        )
-        spare_time = (
-            remaining - profile.expected_time * _MIN_RESPONSE_TIME_FRACTION
-        )
+        fraction = self._queue_fraction(exchange, now)
+        spare_time = remaining - least_time(profile)
         if spare_time <= 0 or candidate.queue_time > fraction * spare_time:
             raise exchange.refusal(
                 Reason.UPSTREAM_TIMEOUT
@@ -105,6 +122,17 @@
             max_wait = min(max_wait, in_time - profile.expected_time)
         return max(0, max_wait)
 
+    def _queue_fraction(self, exchange: EdgeExchange, now: float) -> float:
+        """Return the fraction of its time that a request may queue.
+
+        Waiting rooms keep the order of ranks themselves.
+        """
+        if self.scheduler.is_enabled():
+            return 1
+        return self.recent_ranks.queue_fraction(
+            exchange.service, exchange.rank, now=now
+        )
+
     async def _wait_for_permit(
         self, exchange: EdgeExchange, candidate: Candidate, max_wait: float
     ) -> float | None:
--- a/src/bronzewall/edge/retry_budget.py
+++ b/src/bronzewall/edge/retry_budget.py
@@ -31,6 +31,10 @@
         """Credit the budget with one request of a caller."""
         self._service_budget(service).credit()
 
+    def ratio_per_vm(self) -> float:
+        """Return the retries that one request of a caller adds."""
+        return self.ratio * _RATIO_FRACTION
+
     def can_consume(self, service: ServiceName) -> bool:
         """Return whether ``consume`` would succeed."""
         return self._service_budget(service).can_consume()
@@ -44,7 +48,7 @@
         limit = max(1, self.slack * _SLACK_FRACTION / self.vm_count)
         if budget is None:
             budget = SendBudget(
-                ratio=self.ratio * _RATIO_FRACTION, limit=limit, balance=limit
+                ratio=self.ratio_per_vm(), limit=limit, balance=limit
             )
             self._by_service[service] = budget
         budget.limit = limit
--- /dev/null
+++ b/src/bronzewall/edge/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decides in which order requests wait for room at the instances."""
--- a/src/bronzewall/edge/selection.py
+++ b/src/bronzewall/edge/selection.py
@@ -26,7 +26,7 @@
 # A failed attempt only delays a request that may be sent again.
 _RETRYABLE_WEIGHT = 0.15
 # Weight of the time in an instance's queue, relative to the target latency.
-_QUEUE_TIME_WEIGHT = 0.5
+QUEUE_TIME_WEIGHT = 0.5
 # Some instances slow down when they are nearly full.
 _IN_FLIGHT_WEIGHT = 0.03
 # An instance that has just started takes about twice as long per request.
@@ -35,6 +35,9 @@
 # used instance is chosen.
 _LOSS_TOLERANCE = 0.02
 _DEFAULT_TARGET_S = 2.0
+# A request is refused if less than this fraction of the expected response
+# time is left before its deadline.
+_MIN_RESPONSE_TIME_FRACTION = 0.3
 
 
 @attrs.frozen(kw_only=True)
@@ -92,19 +95,48 @@
         :param excluded: instances that the request was already sent to.
         """
         candidates = self._candidates(profile, excluded=excluded, now=now)
-        if not candidates:
-            return None
-        min_loss = min(candidate.loss for candidate in candidates)
-        best = min(
-            (
+        return self._best(candidates, now=now)
+
+    def choose_with_room(
+        self,
+        profile: RequestProfile,
+        *,
+        excluded: Collection[InstanceId],
+        now: float,
+        max_queue_time: float,
+        extra_loss: float,
+    ) -> Candidate | None:
+        """Return the best instance with a short queue, if there is one.
+
+        :param max_queue_time: longest expected time in its queue, seconds.
+        :param extra_loss: largest difference to the loss at the best instance
+            with any queue.
+        """
+        candidates = self._candidates(profile, excluded=excluded, now=now)
+        least = min((item.loss for item in candidates), default=0)
+        return self._best(
+            [
                 item
                 for item in candidates
-                if item.loss <= min_loss + _LOSS_TOLERANCE
-            ),
-            key=self._last_use,
+                if item.queue_time <= max_queue_time
+                and item.loss <= least + extra_loss + _LOSS_TOLERANCE
+            ],
+            now=now,
+        )
+
+    def has_any(
+        self,
+        profile: RequestProfile,
+        *,
+        excluded: Collection[InstanceId],
+        now: float,
+    ) -> bool:
+        """Return whether a request may be sent to any further instance."""
+        return any(
+            item.instance_id not in excluded
+            and not self.pauses.time_left(item.instance_id, now=now)
+            for item in self.catalog.usable(profile.service)
         )
-        self._last_used_at[best.instance.instance_id] = now
-        return best
 
     def tolerable_wait(
         self,
@@ -127,7 +159,7 @@
         )
         best = min((other.loss for other in others), default=math.inf)
         return candidate.queue_time + max(0, best - candidate.loss) * (
-            _target_latency(profile) / _QUEUE_TIME_WEIGHT
+            target_latency(profile) / QUEUE_TIME_WEIGHT
         )
 
     def is_usable(self, instance: EdgeInstance, *, now: float) -> bool:
@@ -166,6 +198,24 @@
             and not self.pauses.time_left(item.instance_id, now=now)
         ]
 
+    def _best(
+        self, candidates: Collection[Candidate], *, now: float
+    ) -> Candidate | None:
+        """Return a candidate of least loss and note its use."""
+        if not candidates:
+            return None
+        min_loss = min(candidate.loss for candidate in candidates)
+        best = min(
+            (
+                item
+                for item in candidates
+                if item.loss <= min_loss + _LOSS_TOLERANCE
+            ),
+            key=self._last_use,
+        )
+        self._last_used_at[best.instance.instance_id] = now
+        return best
+
     def _last_use(self, candidate: Candidate) -> float:
         instance_id = candidate.instance.instance_id
         if instance_id not in self._last_used_at:
@@ -192,12 +242,18 @@
             failure_rate(failure_probability) * weight
             + _LOCALITY_LOSS[locality_of(self.own_placement, item.placement)]
             + _IN_FLIGHT_WEIGHT * min(1, in_flight / item.slots)
-            + _QUEUE_TIME_WEIGHT * queue_time / _target_latency(profile)
+            + QUEUE_TIME_WEIGHT * queue_time / target_latency(profile)
         )
         if item.warmup:
             loss += _WARMUP_LOSS
         return Candidate(instance=item, loss=loss, queue_time=queue_time)
 
 
-def _target_latency(profile: RequestProfile) -> float:
+def target_latency(profile: RequestProfile) -> float:
+    """Return the seconds within which an answer has its full value."""
     return profile.target_latency or _DEFAULT_TARGET_S
+
+
+def least_time(profile: RequestProfile) -> float:
+    """Return the seconds before the deadline without which none is sent."""
+    return profile.expected_time * _MIN_RESPONSE_TIME_FRACTION
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -74,6 +74,7 @@
     UpstreamTimeoutError: Reason.UPSTREAM_TIMEOUT,
 }
 _ANSWER_ERRORS = (UpstreamShedError, WrongInstanceError)
+_REJECTIONS = tuple(error.__name__ for error in _ANSWER_ERRORS)
 _NOT_RUN_ERRORS = (ConnectFailedError, UpstreamShedError, WrongInstanceError)
 
 
@@ -225,7 +226,9 @@
 
         Instances that state a limit get no hedged requests.
         """
-        if not self._may_run_again(exchange, sent=0):
+        if self.chooser.scheduler.is_shedding(
+            exchange.service
+        ) or not self._may_run_again(exchange, sent=0):
             return None
         candidate = self.selector.choose(
             self._profile(exchange),
@@ -351,7 +354,7 @@
             self._record_limit(instance_id, exc.request_limit, sent_at)
             self._record_leaving(candidate, is_leaving=exc.is_leaving)
             self._record_pause(instance_id, exc.pause)
-            self._observe(instance_id, Observation.OVERDUE)
+            self._record_rejection(exchange, instance_id)
         if isinstance(exc, _ANSWER_ERRORS):
             self._path(exchange).record_answer()
         else:
@@ -376,6 +379,18 @@
             ),
         )
 
+    def _record_rejection(
+        self, exchange: EdgeExchange, instance_id: InstanceId
+    ) -> None:
+        """Record that an instance rejected a request.
+
+        It says nothing about the instance if all of them reject.
+        """
+        scheduler = self.chooser.scheduler
+        scheduler.record(exchange.service, instance_id, is_rejected=True)
+        if not scheduler.is_shedding(exchange.service):
+            self._observe(instance_id, Observation.OVERDUE)
+
     def _record_failure(
         self,
         exchange: EdgeExchange,
@@ -411,6 +426,9 @@
         self._record_leaving(candidate, is_leaving=answer.is_leaving)
         self._record_pause(instance_id, answer.pause)
         self._path(exchange).record_answer()
+        self.chooser.scheduler.record(
+            exchange.service, instance_id, is_rejected=False
+        )
         is_good = answer.status < _STATUS_SERVER_ERROR
         # A healthy instance answers 504 when the deadline of a request passes.
         is_timeout = (
@@ -490,12 +508,18 @@
         self, exchange: EdgeExchange, exc: UpstreamError
     ) -> bool:
         remaining = exchange.deadline - self.clock.now()
-        if remaining <= 0 or exchange.rejections >= _MAX_REJECTIONS:
+        scheduler = self.chooser.scheduler
+        if remaining <= 0 or (
+            exchange.rejections >= _MAX_REJECTIONS
+            and not scheduler.is_shedding(exchange.service)
+        ):
             return False
         if isinstance(exc, ConnectFailedError):
             return True
         if isinstance(exc, _NOT_RUN_ERRORS):
-            return self.budget.can_consume(exchange.service)
+            return scheduler.is_enabled() or self.budget.can_consume(
+                exchange.service
+            )
         return self._may_run_again(exchange, sent=0)
 
     def _may_retry_answer(
@@ -517,7 +541,10 @@
         )
 
     def _count_retry(self, exchange: EdgeExchange, cause: str) -> None:
-        if cause != ConnectFailedError.__name__:
+        if cause in _REJECTIONS and self.chooser.scheduler.is_enabled():
+            # The scheduler consumes a retry when it sends the request.
+            exchange.owes_retry = True
+        elif cause != ConnectFailedError.__name__:
             self.budget.consume(exchange.service)
         self.metrics.retries[cause] += 1
         _LOG.info(
--- a/src/bronzewall/edge/settings.py
+++ b/src/bronzewall/edge/settings.py
@@ -1,10 +1,12 @@
 """Settings of a VM whose instances come from service discovery."""
 
+import enum
 from collections.abc import Iterable, Mapping
 from typing import Any
 
 import attrs
 
+from bronzewall.edge.model import EdgeConfiguration
 from bronzewall.errors import SettingsError
 from bronzewall.logs import LEVELS_BY_NAME
 from bronzewall.settings_checks import (
@@ -45,6 +47,28 @@
     return attrs.field(validator=host_port)
 
 
+class Scheduling(enum.StrEnum):
+    """When requests wait in the VM for room at the instances.
+
+    ``AUTO`` schedules while the configuration has routes of large requests or
+    answers: they hold instances, links and memory far longer than the other
+    requests that compete with them.
+    """
+
+    AUTO = 'auto'
+    ON = 'on'
+    OFF = 'off'
+
+    def is_on(self, configuration: EdgeConfiguration | None) -> bool:
+        """Return whether a VM schedules.
+
+        :param configuration: the one in force, if any.
+        """
+        if self is Scheduling.AUTO:
+            return configuration is not None and configuration.has_bulk_routes
+        return self is Scheduling.ON
+
+
 @attrs.frozen(kw_only=True)
 class EdgeSettings:
     """Settings of one VM.
@@ -72,6 +96,7 @@
         window in which the platform counts them.
     :param rate_slack: requests of an account beyond its rate and burst that
         the fleet may admit in a few seconds.
+    :param scheduling: ``on``, ``off`` or ``auto``, see :class:`Scheduling`.
     :param answer_bytes: largest body of an instance's answer.
     :param total_answer_bytes: bytes of all answers that are being received.
     :param total_body_bytes: bytes of all request bodies that are held.
@@ -104,7 +129,9 @@
     rate_slack: float = attrs.field(
         default=0, converter=float, validator=attrs.validators.ge(0)
     )
-
+    scheduling: Scheduling = attrs.field(
+        default=Scheduling.AUTO, converter=Scheduling
+    )
     answer_bytes: int = attrs.field(
         default=ANSWER_BYTES, converter=int, validator=positive
     )
--- a/src/bronzewall/edge/zone_state.py
+++ b/src/bronzewall/edge/zone_state.py
@@ -1,6 +1,7 @@
 """State of the instances as recorded by one VM, shared within its zone."""
 
 from collections import Counter
+from collections.abc import Callable
 
 import attrs
 
@@ -28,6 +29,7 @@
     :param busy_elsewhere: instances in other zones without a free slot.
     :param zone_estimates: failure estimates shared by the zone.
     :param local_estimates: failure estimates from this VM's own attempts.
+    :param on_ended: called when a request of this VM at an instance has ended.
     :param unreported_observations: observations not yet sent to the zone
         leader.
     :param unreported_breaks: broken requests not yet sent to the zone leader.
@@ -46,20 +48,30 @@
     crashes: CrashTracker = attrs.field(factory=CrashTracker)
     unreported_observations: list[tuple[str, str]] = attrs.field(factory=list)
     unreported_breaks: list[BrokenRequest] = attrs.field(factory=list)
+    on_ended: Callable[[InstanceId], None] = lambda _instance_id: None
     has_updates: bool = False
     has_urgent_updates: bool = False
 
     def add_in_flight(self, instance_id: InstanceId) -> None:
         """Count a request as in flight at an instance."""
-        self.own_in_flight[instance_id] += 1
+        self.reserve(instance_id)
         self.has_updates = True
 
     def remove_in_flight(self, instance_id: InstanceId) -> None:
         """Count a request as ended at an instance."""
+        self.unreserve(instance_id)
+        self.has_updates = True
+        self.on_ended(instance_id)
+
+    def reserve(self, instance_id: InstanceId) -> None:
+        """Keep room for a request that will be sent in a moment."""
+        self.own_in_flight[instance_id] += 1
+
+    def unreserve(self, instance_id: InstanceId) -> None:
+        """End a reservation."""
         self.own_in_flight[instance_id] -= 1
         if self.own_in_flight[instance_id] <= 0:
             del self.own_in_flight[instance_id]
-        self.has_updates = True
 
     def record_observation(
         self, instance_id: InstanceId, observation: Observation, *, now: float
--- a/src/bronzewall/platform/configuration.py
+++ b/src/bronzewall/platform/configuration.py
@@ -26,6 +26,7 @@
 # large answers and are otherwise ``idempotent``; ``upload`` routes take large
 # bodies and are otherwise ``non_idempotent``.
 _IDEMPOTENT_TYPES = frozenset(('idempotent', 'download'))
+_BULK_TYPES = frozenset(('upload', 'download'))
 _ROUTE_TYPES = _IDEMPOTENT_TYPES | {'non_idempotent', 'upload'}
 # Rank of routes and accounts whose priority cannot be read.
 _LOWEST_PRIORITY = 9
@@ -105,6 +106,7 @@
                 max_instances=_optional_integer(wire, 'attempts', 1),
                 priority=self._priority(wire) or 0,
                 open_to_all=wire.get('public') is True,
+                is_bulk=wire['routeType'] in _BULK_TYPES,
             )
         except StoreEntryError as exc:
             self._record_unusable(route.route_id, exc)
