Tell failed from rejected requests in a service's latest outcomes

A later choice of instances needs the fraction of requests that a service does not serve; rejections alone do not say it.

--- a/src/bronzewall/edge/scheduling/scheduler.py
+++ b/src/bronzewall/edge/scheduling/scheduler.py
@@ -14,7 +14,10 @@
 from bronzewall.edge.exchange import EdgeExchange
 from bronzewall.edge.retry_budget import RetryBudget
 from bronzewall.edge.scheduling.order import hopeless, in_order, next_request
-from bronzewall.edge.scheduling.shedding import Shedding
+from bronzewall.edge.scheduling.service_outcomes import (
+    Outcome,
+    ServiceOutcomes,
+)
 from bronzewall.edge.scheduling.waiting_request import WaitEnd, WaitingRequest
 from bronzewall.edge.scheduling.waiting_room import WaitingRoom
 from bronzewall.edge.selection import (
@@ -59,7 +62,7 @@
     budget: RetryBudget
     metrics: Metrics
     is_enabled: Callable[[], bool]
-    shedding: Shedding = attrs.field(factory=Shedding)
+    outcomes: ServiceOutcomes = attrs.field(factory=ServiceOutcomes)
     rooms_by_service: dict[ServiceName, WaitingRoom] = attrs.field(factory=dict)
     _timer: asyncio.TimerHandle | None = None
 
@@ -69,20 +72,16 @@
 
     def is_shedding(self, service: ServiceName) -> bool:
         """Return whether the instances of a service reject in general."""
-        return self.is_enabled() and self.shedding.is_general(
+        return self.is_enabled() and self.outcomes.is_shedding(
             service, now=self.clock.now()
         )
 
     def record(
-        self,
-        service: ServiceName,
-        instance_id: InstanceId,
-        *,
-        is_rejected: bool,
+        self, service: ServiceName, instance_id: InstanceId, outcome: Outcome
     ) -> None:
-        """Record that an instance answered or rejected a request."""
-        self.shedding.record(
-            service, instance_id, is_rejected=is_rejected, now=self.clock.now()
+        """Record what an instance did with a request."""
+        self.outcomes.record(
+            service, instance_id, outcome, now=self.clock.now()
         )
 
     async def choose(
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -25,6 +25,7 @@
 from bronzewall.edge.relay import Relay
 from bronzewall.edge.response_times import ResponseTimes
 from bronzewall.edge.retry_budget import RetryBudget
+from bronzewall.edge.scheduling.service_outcomes import Outcome
 from bronzewall.edge.selection import Candidate, RequestProfile, Selector
 from bronzewall.edge.zone_state import ZoneState
 from bronzewall.errors import (
@@ -358,6 +359,9 @@
         if isinstance(exc, _ANSWER_ERRORS):
             self._path(exchange).record_answer()
         else:
+            self.chooser.scheduler.record(
+                exchange.service, instance_id, Outcome.FAILED
+            )
             self._path(exchange).record_if_intact(
                 functools.partial(
                     self._record_failure, exchange, instance_id, exc
@@ -387,7 +391,7 @@
         It says nothing about the instance if all of them reject.
         """
         scheduler = self.chooser.scheduler
-        scheduler.record(exchange.service, instance_id, is_rejected=True)
+        scheduler.record(exchange.service, instance_id, Outcome.REJECTED)
         if not scheduler.is_shedding(exchange.service):
             self._observe(instance_id, Observation.OVERDUE)
 
@@ -426,10 +430,12 @@
         self._record_leaving(candidate, is_leaving=answer.is_leaving)
         self._record_pause(instance_id, answer.pause)
         self._path(exchange).record_answer()
+        is_good = answer.status < _STATUS_SERVER_ERROR
         self.chooser.scheduler.record(
-            exchange.service, instance_id, is_rejected=False
+            exchange.service,
+            instance_id,
+            Outcome.ANSWERED if is_good else Outcome.FAILED,
         )
-        is_good = answer.status < _STATUS_SERVER_ERROR
         # A healthy instance answers 504 when the deadline of a request passes.
         is_timeout = (
             answer.status == _STATUS_TIMEOUT
