--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from bronzewall.edge.attempt_outcomes import AttemptOutcomes
 from bronzewall.edge.catalog import Catalog
 from bronzewall.edge.directory import Directory
 from bronzewall.edge.fleet_view import FleetView
@@ -245,6 +246,15 @@
             metrics=ports.metrics,
         ),
         limits=limit_sharing,
+        outcomes=AttemptOutcomes(
+            clock=clock,
+            catalog=catalog,
+            state=state,
+            selector=selector,
+            metrics=ports.metrics,
+            paths=instance_paths,
+            limits=limit_sharing,
+        ),
     )
     path = EdgeRequestHandler(
         clock=clock,
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -1,15 +1,18 @@
 """Sends requests to instances, with retries and hedged requests."""
 
 import asyncio
-import functools
 from collections.abc import Sequence
 
 import attrs
 import structlog
 
+from bronzewall.edge.attempt_outcomes import (
+    NOT_RUN_ERRORS,
+    STATUS_SERVER_ERROR,
+    AttemptOutcomes,
+)
 from bronzewall.edge.catalog import Catalog
 from bronzewall.edge.exchange import EdgeExchange
-from bronzewall.edge.failure_estimates import Observation
 from bronzewall.edge.forwarded_headers import forwarded_headers
 from bronzewall.edge.gate import Gate
 from bronzewall.edge.instance_choice import RETRY_AFTER_S, InstanceChooser
@@ -23,7 +26,6 @@
     InstanceRequest,
 )
 from bronzewall.edge.relay import Relay
-from bronzewall.edge.response_times import ResponseTimes
 from bronzewall.edge.retry_budget import RetryBudget
 from bronzewall.edge.selection import Candidate, RequestProfile, Selector
 from bronzewall.edge.zone_state import ZoneState
@@ -35,32 +37,16 @@
     UpstreamTimeoutError,
     WrongInstanceError,
 )
-from bronzewall.locality import locality_of
 from bronzewall.metrics import Metrics
 from bronzewall.ports import Clock
 from bronzewall.problems import Reason, RefusalError
-from bronzewall.types import InstanceId
 
 _MS_PER_S = 1000
-_STATUS_SERVER_ERROR = 500
-_STATUS_TIMEOUT = 504
-# A 504 that arrives within this time of the deadline is attributed to the
-# deadline and not to a fault of the instance, seconds.
-_DEADLINE_MARGIN_S = 0.1
 # Timeout of a new connection, seconds. Instances accept within 1 ms; a round
 # trip between regions takes 16 ms.
 _CONNECT_TIMEOUT_S = 0.3
 # Number of instances that may reject a request before the VM refuses it.
 _MAX_REJECTIONS = 3
-# An answer that takes this many times the expected time is overdue.
-_OVERDUE_FACTOR = 4.0
-# The limit is lower if the target latency requires it, but at least this
-# many times the expected time: a long tail of response times is normal.
-_MIN_OVERDUE_FACTOR = 2.5
-# An answer is overdue at the latest after this fraction of the target
-# latency, subject to the two lower limits.
-_TARGET_LATENCY_FRACTION = 0.7
-_MIN_OVERDUE_S = 0.5
 # An overdue request is also sent to a second instance if the expected loss
 # there is at most this fraction of the value of the answer.
 _MAX_HEDGE_LOSS = 0.25
@@ -73,8 +59,6 @@
     UpstreamBrokenError: Reason.ANSWER_LOST,
     UpstreamTimeoutError: Reason.UPSTREAM_TIMEOUT,
 }
-_ANSWER_ERRORS = (UpstreamShedError, WrongInstanceError)
-_NOT_RUN_ERRORS = (ConnectFailedError, UpstreamShedError, WrongInstanceError)
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -94,7 +78,7 @@
     relay: Relay
     chooser: InstanceChooser
     limits: LimitSharing
-    response_times: ResponseTimes = attrs.field(factory=ResponseTimes)
+    outcomes: AttemptOutcomes
 
     async def run(self, exchange: EdgeExchange) -> InstanceAnswer:
         """Return the answer to deliver to the caller.
@@ -165,7 +149,7 @@
         return RequestProfile(
             service=exchange.service,
             is_retryable=self._may_run_again(exchange, sent=1),
-            expected_time=self.response_times.mean(exchange.service),
+            expected_time=self.outcomes.response_times.mean(exchange.service),
             target_latency=exchange.route.target_latency,
         )
 
@@ -182,7 +166,9 @@
         sent_at = self.clock.now()
         tasks = [self._start_attempt(exchange, candidate)]
         try:
-            await asyncio.wait(tasks, timeout=self._overdue_after(exchange))
+            await asyncio.wait(
+                tasks, timeout=self.outcomes.overdue_after(exchange)
+            )
             is_path_intact = tasks[0].done() or await self._path(
                 exchange
             ).check(sent_at=sent_at)
@@ -260,8 +246,8 @@
             instances=sent_at - self.catalog.confirmed_at,
         )
         timer = asyncio.get_running_loop().call_later(
-            self._overdue_after(exchange),
-            self._record_overdue,
+            self.outcomes.overdue_after(exchange),
+            self.outcomes.record_overdue,
             exchange,
             candidate,
             sent_at,
@@ -271,11 +257,11 @@
                 self._build_request(exchange, candidate)
             )
         except UpstreamError as exc:
-            self._record_error(exchange, candidate, exc, sent_at)
+            self.outcomes.record_error(exchange, candidate, exc, sent_at)
             raise
         finally:
             timer.cancel()
-        self._record_answer(exchange, candidate, answer, sent_at)
+        self.outcomes.record_answer(exchange, candidate, answer, sent_at)
         return answer
 
     def _build_request(
@@ -302,179 +288,6 @@
             connect_timeout=min(remaining, _CONNECT_TIMEOUT_S),
         )
 
-    def _overdue_after(self, exchange: EdgeExchange) -> float:
-        """Return the seconds after which an answer is overdue.
-
-        The delay leaves a second attempt time to answer within the target
-        latency.
-        """
-        mean = self.response_times.mean(exchange.service)
-        delay = mean * _OVERDUE_FACTOR
-        if exchange.route.target_latency is not None:
-            delay = min(
-                delay, exchange.route.target_latency * _TARGET_LATENCY_FRACTION
-            )
-        return max(_MIN_OVERDUE_S, mean * _MIN_OVERDUE_FACTOR, delay)
-
-    def _record_overdue(
-        self, exchange: EdgeExchange, candidate: Candidate, sent_at: float
-    ) -> None:
-        instance_id = candidate.instance.instance_id
-        observation = Observation.OVERDUE
-        if self.response_times.is_rarely_late(exchange.service):
-            observation = Observation.SILENT
-        self._path(exchange).record_if_intact(
-            functools.partial(self._observe, instance_id, observation),
-            sent_at=sent_at,
-        )
-        self.metrics.events['overdue'] += 1
-        _LOG.info(
-            'answer_overdue',
-            request_id=exchange.request_id,
-            instance=instance_id,
-        )
-
-    def _record_error(
-        self,
-        exchange: EdgeExchange,
-        candidate: Candidate,
-        exc: UpstreamError,
-        sent_at: float,
-    ) -> None:
-        instance_id = candidate.instance.instance_id
-        if isinstance(exc, _NOT_RUN_ERRORS):
-            exchange.runs -= 1
-            exchange.rejections += 1
-        if isinstance(exc, WrongInstanceError):
-            self.catalog.reject(candidate.instance)
-        if isinstance(exc, UpstreamShedError):
-            self._record_limit(instance_id, exc.request_limit, sent_at)
-            self._record_leaving(candidate, is_leaving=exc.is_leaving)
-            self._record_pause(instance_id, exc.pause)
-            self._observe(instance_id, Observation.OVERDUE)
-        if isinstance(exc, _ANSWER_ERRORS):
-            self._path(exchange).record_answer()
-        else:
-            self._path(exchange).record_if_intact(
-                functools.partial(
-                    self._record_failure, exchange, instance_id, exc
-                ),
-                sent_at=sent_at,
-                is_connected=not isinstance(exc, ConnectFailedError),
-            )
-        now = self.clock.now()
-        self.metrics.events[f'attempt_{type(exc).__name__}'] += 1
-        _LOG.info(
-            'attempt_failed',
-            request_id=exchange.request_id,
-            instance=instance_id,
-            error=type(exc).__name__,
-            detail=str(exc),
-            seconds=round(now - sent_at, 3),
-            failing=round(
-                self.state.failure_probability(instance_id, now=now), 3
-            ),
-        )
-
-    def _record_failure(
-        self,
-        exchange: EdgeExchange,
-        instance_id: InstanceId,
-        exc: UpstreamError,
-    ) -> None:
-        """Record that an instance was not reached or broke an exchange."""
-        if isinstance(exc, ConnectFailedError):
-            self._observe(instance_id, Observation.UNREACHABLE)
-        elif isinstance(exc, UpstreamBrokenError):
-            self._observe(instance_id, Observation.FAILED)
-            self.state.record_broken_request(
-                exchange.fingerprint, instance_id, now=self.clock.now()
-            )
-
-    def _observe(
-        self, instance_id: InstanceId, observation: Observation
-    ) -> None:
-        self.state.record_observation(
-            instance_id, observation, now=self.clock.now()
-        )
-
-    def _record_answer(
-        self,
-        exchange: EdgeExchange,
-        candidate: Candidate,
-        answer: InstanceAnswer,
-        sent_at: float,
-    ) -> None:
-        instance_id = candidate.instance.instance_id
-        now = self.clock.now()
-        self._record_limit(instance_id, answer.request_limit, sent_at)
-        self._record_leaving(candidate, is_leaving=answer.is_leaving)
-        self._record_pause(instance_id, answer.pause)
-        self._path(exchange).record_answer()
-        is_good = answer.status < _STATUS_SERVER_ERROR
-        # A healthy instance answers 504 when the deadline of a request passes.
-        is_timeout = (
-            answer.status == _STATUS_TIMEOUT
-            and exchange.deadline - now < _DEADLINE_MARGIN_S
-        )
-        if not is_timeout:
-            observation = Observation.GOOD if is_good else Observation.FAILED
-            self.state.record_observation(instance_id, observation, now=now)
-        if is_good:
-            is_late = now - sent_at > self._overdue_after(exchange)
-            self.response_times.record_lateness(
-                exchange.service, is_late=is_late
-            )
-            self.response_times.record(exchange.service, now - sent_at)
-            self.state.crashes.clear(exchange.fingerprint)
-        locality = locality_of(
-            self.selector.own_placement, candidate.instance.placement
-        )
-        self.metrics.events[f'answer_bytes_{locality.name.lower()}'] += len(
-            answer.body
-        )
-        self.metrics.events[f'answers_{locality.name.lower()}'] += 1
-        _LOG.info(
-            'instance_answered',
-            request_id=exchange.request_id,
-            instance=instance_id,
-            status=answer.status,
-            seconds=round(now - sent_at, 3),
-            failing=round(
-                self.state.failure_probability(instance_id, now=now), 3
-            ),
-        )
-
-    def _record_limit(
-        self, instance_id: InstanceId, limit: float | None, sent_at: float
-    ) -> None:
-        """Record the limit that an answer states, ``None`` for none."""
-        if limit is not None:
-            self.metrics.events['answers_with_limit'] += 1
-        self.limits.record_answer(instance_id, limit, sent_at=sent_at)
-
-    def _record_leaving(
-        self, candidate: Candidate, *, is_leaving: bool
-    ) -> None:
-        """Record that an instance states that it leaves."""
-        if not is_leaving:
-            return
-        self.metrics.events['answers_of_leaving_instances'] += 1
-        self.catalog.record_leaving(candidate.instance)
-        _LOG.info(
-            'instance_leaving',
-            instance=candidate.instance.instance_id,
-            list_age=round(self.clock.now() - self.catalog.confirmed_at, 3),
-        )
-
-    def _record_pause(self, instance_id: InstanceId, pause: float) -> None:
-        """Record that an instance wants no requests for some seconds."""
-        if not pause:
-            return
-        self.metrics.events['answers_with_pause'] += 1
-        _LOG.info('instance_pauses', instance=instance_id, seconds=pause)
-        self.selector.pauses.record(instance_id, pause, now=self.clock.now())
-
     def _may_run_again(self, exchange: EdgeExchange, *, sent: int) -> bool:
         """Return whether one more instance may run the request.
 
@@ -494,17 +307,17 @@
             return False
         if isinstance(exc, ConnectFailedError):
             return True
-        if isinstance(exc, _NOT_RUN_ERRORS):
+        if isinstance(exc, NOT_RUN_ERRORS):
             return self.budget.can_consume(exchange.service)
         return self._may_run_again(exchange, sent=0)
 
     def _may_retry_answer(
         self, exchange: EdgeExchange, answer: InstanceAnswer
     ) -> bool:
-        if answer.status < _STATUS_SERVER_ERROR:
+        if answer.status < STATUS_SERVER_ERROR:
             return False
         remaining = exchange.deadline - self.clock.now()
-        mean = self.response_times.mean(exchange.service)
+        mean = self.outcomes.response_times.mean(exchange.service)
         candidate = self.selector.choose(
             self._profile(exchange),
             excluded=exchange.tried_ids,
@@ -552,13 +365,13 @@
         )
         answers = [task.result() for task in done if task.exception() is None]
         for answer in answers:
-            if answer.status < _STATUS_SERVER_ERROR:
+            if answer.status < STATUS_SERVER_ERROR:
                 return answer
         failures.extend(answers)
     if failures:
         return failures[0]
     errors = [task.exception() for task in tasks]
-    unknown = [exc for exc in errors if not isinstance(exc, _NOT_RUN_ERRORS)]
+    unknown = [exc for exc in errors if not isinstance(exc, NOT_RUN_ERRORS)]
     error = (unknown or errors)[0]
     assert error is not None
     raise error
