--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from bronzewall.edge.attempt_outcomes import AttemptOutcomes
 from bronzewall.edge.catalog import Catalog
 from bronzewall.edge.directory import Directory
 from bronzewall.edge.fleet_view import FleetView
@@ -255,6 +256,17 @@
             scheduler=scheduler,
         ),
         limits=limit_sharing,
+        outcomes=AttemptOutcomes(
+            clock=clock,
+            catalog=catalog,
+            state=state,
+            selector=selector,
+            metrics=ports.metrics,
+            paths=instance_paths,
+            limits=limit_sharing,
+            scheduler=scheduler,
+        ),
+        scheduler=scheduler,
     )
     path = EdgeRequestHandler(
         clock=clock,
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -292,7 +292,7 @@
     async def main() -> None:
         vm = an_edge_vm()
         vm.serve_alone(an_edge_instance())
-        scheduler = vm.sender.chooser.scheduler
+        scheduler = vm.sender.scheduler
         assert not scheduler.is_enabled()
         vm.directory.accept(
             an_edge_configuration(
@@ -302,8 +302,6 @@
             source='test',
         )
         assert scheduler.is_enabled()
-        assert not an_edge_vm(
-            scheduling='off'
-        ).sender.chooser.scheduler.is_enabled()
+        assert not an_edge_vm(scheduling='off').sender.scheduler.is_enabled()
 
     run_virtual(main())
