edge: routes and accounts can be bound to home regions

Cause: allowedRegions of a route or account was not read.

Change: the bound is part of the configuration's routes and accounts; both hold where both are set. Each choice of an instance (first send, retry, hedge) filters by it, a VM without a path relays only to VMs in the homes, and the path to a service's instances is judged for each bound by itself, so that a lost home is refused at once. Refusals are counted as no_instance_in_home_regions. Without a bound the choice is as before.

An unknown region stays a bound that nothing meets.

Ruled out: relaying to VMs of the own region as well, because the balancer may have sent a caller of a third region there.

--- a/src/bronzewall/edge/exchange.py
+++ b/src/bronzewall/edge/exchange.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from bronzewall.edge.home_regions import HomeRegions, combine
 from bronzewall.edge.model import EdgeAccount, EdgeRoute
 from bronzewall.edge.ports import InstanceAnswer
 from bronzewall.ports import CallerRequest
@@ -70,6 +71,13 @@
             return self.account.priority
         return self.route.priority
 
+    @property
+    def home_regions(self) -> HomeRegions | None:
+        """Regions in which the request may be served, if it is bound."""
+        if self.account is None:
+            return self.route.home_regions
+        return combine(self.route.home_regions, self.account.home_regions)
+
     def attach_body(self, body: bytes) -> None:
         """Store the body and compute the fingerprint of the request."""
         self.body = body
--- a/src/bronzewall/edge/instance_choice.py
+++ b/src/bronzewall/edge/instance_choice.py
@@ -158,8 +158,12 @@
                 detail=f'{len(waits)} instances are at their limit',
                 retry_after=max(RETRY_AFTER_S, min(waits)),
             )
+        detail = f'{exchange.service}: no further instance'
+        if exchange.home_regions is not None:
+            self.metrics.events['no_instance_in_home_regions'] += 1
+            detail = f'{detail} in {sorted(exchange.home_regions)}'
         return exchange.refusal(
             Reason.NO_INSTANCE,
-            detail=f'{exchange.service}: no further instance',
+            detail=detail,
             retry_after=RETRY_AFTER_S,
         )
--- a/src/bronzewall/edge/instance_path.py
+++ b/src/bronzewall/edge/instance_path.py
@@ -13,6 +13,7 @@
 import structlog
 
 from bronzewall.edge.catalog import Catalog
+from bronzewall.edge.home_regions import HomeRegions, allows
 from bronzewall.edge.model import EdgeInstance
 from bronzewall.edge.ports import InstanceHttp
 from bronzewall.metrics import Metrics
@@ -34,6 +35,7 @@
 class InstancePath:
     """Whether this VM reaches any instance of a service.
 
+    :param home_regions: regions of the instances, ``None`` for all.
     :param on_lost: called when the path is lost.
     :param is_lost: the last probe reached no instance.
     :param answered_at: clock time of the last answer of an instance.
@@ -46,6 +48,7 @@
     catalog: Catalog
     instances: InstanceHttp
     metrics: Metrics
+    home_regions: HomeRegions | None = None
     on_lost: Callable[[], None] = lambda: None
     is_lost: bool = False
     answered_at: float = -math.inf
@@ -164,6 +167,7 @@
             item
             for item in self.catalog.instances_by_id.values()
             if item.service == self.service
+            and allows(self.home_regions, item.placement.region)
         ]
 
     def _choose_instances(self) -> list[EdgeInstance]:
--- a/src/bronzewall/edge/instance_paths.py
+++ b/src/bronzewall/edge/instance_paths.py
@@ -5,6 +5,7 @@
 import attrs
 
 from bronzewall.edge.catalog import Catalog
+from bronzewall.edge.home_regions import HomeRegions
 from bronzewall.edge.instance_path import InstancePath
 from bronzewall.edge.ports import InstanceHttp
 from bronzewall.metrics import Metrics
@@ -14,21 +15,33 @@
 
 @attrs.define(kw_only=True, eq=False)
 class InstancePaths:
-    """Paths by service, created when a service is first used."""
+    """Paths by service and bound, created when they are first used.
+
+    Requests that are bound to some regions have a path of their own: it may be
+    lost while the service's other instances are reached.
+    """
 
     clock: Clock
     random: random.Random
     catalog: Catalog
     instances: InstanceHttp
     metrics: Metrics
-    _by_service: dict[ServiceName, InstancePath] = attrs.field(factory=dict)
+    _by_bound: dict[tuple[ServiceName, HomeRegions | None], InstancePath] = (
+        attrs.field(factory=dict)
+    )
+
+    def path_to(
+        self, service: ServiceName, home_regions: HomeRegions | None = None
+    ) -> InstancePath:
+        """Return the path to the instances of a service.
 
-    def path_to(self, service: ServiceName) -> InstancePath:
-        """Return the path to the instances of a service."""
-        found = self._by_service.get(service)
+        :param home_regions: regions of the instances, ``None`` for all.
+        """
+        found = self._by_bound.get((service, home_regions))
         if found is None:
             found = InstancePath(
                 service=service,
+                home_regions=home_regions,
                 clock=self.clock,
                 random=self.random,
                 catalog=self.catalog,
@@ -36,23 +49,22 @@
                 metrics=self.metrics,
                 on_lost=self._suspect_all,
             )
-            self._by_service[service] = found
+            self._by_bound[service, home_regions] = found
         return found
 
     def lost_services(self) -> list[ServiceName]:
         """Return the services that this VM does not reach."""
-        return sorted(
-            service
-            for service, path in self._by_service.items()
-            if path.is_lost
-        )
+        lost = {
+            path.service for path in self._by_bound.values() if path.is_lost
+        }
+        return sorted(lost)
 
     async def stop(self) -> None:
         """Cancel the probes."""
-        for path in self._by_service.values():
+        for path in self._by_bound.values():
             await path.stop()
 
     def _suspect_all(self) -> None:
         """Probe all paths, because whatever broke one may affect others."""
-        for path in self._by_service.values():
+        for path in self._by_bound.values():
             path.suspect()
--- a/src/bronzewall/edge/model.py
+++ b/src/bronzewall/edge/model.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from bronzewall.edge.home_regions import HomeRegions
 from bronzewall.types import (
     AccountId,
     InstanceId,
@@ -34,6 +35,8 @@
     :param max_instances: number of instances that may run one request.
     :param priority: rank among requests; 0 is the most urgent.
     :param open_to_all: whether requests are served without a key.
+    :param home_regions: the only regions in which requests may be served,
+        ``None`` for no bound.
     :param traffic_split: empty if the route's entry is malformed; its
         requests are then refused.
     """
@@ -48,6 +51,7 @@
     max_instances: int = 1
     priority: int = 0
     open_to_all: bool = False
+    home_regions: HomeRegions | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -58,6 +62,7 @@
     :param burst: requests admitted at once over the whole fleet.
     :param priority: overrides the priority of the route, if set.
     :param is_usable: its entry could be read; requests are refused otherwise.
+    :param home_regions: the same as of a route; both bounds hold.
     """
 
     account_id: AccountId
@@ -66,6 +71,7 @@
     burst: float = 0
     priority: int | None = None
     is_usable: bool = True
+    home_regions: HomeRegions | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/src/bronzewall/edge/relay.py
+++ b/src/bronzewall/edge/relay.py
@@ -77,7 +77,9 @@
             'no VM that reaches the instances has answered'
         )
         for _ in range(_MAX_PEERS):
-            peer = await self.peers.find(exchange.service)
+            peer = await self.peers.find(
+                exchange.service, exchange.home_regions
+            )
             if peer is None:
                 break
             try:
--- a/src/bronzewall/edge/relay_peers.py
+++ b/src/bronzewall/edge/relay_peers.py
@@ -11,6 +11,7 @@
 
 from bronzewall.edge.directory import Directory
 from bronzewall.edge.fleet_view import FleetView
+from bronzewall.edge.home_regions import HomeRegions, allows
 from bronzewall.edge.model import VmEntry
 from bronzewall.edge.relay_messages import RelayReply, RelayRequest
 from bronzewall.edge.relay_tickets import TICKET_LIFETIME_S
@@ -64,12 +65,23 @@
         factory=dict
     )
 
-    async def find(self, service: ServiceName) -> RelayPeer | None:
-        """Return a VM that serves requests for a service, if one answers."""
+    async def find(
+        self, service: ServiceName, home_regions: HomeRegions | None = None
+    ) -> RelayPeer | None:
+        """Return a VM that serves requests for a service, if one answers.
+
+        :param home_regions: regions to which the request may be sent. The own
+            region is not one of them unless it is listed: the caller may be
+            in another one.
+        """
         found = self._peer_by_service.get(service)
-        if found is not None and self.clock.now() < found.used_until:
+        if (
+            found is not None
+            and self.clock.now() < found.used_until
+            and self._is_allowed(found.vm_id, home_regions)
+        ):
             return found
-        for batch in self._batches(service):
+        for batch in self._batches(service, home_regions):
             found = await self._ask_any(service, batch)
             if found is not None:
                 self._peer_by_service[service] = found
@@ -85,13 +97,24 @@
     def _pause(self, service: ServiceName, vm_id: VmId) -> None:
         self._paused_until[service, vm_id] = self.clock.now() + _PAUSE_S
 
-    def _batches(self, service: ServiceName) -> Iterator[list[VmEntry]]:
+    def _is_allowed(
+        self, vm_id: VmId, home_regions: HomeRegions | None
+    ) -> bool:
+        entry = self.fleet.entries_by_id.get(vm_id)
+        region = '' if entry is None else entry.placement.region
+        return allows(home_regions, region)
+
+    def _batches(
+        self, service: ServiceName, home_regions: HomeRegions | None
+    ) -> Iterator[list[VmEntry]]:
         """Yield VMs to ask, the nearest and among them the strongest first."""
         now = self.clock.now()
         own = self.fleet.own
         by_locality: dict[int, list[VmEntry]] = {}
         for entry in self._shuffled():
             is_paused = now < self._paused_until.get((service, entry.vm_id), 0)
+            if not allows(home_regions, entry.placement.region):
+                continue
             if entry.vm_id != own.vm_id and not is_paused:
                 locality = locality_of(own.placement, entry.placement)
                 by_locality.setdefault(locality.value, []).append(entry)
--- a/src/bronzewall/edge/selection.py
+++ b/src/bronzewall/edge/selection.py
@@ -8,6 +8,7 @@
 
 from bronzewall.edge.catalog import Catalog
 from bronzewall.edge.failure_estimates import failure_rate
+from bronzewall.edge.home_regions import HomeRegions, allows
 from bronzewall.edge.instance_limits import InstanceLimits
 from bronzewall.edge.instance_pauses import InstancePauses
 from bronzewall.edge.model import EdgeInstance
@@ -45,12 +46,15 @@
     :param expected_time: expected response time in seconds.
     :param target_latency: seconds within which the answer has its full
         value.
+    :param home_regions: the only regions whose instances may get it,
+        ``None`` for no bound.
     """
 
     service: ServiceName
     is_retryable: bool
     expected_time: float
     target_latency: float | None
+    home_regions: HomeRegions | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -163,6 +167,7 @@
             self._candidate(item, profile, now)
             for item in self.catalog.usable(profile.service)
             if item.instance_id not in excluded
+            and allows(profile.home_regions, item.placement.region)
             and not self.pauses.time_left(item.instance_id, now=now)
         ]
 
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -159,7 +159,7 @@
             return self._fallback_answer(exchange, exc)
 
     def _path(self, exchange: EdgeExchange) -> InstancePath:
-        return self.paths.path_to(exchange.service)
+        return self.paths.path_to(exchange.service, exchange.home_regions)
 
     def _profile(self, exchange: EdgeExchange) -> RequestProfile:
         return RequestProfile(
@@ -167,6 +167,7 @@
             is_retryable=self._may_run_again(exchange, sent=1),
             expected_time=self.response_times.mean(exchange.service),
             target_latency=exchange.route.target_latency,
+            home_regions=exchange.home_regions,
         )
 
     async def _send_with_hedge(
@@ -503,16 +504,15 @@
     ) -> bool:
         if answer.status < _STATUS_SERVER_ERROR:
             return False
-        remaining = exchange.deadline - self.clock.now()
-        mean = self.response_times.mean(exchange.service)
+        now = self.clock.now()
+        profile = self._profile(exchange)
         candidate = self.selector.choose(
-            self._profile(exchange),
-            excluded=exchange.tried_ids,
-            now=self.clock.now(),
+            profile, excluded=exchange.tried_ids, now=now
         )
         return (
             candidate is not None
-            and remaining > mean + candidate.queue_time
+            and exchange.deadline - now
+            > profile.expected_time + candidate.queue_time
             and self._may_run_again(exchange, sent=0)
         )
 
--- a/src/bronzewall/platform/configuration.py
+++ b/src/bronzewall/platform/configuration.py
@@ -104,6 +104,7 @@
                 max_instances=_optional_integer(wire, 'attempts', 1),
                 priority=self._priority(wire) or 0,
                 open_to_all=wire.get('public') is True,
+                home_regions=_home_regions(wire),
             )
         except StoreEntryError as exc:
             self._record_unusable(route.route_id, exc)
@@ -133,6 +134,7 @@
                 rate=fields.optional_number(wire, 'ratePerS') or 0,
                 burst=fields.optional_number(wire, 'burstSize') or 0,
                 priority=self._priority(wire),
+                home_regions=_home_regions(wire),
             )
         except StoreEntryError as exc:
             self._record_unusable(account.account_id, exc)
@@ -192,6 +194,24 @@
     return shares
 
 
+def _home_regions(wire: Mapping[str, Any]) -> frozenset[str] | None:
+    """Return the bound of a route or account.
+
+    Operators write an empty list where there is none. A region that no zone
+    has is kept: no instance is in it.
+
+    :raises StoreEntryError: it cannot be read.
+    """
+    if wire.get('allowedRegions') is None:
+        return None
+    regions = fields.items(wire, 'allowedRegions')
+    return frozenset(map(_region, regions)) or None
+
+
+def _region(value: object) -> str:
+    return fields.plain_text(value, 'region')
+
+
 def _optional_integer(wire: Mapping[str, Any], name: str, default: int) -> int:
     return default if wire.get(name) is None else fields.integer(wire, name)
 
--- a/tests/test_edge_relay.py
+++ b/tests/test_edge_relay.py
@@ -299,7 +299,9 @@
     directory: Directory
     found: list[RelayPeer]
 
-    async def find(self, _service: ServiceName) -> RelayPeer | None:
+    async def find(
+        self, _service: ServiceName, _regions: object = None
+    ) -> RelayPeer | None:
         return self.found[0] if self.found else None
 
     def drop(self, peer: RelayPeer) -> None:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -518,3 +518,34 @@
             await stand_in.store.read_instances()
         reading = await stand_in.store.read_instances()
         assert not reading.instances
+
+
+# Guards against a bound on regions that is ignored or read too widely. The
+# operators' API writes an empty list for entries without a bound.
+@pytest.mark.parametrize(
+    ('regions', 'bound'),
+    [
+        (None, None),
+        ([], None),
+        (['muscat'], {'muscat'}),
+        (['muscat', 'unknown'], {'muscat', 'unknown'}),
+    ],
+)
+def test_bound_on_regions(regions, bound) -> None:
+    account = {**CONFIGURATION['tenants'][0], 'allowedRegions': regions}
+    wire = {**with_route(allowedRegions=regions), 'tenants': [account]}
+    found = decode_configuration(wire)
+    assert found.routes[0].home_regions == bound
+    assert found.accounts[0].home_regions == bound
+    assert found.routes[1].home_regions is None
+
+
+# Guards against a bound that cannot be read and is taken for none.
+@pytest.mark.parametrize('regions', ['muscat', [3], [''], ['a', None], {}])
+def test_unreadable_bound_on_regions_refuses_the_entry(regions) -> None:
+    account = {**CONFIGURATION['tenants'][0], 'allowedRegions': regions}
+    wire = {**with_route(allowedRegions=regions), 'tenants': [account]}
+    found = decode_configuration(wire)
+    assert not found.routes[0].traffic_split
+    assert not found.accounts[0].is_usable
+    assert found.routes[1].traffic_split
