edge: the rate that a cold instance bears is a limit over all VMs

Cause: instances that are cold (just started, or cold again) got requests like warm ones; nothing bounded their sum over the VMs.

Change: a service may state the rate that its cold instances bear. While an instance is cold, that rate is a limit of the kind that instances state themselves: the leader of its zone grants each request, hedges avoid it, and after six refused permits only instances without a limit are considered, so that work goes to warm ones. The list is sent again when a warm-up time rises. A permit request says whether its limit is stated, so that a cold rate is never shared as a stated limit. An entry whose warm-up time changed while a request waited for its permit is still the same process.

Ruled out: a fixed share for each VM (4/s over 113 VMs is one request in 28 s) and a limiter beside the permits.

Without a stated rate no instance has such a limit. What changes for stated limits: the sixth refused permit no longer refuses a request that an instance without a limit can take.

--- a/src/bronzewall/edge/catalog.py
+++ b/src/bronzewall/edge/catalog.py
@@ -20,6 +20,9 @@
 # An entry of an instance that has ended is removed within this many intervals,
 # also after the store was restored from a copy.
 _REMOVAL_INTERVALS = 4.0
+# Warm-up times count down from one report to the next; a rise beyond this is no
+# rounding, seconds.
+_WARMUP_RISE_S = 0.1
 _LOG = structlog.get_logger()
 
 
@@ -32,12 +35,17 @@
     :param confirmed_at: latest clock time at which the list is known to have
         been current.
     :param revision: incremented with each change on this VM.
+    :param on_listed: called with each list that is applied, also if it only
+        differs in the warm-up times left.
     :param on_removed: called with the instances that were removed from the
         list or replaced by a new process.
     """
 
     clock: Clock
     interval: float
+    on_listed: Callable[[Mapping[InstanceId, EdgeInstance]], None] = (
+        lambda _listed: None
+    )
     on_removed: Callable[[Iterable[EdgeInstance]], None] = lambda _removed: None
     confirmed_at: float = -math.inf
     revision: int = 0
@@ -78,6 +86,17 @@
         """Return the instances that may get new requests."""
         return self._usable_by_service.get(service, ())
 
+    def is_usable(self, instance: EdgeInstance) -> bool:
+        """Return whether the process of an entry may get new requests.
+
+        The entry may have changed since; its warm-up time does all the time.
+        """
+        return any(
+            item.instance_id == instance.instance_id
+            and not _has_ended(instance, item)
+            for item in self.usable(instance.service)
+        )
+
     def reject(self, instance: EdgeInstance) -> None:
         """Stop using an instance at whose address another one answers."""
         _LOG.warning(
@@ -156,7 +175,10 @@
     ) -> None:
         before = self.instances_by_id
         listed = self._departures.apply(listed, now=self.clock.now())
+        self.on_listed(listed)
         if not _differs(before, listed):
+            # Warm-up times that rise are noticed against the last ones.
+            self.instances_by_id = listed
             return
         self.revision += 1
         self.instances_by_id = listed
@@ -203,9 +225,14 @@
 
 
 def _is_same(one: EdgeInstance, other: EdgeInstance) -> bool:
-    """Return whether two entries differ at most in the warm-up time left."""
+    """Return whether two entries differ at most in the warm-up time left.
+
+    A time that rises shows that the instance has become cold again.
+    """
     if (one.warmup > 0) != (other.warmup > 0):
         return False
+    if other.warmup > one.warmup + _WARMUP_RISE_S:
+        return False
     return one == other or attrs.evolve(one, warmup=other.warmup) == other
 
 
--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -6,6 +6,7 @@
 import attrs
 
 from bronzewall.edge.catalog import Catalog
+from bronzewall.edge.cold_starts import ColdStarts
 from bronzewall.edge.directory import Directory
 from bronzewall.edge.fleet_view import FleetView
 from bronzewall.edge.freshness import KeyFreshness
@@ -66,6 +67,7 @@
     catalog: Catalog
     freshness: KeyFreshness
     state: ZoneState
+    cold_starts: ColdStarts
     limits: InstanceLimits
     limit_sharing: LimitSharing
     leader: ZoneLeader
@@ -100,7 +102,14 @@
         list_bound=min(settings.drain_bound, settings.config_bound),
     )
     election = LeaderElection(fleet=fleet, age=age, started_at=clock.now())
-    limits = InstanceLimits()
+    cold_starts = ColdStarts(
+        clock=clock,
+        catalog=catalog,
+        directory=directory,
+        events=ports.metrics.events,
+    )
+    catalog.on_listed = cold_starts.record_list
+    limits = InstanceLimits(cold_starts=cold_starts)
     selector = Selector(
         own_id=own.vm_id,
         own_placement=own.placement,
@@ -112,6 +121,7 @@
     def on_removed(removed: Iterable[EdgeInstance]) -> None:
         removed = tuple(removed)
         limits.forget(removed)
+        cold_starts.forget(removed)
         selector.forget(removed)
         ports.instances.close_idle([item.address for item in removed])
 
@@ -262,6 +272,7 @@
         catalog=catalog,
         freshness=freshness,
         state=state,
+        cold_starts=cold_starts,
         limits=limits,
         limit_sharing=limit_sharing,
         leader=leader,
--- a/src/bronzewall/edge/instance_choice.py
+++ b/src/bronzewall/edge/instance_choice.py
@@ -16,14 +16,15 @@
 _MIN_RESPONSE_TIME_FRACTION = 0.3
 # Retry-After of requests that no instance can take, seconds.
 RETRY_AFTER_S = 0.5
-# Instances whose limit may refuse a request before the VM refuses it.
+# Instances whose limit may refuse a request before only those without a limit
+# are considered.
 _MAX_PERMIT_REFUSALS = 6
 _LOG = structlog.get_logger()
 
 
 @attrs.define(kw_only=True, eq=False)
 class InstanceChooser:
-    """Chooses instances for requests, within the limits that they state."""
+    """Chooses instances for requests, within their limits."""
 
     clock: Clock
     selector: Selector
@@ -40,7 +41,9 @@
         """
         excluded = set(exchange.tried_ids)
         waits: list[float] = []
-        while len(waits) < _MAX_PERMIT_REFUSALS:
+        while True:
+            if len(waits) == _MAX_PERMIT_REFUSALS:
+                excluded |= self.permits.limits.limited_ids()
             now = self.clock.now()
             candidate = self.selector.choose(
                 profile, excluded=excluded, now=now
--- a/src/bronzewall/edge/instance_limits.py
+++ b/src/bronzewall/edge/instance_limits.py
@@ -1,10 +1,11 @@
-"""Request limits that instances state for all VMs together."""
+"""Request limits of instances, which hold for all VMs together."""
 
 from collections.abc import Iterable
 
 import attrs
 import structlog
 
+from bronzewall.edge.cold_starts import ColdStarts
 from bronzewall.edge.limit_messages import LimitUpdate
 from bronzewall.edge.model import EdgeInstance
 from bronzewall.types import InstanceId
@@ -22,28 +23,51 @@
     :param rate: requests a second.
     :param known_at: clock time at which an answer last stated it, or at
         which another VM told this one.
-    :param next_permit_at: clock time before which no permit is expected.
     """
 
     rate: float
     known_at: float
-    next_permit_at: float = 0
 
 
 @attrs.define(kw_only=True, eq=False)
 class InstanceLimits:
-    """Limits by instance as this VM knows them."""
+    """Limits by instance as this VM knows them.
 
+    An instance has a limit if its answers state one, or while it is cold.
+
+    :param cold_starts: ``None`` if cold instances bear any rate.
+    """
+
+    cold_starts: ColdStarts | None = None
+    # Clock times before which no permit is expected.
+    _next_permit_at: dict[InstanceId, float] = attrs.field(factory=dict)
     _by_id: dict[InstanceId, _Limit] = attrs.field(factory=dict)
     _answered_at: dict[InstanceId, float] = attrs.field(factory=dict)
 
     def limit(self, instance_id: InstanceId) -> float | None:
         """Return an instance's limit in requests a second, if it has one."""
+        stated = self.stated_limit(instance_id)
+        if self.cold_starts is None:
+            return stated
+        cold = self.cold_starts.rate(instance_id)
+        return min(
+            (one for one in (stated, cold) if one is not None), default=None
+        )
+
+    def stated_limit(self, instance_id: InstanceId) -> float | None:
+        """Return the limit that an instance's answers state, if any."""
         known = self._by_id.get(instance_id)
         return None if known is None else known.rate
 
+    def limited_ids(self) -> set[InstanceId]:
+        """Return the instances that have a limit."""
+        cold = (
+            set() if self.cold_starts is None else self.cold_starts.cold_ids()
+        )
+        return cold | self._by_id.keys()
+
     def limits_by_id(self) -> dict[InstanceId, float]:
-        """Return all limits in requests a second."""
+        """Return all stated limits in requests a second."""
         return {
             instance_id: known.rate
             for instance_id, known in self._by_id.items()
@@ -51,16 +75,13 @@
 
     def wait(self, instance_id: InstanceId, *, now: float) -> float:
         """Return the seconds until a permit for an instance is expected."""
-        known = self._by_id.get(instance_id)
-        return 0 if known is None else max(0, known.next_permit_at - now)
+        return max(0, self._next_permit_at.get(instance_id, now) - now)
 
     def expect_wait(
         self, instance_id: InstanceId, wait: float, *, now: float
     ) -> None:
         """Record that no permit is expected for some seconds."""
-        known = self._by_id.get(instance_id)
-        if known is not None:
-            known.next_permit_at = now + wait
+        self._next_permit_at[instance_id] = now + wait
 
     def record_answer(
         self,
@@ -111,6 +132,7 @@
         for item in removed:
             self._by_id.pop(item.instance_id, None)
             self._answered_at.pop(item.instance_id, None)
+            self._next_permit_at.pop(item.instance_id, None)
 
     def _has_own_answer(self, instance_id: InstanceId, now: float) -> bool:
         answered_at = self._answered_at.get(instance_id)
@@ -123,10 +145,7 @@
         before = None if known is None else known.rate
         if before == rate:
             return False
-        next_permit_at = 0 if known is None else known.next_permit_at
-        self._by_id[instance_id] = _Limit(
-            rate=rate, known_at=now, next_permit_at=next_permit_at
-        )
+        self._by_id[instance_id] = _Limit(rate=rate, known_at=now)
         _log_change(instance_id, rate, before, source)
         return True
 
@@ -134,6 +153,7 @@
         known = self._by_id.pop(instance_id, None)
         if known is None:
             return False
+        self._next_permit_at.pop(instance_id, None)
         _log_change(instance_id, None, known.rate, source)
         return True
 
--- a/src/bronzewall/edge/limit_messages.py
+++ b/src/bronzewall/edge/limit_messages.py
@@ -26,6 +26,8 @@
 
     :param limit: requests a second, as the sender knows it.
     :param max_wait: seconds for which the request can wait.
+    :param is_stated: the instance's answers state it; otherwise the instance
+        is cold, which the receiver learns from its own list.
     :param hops: VMs that have passed the permit request on.
     """
 
@@ -33,6 +35,7 @@
     limit: float
     max_wait: float
     hops: int = 0
+    is_stated: bool = True
 
 
 @message('edge-permit-reply')
--- a/src/bronzewall/edge/limit_permits.py
+++ b/src/bronzewall/edge/limit_permits.py
@@ -1,4 +1,4 @@
-"""Permits to send requests to instances that state a limit.
+"""Permits to send requests to instances that have a limit.
 
 The leader of an instance's zone grants the permits of all VMs, so that their
 requests together stay within the limit.
@@ -106,7 +106,10 @@
             return 0
         reply = await self._find_permit(
             PermitRequest(
-                instance_id=instance_id, limit=limit, max_wait=max_wait
+                instance_id=instance_id,
+                limit=limit,
+                max_wait=max_wait,
+                is_stated=self.limits.stated_limit(instance_id) == limit,
             ),
             instance.placement.zone,
         )
@@ -127,10 +130,11 @@
         instance = self.find_instance(request.instance_id)
         if instance is None:
             return _refusal()
-        self.limits.apply_update(
-            LimitUpdate(limits={request.instance_id: request.limit}),
-            now=self.leader.clock.now(),
-        )
+        if request.is_stated:
+            self.limits.apply_update(
+                LimitUpdate(limits={request.instance_id: request.limit}),
+                now=self.leader.clock.now(),
+            )
         return await self._find_permit(
             request, instance.placement.zone, sender=envelope.sender
         )
--- a/src/bronzewall/edge/model.py
+++ b/src/bronzewall/edge/model.py
@@ -1,5 +1,7 @@
 """Data model of the configuration and of service discovery."""
 
+from collections.abc import Mapping
+
 import attrs
 
 from bronzewall.edge.home_regions import HomeRegions
@@ -74,6 +76,18 @@
     home_regions: HomeRegions | None = None
 
 
+@attrs.frozen(kw_only=True)
+class ColdStart:
+    """What an instance of a service bears while it is cold.
+
+    :param rate: requests a second from all VMs together.
+    :param duration: seconds for which it is cold after a start.
+    """
+
+    rate: float
+    duration: float
+
+
 @attrs.frozen(kw_only=True)
 class CallerLimits:
     """Limits on the size of a caller's request.
@@ -91,6 +105,8 @@
     """One version of the configuration that operators publish.
 
     :param version: increases with every publication.
+    :param cold_starts: by service; empty where instances bear any rate from
+        their start.
     :param needs_keys: whether the configuration has client accounts at all.
     :param has_unreadable_routes: some routes could not be read; a request
         without a route may belong to one of them.
@@ -100,6 +116,7 @@
     version: int
     routes: tuple[EdgeRoute, ...]
     accounts: tuple[EdgeAccount, ...] = ()
+    cold_starts: Mapping[ServiceName, ColdStart] = attrs.field(factory=dict)
     needs_keys: bool = False
     limits: CallerLimits = CallerLimits()
     has_unreadable_routes: bool = False
@@ -113,7 +130,8 @@
     :param address: ``host:port``.
     :param slots: number of requests that it runs concurrently.
     :param is_leaving: it drains and must not receive new requests.
-    :param warmup: seconds for which it is slow after its start.
+    :param warmup: seconds for which it is cold, that is slow and, where its
+        service says so, limited to a low rate.
     :param started_ms: Unix milliseconds of its start; distinguishes two
         processes with the same id.
     """
--- a/src/bronzewall/edge/selection.py
+++ b/src/bronzewall/edge/selection.py
@@ -136,9 +136,9 @@
 
     def is_usable(self, instance: EdgeInstance, *, now: float) -> bool:
         """Return whether an instance may still get new requests."""
-        return instance in self.catalog.usable(
-            instance.service
-        ) and not self.pauses.time_left(instance.instance_id, now=now)
+        return self.catalog.is_usable(instance) and not self.pauses.time_left(
+            instance.instance_id, now=now
+        )
 
     def shortest_pause(self, service: ServiceName, *, now: float) -> float:
         """Return the seconds until an instance ends its pause, 0 if none."""
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -224,7 +224,7 @@
     def _choose_hedge(self, exchange: EdgeExchange) -> Candidate | None:
         """Return a second instance for an overdue request, if any.
 
-        Instances that state a limit get no hedged requests.
+        Instances that have a limit get no hedged requests.
         """
         if not self._may_run_again(exchange, sent=0):
             return None
@@ -232,7 +232,7 @@
             self._profile(exchange),
             excluded={
                 *exchange.tried_ids,
-                *self.limits.limits.limits_by_id(),
+                *self.limits.limits.limited_ids(),
             },
             now=self.clock.now(),
         )
--- a/src/bronzewall/platform/configuration.py
+++ b/src/bronzewall/platform/configuration.py
@@ -13,6 +13,7 @@
 
 from bronzewall.edge.model import (
     CallerLimits,
+    ColdStart,
     EdgeAccount,
     EdgeConfiguration,
     EdgeRoute,
@@ -28,6 +29,9 @@
 _ROUTE_TYPES = frozenset((_IDEMPOTENT, 'non_idempotent', 'upload'))
 # Rank of routes and accounts whose priority cannot be read.
 _LOWEST_PRIORITY = 9
+# Time for which instances count as cold after their zone was taken back, if the
+# configuration's time cannot be read, seconds. A cold start takes seconds.
+_UNREADABLE_WARMUP_S = 10.0
 _LOG = structlog.get_logger()
 _EntryT = TypeVar('_EntryT')
 
@@ -54,6 +58,7 @@
             version=version,
             routes=tuple(route for route in routes if route is not None),
             accounts=tuple(found for found in accounts if found is not None),
+            cold_starts=self._cold_starts(wire, version),
             needs_keys='tenants' in wire,
             limits=self._limits(wire.get('limits', {})),
             has_unreadable_routes=None in routes,
@@ -140,6 +145,36 @@
             self._record_unusable(account.account_id, exc)
             return attrs.evolve(account, is_usable=False)
 
+    def _cold_starts(
+        self, wire: Mapping[str, Any], version: int
+    ) -> dict[ServiceName, ColdStart]:
+        """Return what cold instances bear, of services that state it."""
+        found = self._entries(wire, 'services', self._cold_start, version)
+        return {
+            service: start
+            for service, start in filter(None, found)
+            if start is not None
+        }
+
+    def _cold_start(
+        self, wire: Mapping[str, Any]
+    ) -> tuple[ServiceName, ColdStart | None]:
+        """Return a service and what its cold instances bear.
+
+        A rate that cannot be read counts as the least one.
+        """
+        service = ServiceName(fields.text(wire, 'name'))
+        if wire.get('warmupPerS') is None:
+            return service, None
+        try:
+            return service, ColdStart(
+                rate=fields.number(wire, 'warmupPerS'),
+                duration=fields.optional_number(wire, 'warmup') or 0,
+            )
+        except StoreEntryError as exc:
+            self._record_unusable(service, exc)
+            return service, ColdStart(rate=0, duration=_UNREADABLE_WARMUP_S)
+
     def _priority(self, wire: Mapping[str, Any]) -> int | None:
         """Return the rank, the lowest one if it cannot be read."""
         if wire.get('priority') is None:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -549,3 +549,25 @@
     assert not found.routes[0].traffic_split
     assert not found.accounts[0].is_usable
     assert found.routes[1].traffic_split
+
+
+# Guards against a rate of cold instances that is not read, and against a bad
+# one that is taken for none.
+@pytest.mark.parametrize(
+    ('service', 'rate'),
+    [
+        ({'name': 'drafts', 'warmup': 3, 'warmupPerS': 4}, 4),
+        ({'name': 'drafts', 'warmup': 3}, None),
+        ({'name': 'drafts', 'warmup': 3, 'warmupPerS': 'few'}, 0),
+        ({'name': 'drafts', 'warmup': 'long', 'warmupPerS': 4}, 0),
+        ({'name': 'drafts', 'warmup': 3, 'warmupPerS': -1}, 0),
+        ({'warmup': 3, 'warmupPerS': 4}, None),
+        ('drafts', None),
+    ],
+)
+def test_rate_of_cold_instances(service, rate) -> None:
+    wire = {**CONFIGURATION, 'services': [service]}
+    found = decode_configuration(wire)
+    rates = {name: start.rate for name, start in found.cold_starts.items()}
+    assert rates.get('drafts') == rate
+    assert len(found.routes) == 2
