--- a/src/bronzewall/edge/attempt_outcomes.py
+++ b/src/bronzewall/edge/attempt_outcomes.py
@@ -84,7 +84,9 @@
         observation = Observation.OVERDUE
         if self.response_times.is_rarely_late(exchange.service):
             observation = Observation.SILENT
-        self.paths.path_to(exchange.service).record_if_intact(
+        self.paths.path_to(
+            exchange.service, exchange.home_regions
+        ).record_if_intact(
             functools.partial(self._observe, instance_id, observation),
             sent_at=sent_at,
         )
@@ -115,10 +117,14 @@
             self._record_pause(instance_id, exc.pause)
             self._record_rejection(exchange, instance_id)
         if isinstance(exc, _ANSWER_ERRORS):
-            self.paths.path_to(exchange.service).record_answer()
+            self.paths.path_to(
+                exchange.service, exchange.home_regions
+            ).record_answer()
         else:
             self.scheduler.record(exchange.service, instance_id, Outcome.FAILED)
-            self.paths.path_to(exchange.service).record_if_intact(
+            self.paths.path_to(
+                exchange.service, exchange.home_regions
+            ).record_if_intact(
                 functools.partial(
                     self._record_failure, exchange, instance_id, exc
                 ),
@@ -152,7 +158,9 @@
         self._record_limit(instance_id, answer.request_limit, sent_at)
         self._record_leaving(candidate, is_leaving=answer.is_leaving)
         self._record_pause(instance_id, answer.pause)
-        self.paths.path_to(exchange.service).record_answer()
+        self.paths.path_to(
+            exchange.service, exchange.home_regions
+        ).record_answer()
         is_good = answer.status < STATUS_SERVER_ERROR
         self.scheduler.record(
             exchange.service,
--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -7,6 +7,7 @@
 
 from bronzewall.edge.attempt_outcomes import AttemptOutcomes
 from bronzewall.edge.catalog import Catalog
+from bronzewall.edge.cold_starts import ColdStarts
 from bronzewall.edge.directory import Directory
 from bronzewall.edge.fleet_view import FleetView
 from bronzewall.edge.freshness import KeyFreshness
@@ -31,6 +32,7 @@
 from bronzewall.edge.request_path import EdgeRequestHandler
 from bronzewall.edge.retry_budget import RetryBudget
 from bronzewall.edge.scheduling.scheduler import Scheduler
+from bronzewall.edge.scheduling.use_floor import UseFloor
 from bronzewall.edge.selection import Selector
 from bronzewall.edge.sending import Sender
 from bronzewall.edge.settings import EdgeSettings
@@ -68,6 +70,7 @@
     catalog: Catalog
     freshness: KeyFreshness
     state: ZoneState
+    cold_starts: ColdStarts
     limits: InstanceLimits
     limit_sharing: LimitSharing
     leader: ZoneLeader
@@ -102,7 +105,14 @@
         list_bound=min(settings.drain_bound, settings.config_bound),
     )
     election = LeaderElection(fleet=fleet, age=age, started_at=clock.now())
-    limits = InstanceLimits()
+    cold_starts = ColdStarts(
+        clock=clock,
+        catalog=catalog,
+        directory=directory,
+        events=ports.metrics.events,
+    )
+    catalog.on_listed = cold_starts.record_list
+    limits = InstanceLimits(cold_starts=cold_starts)
     selector = Selector(
         own_id=own.vm_id,
         own_placement=own.placement,
@@ -114,6 +124,7 @@
     def on_removed(removed: Iterable[EdgeInstance]) -> None:
         removed = tuple(removed)
         limits.forget(removed)
+        cold_starts.forget(removed)
         selector.forget(removed)
         ports.instances.close_idle([item.address for item in removed])
 
@@ -224,6 +235,12 @@
         is_enabled=lambda: settings.scheduling.is_on(directory.configuration),
     )
     scheduler.connect()
+    use_floor = UseFloor(
+        is_at_risk=scheduler.is_failing,
+        zone_vm_count=lambda: len(fleet.zone_vms()),
+        metrics=ports.metrics,
+    )
+    use_floor.connect(selector)
     sender = Sender(
         clock=clock,
         names=ports.names,
@@ -284,6 +301,7 @@
         catalog=catalog,
         freshness=freshness,
         state=state,
+        cold_starts=cold_starts,
         limits=limits,
         limit_sharing=limit_sharing,
         leader=leader,
--- a/src/bronzewall/edge/instance_choice.py
+++ b/src/bronzewall/edge/instance_choice.py
@@ -20,14 +20,15 @@
 
 # Retry-After of requests that no instance can take, seconds.
 RETRY_AFTER_S = 0.5
-# Instances whose limit may refuse a request before the VM refuses it.
+# Instances whose limit may refuse a request before only those without a limit
+# are considered.
 _MAX_PERMIT_REFUSALS = 6
 _LOG = structlog.get_logger()
 
 
 @attrs.define(kw_only=True, eq=False)
 class InstanceChooser:
-    """Chooses instances for requests, within the limits that they state."""
+    """Chooses instances for requests, within their limits."""
 
     clock: Clock
     selector: Selector
@@ -45,7 +46,9 @@
         """
         excluded = set(exchange.tried_ids)
         waits: list[float] = []
-        while len(waits) < _MAX_PERMIT_REFUSALS:
+        while True:
+            if len(waits) == _MAX_PERMIT_REFUSALS:
+                excluded |= self.permits.limits.limited_ids()
             candidate = await self._next(exchange, profile, excluded)
             if candidate is None:
                 break
@@ -186,8 +189,12 @@
                 detail=f'{len(waits)} instances are at their limit',
                 retry_after=max(RETRY_AFTER_S, min(waits)),
             )
+        detail = f'{exchange.service}: no further instance'
+        if exchange.home_regions is not None:
+            self.metrics.events['no_instance_in_home_regions'] += 1
+            detail = f'{detail} in {sorted(exchange.home_regions)}'
         return exchange.refusal(
             Reason.NO_INSTANCE,
-            detail=f'{exchange.service}: no further instance',
+            detail=detail,
             retry_after=RETRY_AFTER_S,
         )
--- a/src/bronzewall/edge/model.py
+++ b/src/bronzewall/edge/model.py
@@ -1,7 +1,10 @@
 """Data model of the configuration and of service discovery."""
 
+from collections.abc import Mapping
+
 import attrs
 
+from bronzewall.edge.home_regions import HomeRegions
 from bronzewall.types import (
     AccountId,
     InstanceId,
@@ -35,6 +38,8 @@
     :param priority: rank among requests; 0 is the most urgent.
     :param open_to_all: whether requests are served without a key.
     :param is_bulk: whether its requests or answers are large.
+    :param home_regions: the only regions in which requests may be served,
+        ``None`` for no bound.
     :param traffic_split: empty if the route's entry is malformed; its
         requests are then refused.
     """
@@ -50,6 +55,7 @@
     priority: int = 0
     open_to_all: bool = False
     is_bulk: bool = False
+    home_regions: HomeRegions | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -60,6 +66,7 @@
     :param burst: requests admitted at once over the whole fleet.
     :param priority: overrides the priority of the route, if set.
     :param is_usable: its entry could be read; requests are refused otherwise.
+    :param home_regions: the same as of a route; both bounds hold.
     """
 
     account_id: AccountId
@@ -68,6 +75,19 @@
     burst: float = 0
     priority: int | None = None
     is_usable: bool = True
+    home_regions: HomeRegions | None = None
+
+
+@attrs.frozen(kw_only=True)
+class ColdStart:
+    """What an instance of a service bears while it is cold.
+
+    :param rate: requests a second from all VMs together.
+    :param duration: seconds for which it is cold after a start.
+    """
+
+    rate: float
+    duration: float
 
 
 @attrs.frozen(kw_only=True)
@@ -87,6 +107,8 @@
     """One version of the configuration that operators publish.
 
     :param version: increases with every publication.
+    :param cold_starts: by service; empty where instances bear any rate from
+        their start.
     :param needs_keys: whether the configuration has client accounts at all.
     :param has_unreadable_routes: some routes could not be read; a request
         without a route may belong to one of them.
@@ -96,6 +118,7 @@
     version: int
     routes: tuple[EdgeRoute, ...]
     accounts: tuple[EdgeAccount, ...] = ()
+    cold_starts: Mapping[ServiceName, ColdStart] = attrs.field(factory=dict)
     needs_keys: bool = False
     limits: CallerLimits = CallerLimits()
     has_unreadable_routes: bool = False
@@ -114,7 +137,8 @@
     :param address: ``host:port``.
     :param slots: number of requests that it runs concurrently.
     :param is_leaving: it drains and must not receive new requests.
-    :param warmup: seconds for which it is slow after its start.
+    :param warmup: seconds for which it is cold, that is slow and, where its
+        service says so, limited to a low rate.
     :param started_ms: Unix milliseconds of its start; distinguishes two
         processes with the same id.
     """
--- a/src/bronzewall/edge/scheduling/scheduler.py
+++ b/src/bronzewall/edge/scheduling/scheduler.py
@@ -18,6 +18,7 @@
     Outcome,
     ServiceOutcomes,
 )
+from bronzewall.edge.scheduling.use_floor import RISK_FRACTION
 from bronzewall.edge.scheduling.waiting_request import WaitEnd, WaitingRequest
 from bronzewall.edge.scheduling.waiting_room import WaitingRoom
 from bronzewall.edge.selection import (
@@ -76,6 +77,15 @@
             service, now=self.clock.now()
         )
 
+    def is_failing(self, service: ServiceName) -> bool:
+        """Return whether a service fails many of this VM's requests."""
+        if not self.is_enabled():
+            return False
+        unserved = self.outcomes.unserved_fraction(
+            service, now=self.clock.now()
+        )
+        return unserved >= RISK_FRACTION
+
     def record(
         self, service: ServiceName, instance_id: InstanceId, outcome: Outcome
     ) -> None:
--- a/src/bronzewall/edge/selection.py
+++ b/src/bronzewall/edge/selection.py
@@ -2,12 +2,19 @@
 
 import math
 import zlib
-from collections.abc import Collection, Iterable
+from collections.abc import (
+    Callable,
+    Collection,
+    Iterable,
+    Iterator,
+    Sequence,
+)
 
 import attrs
 
 from bronzewall.edge.catalog import Catalog
 from bronzewall.edge.failure_estimates import failure_rate
+from bronzewall.edge.home_regions import HomeRegions, allows
 from bronzewall.edge.instance_limits import InstanceLimits
 from bronzewall.edge.instance_pauses import InstancePauses
 from bronzewall.edge.model import EdgeInstance
@@ -33,7 +40,7 @@
 _WARMUP_LOSS = 0.05
 # Losses within this difference count as equal; among them the least recently
 # used instance is chosen.
-_LOSS_TOLERANCE = 0.02
+LOSS_TOLERANCE = 0.02
 _DEFAULT_TARGET_S = 2.0
 # A request is refused if less than this fraction of the expected response
 # time is left before its deadline.
@@ -48,12 +55,15 @@
     :param expected_time: expected response time in seconds.
     :param target_latency: seconds within which the answer has its full
         value.
+    :param home_regions: the only regions whose instances may get it,
+        ``None`` for no bound.
     """
 
     service: ServiceName
     is_retryable: bool
     expected_time: float
     target_latency: float | None
+    home_regions: HomeRegions | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -64,16 +74,36 @@
         time.
     :param queue_time: expected seconds until the instance begins to run the
         request, in its queue or because of its limit.
+    :param failure_probability: probability that the instance is failing.
+    :param in_flight: requests of the zone at the instance.
     """
 
     instance: EdgeInstance
     loss: float
     queue_time: float
+    failure_probability: float
+    in_flight: int
+    locality: Locality
+
+
+def _usual_tolerance(_service: ServiceName) -> float:
+    return LOSS_TOLERANCE
+
+
+def _no_probe(
+    _profile: RequestProfile, _candidates: Sequence[Candidate], _now: float
+) -> Candidate | None:
+    """Never send a request to a suspected instance for its own sake."""
 
 
 @attrs.define(kw_only=True, eq=False)
 class Selector:
-    """Chooses among the usable instances of a service."""
+    """Chooses among the usable instances of a service.
+
+    :param tolerance: difference of loss that counts as equal, by service.
+    :param due_probe: returns a suspected instance to which a request of a
+        profile is due, if any.
+    """
 
     own_id: VmId
     own_placement: Placement
@@ -81,6 +111,10 @@
     state: ZoneState
     limits: InstanceLimits = attrs.field(factory=InstanceLimits)
     pauses: InstancePauses = attrs.field(factory=InstancePauses)
+    tolerance: Callable[[ServiceName], float] = _usual_tolerance
+    due_probe: Callable[
+        [RequestProfile, Sequence[Candidate], float], Candidate | None
+    ] = _no_probe
     _last_used_at: dict[InstanceId, float] = attrs.field(factory=dict)
 
     def choose(
@@ -95,7 +129,7 @@
         :param excluded: instances that the request was already sent to.
         """
         candidates = self._candidates(profile, excluded=excluded, now=now)
-        return self._best(candidates, now=now)
+        return self._best(candidates, profile, now=now)
 
     def choose_with_room(
         self,
@@ -113,15 +147,16 @@
             with any queue.
         """
         candidates = self._candidates(profile, excluded=excluded, now=now)
+        free = [
+            item for item in candidates if item.queue_time <= max_queue_time
+        ]
+        probed = self.due_probe(profile, free, now)
+        if probed is not None:
+            return self._use(probed, now)
         least = min((item.loss for item in candidates), default=0)
+        max_loss = least + extra_loss + self.tolerance(profile.service)
         return self._best(
-            [
-                item
-                for item in candidates
-                if item.queue_time <= max_queue_time
-                and item.loss <= least + extra_loss + _LOSS_TOLERANCE
-            ],
-            now=now,
+            [item for item in free if item.loss <= max_loss], profile, now=now
         )
 
     def has_any(
@@ -132,11 +167,8 @@
         now: float,
     ) -> bool:
         """Return whether a request may be sent to any further instance."""
-        return any(
-            item.instance_id not in excluded
-            and not self.pauses.time_left(item.instance_id, now=now)
-            for item in self.catalog.usable(profile.service)
-        )
+        permitted = self._permitted(profile, excluded=excluded, now=now)
+        return next(permitted, None) is not None
 
     def tolerable_wait(
         self,
@@ -164,9 +196,9 @@
 
     def is_usable(self, instance: EdgeInstance, *, now: float) -> bool:
         """Return whether an instance may still get new requests."""
-        return instance in self.catalog.usable(
-            instance.service
-        ) and not self.pauses.time_left(instance.instance_id, now=now)
+        return self.catalog.is_usable(instance) and not self.pauses.time_left(
+            instance.instance_id, now=now
+        )
 
     def shortest_pause(self, service: ServiceName, *, now: float) -> float:
         """Return the seconds until an instance ends its pause, 0 if none."""
@@ -193,28 +225,47 @@
     ) -> list[Candidate]:
         return [
             self._candidate(item, profile, now)
-            for item in self.catalog.usable(profile.service)
-            if item.instance_id not in excluded
-            and not self.pauses.time_left(item.instance_id, now=now)
+            for item in self._permitted(profile, excluded=excluded, now=now)
         ]
 
+    def _permitted(
+        self,
+        profile: RequestProfile,
+        *,
+        excluded: Collection[InstanceId],
+        now: float,
+    ) -> Iterator[EdgeInstance]:
+        """Yield the instances that a request may be sent to."""
+        for item in self.catalog.usable(profile.service):
+            if (
+                item.instance_id not in excluded
+                and allows(profile.home_regions, item.placement.region)
+                and not self.pauses.time_left(item.instance_id, now=now)
+            ):
+                yield item
+
     def _best(
-        self, candidates: Collection[Candidate], *, now: float
+        self,
+        candidates: Collection[Candidate],
+        profile: RequestProfile,
+        *,
+        now: float,
     ) -> Candidate | None:
         """Return a candidate of least loss and note its use."""
         if not candidates:
             return None
-        min_loss = min(candidate.loss for candidate in candidates)
+        max_loss = min(item.loss for item in candidates)
+        max_loss += self.tolerance(profile.service)
         best = min(
-            (
-                item
-                for item in candidates
-                if item.loss <= min_loss + _LOSS_TOLERANCE
-            ),
+            (item for item in candidates if item.loss <= max_loss),
             key=self._last_use,
         )
-        self._last_used_at[best.instance.instance_id] = now
-        return best
+        return self._use(best, now)
+
+    def _use(self, candidate: Candidate, now: float) -> Candidate:
+        """Note the use of a candidate and return it."""
+        self._last_used_at[candidate.instance.instance_id] = now
+        return candidate
 
     def _last_use(self, candidate: Candidate) -> float:
         instance_id = candidate.instance.instance_id
@@ -238,15 +289,23 @@
         queued = max(0, in_flight + 1 - item.slots)
         queue_time = queued / item.slots * profile.expected_time
         queue_time += self.limits.wait(item.instance_id, now=now)
+        locality = locality_of(self.own_placement, item.placement)
         loss = (
             failure_rate(failure_probability) * weight
-            + _LOCALITY_LOSS[locality_of(self.own_placement, item.placement)]
+            + _LOCALITY_LOSS[locality]
             + _IN_FLIGHT_WEIGHT * min(1, in_flight / item.slots)
             + QUEUE_TIME_WEIGHT * queue_time / target_latency(profile)
         )
         if item.warmup:
             loss += _WARMUP_LOSS
-        return Candidate(instance=item, loss=loss, queue_time=queue_time)
+        return Candidate(
+            instance=item,
+            loss=loss,
+            queue_time=queue_time,
+            failure_probability=failure_probability,
+            in_flight=in_flight,
+            locality=locality,
+        )
 
 
 def target_latency(profile: RequestProfile) -> float:
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -146,7 +146,7 @@
             return self._fallback_answer(exchange, exc)
 
     def _path(self, exchange: EdgeExchange) -> InstancePath:
-        return self.paths.path_to(exchange.service)
+        return self.paths.path_to(exchange.service, exchange.home_regions)
 
     def _profile(self, exchange: EdgeExchange) -> RequestProfile:
         return RequestProfile(
@@ -154,6 +154,7 @@
             is_retryable=self._may_run_again(exchange, sent=1),
             expected_time=self.outcomes.response_times.mean(exchange.service),
             target_latency=exchange.route.target_latency,
+            home_regions=exchange.home_regions,
         )
 
     async def _send_with_hedge(
@@ -212,7 +213,7 @@
     def _choose_hedge(self, exchange: EdgeExchange) -> Candidate | None:
         """Return a second instance for an overdue request, if any.
 
-        Instances that state a limit get no hedged requests.
+        Instances that have a limit get no hedged requests.
         """
         if self.scheduler.is_shedding(
             exchange.service
@@ -222,7 +223,7 @@
             self._profile(exchange),
             excluded={
                 *exchange.tried_ids,
-                *self.limits.limits.limits_by_id(),
+                *self.limits.limits.limited_ids(),
             },
             now=self.clock.now(),
         )
@@ -326,16 +327,15 @@
     ) -> bool:
         if answer.status < STATUS_SERVER_ERROR:
             return False
-        remaining = exchange.deadline - self.clock.now()
-        mean = self.outcomes.response_times.mean(exchange.service)
+        now = self.clock.now()
+        profile = self._profile(exchange)
         candidate = self.selector.choose(
-            self._profile(exchange),
-            excluded=exchange.tried_ids,
-            now=self.clock.now(),
+            profile, excluded=exchange.tried_ids, now=now
         )
         return (
             candidate is not None
-            and remaining > mean + candidate.queue_time
+            and exchange.deadline - now
+            > profile.expected_time + candidate.queue_time
             and self._may_run_again(exchange, sent=0)
         )
 
--- a/src/bronzewall/platform/configuration.py
+++ b/src/bronzewall/platform/configuration.py
@@ -13,6 +13,7 @@
 
 from bronzewall.edge.model import (
     CallerLimits,
+    ColdStart,
     EdgeAccount,
     EdgeConfiguration,
     EdgeRoute,
@@ -30,6 +31,9 @@
 _ROUTE_TYPES = _IDEMPOTENT_TYPES | {'non_idempotent', 'upload'}
 # Rank of routes and accounts whose priority cannot be read.
 _LOWEST_PRIORITY = 9
+# Time for which instances count as cold after their zone was taken back, if the
+# configuration's time cannot be read, seconds. A cold start takes seconds.
+_UNREADABLE_WARMUP_S = 10.0
 _LOG = structlog.get_logger()
 _EntryT = TypeVar('_EntryT')
 
@@ -56,6 +60,7 @@
             version=version,
             routes=tuple(route for route in routes if route is not None),
             accounts=tuple(found for found in accounts if found is not None),
+            cold_starts=self._cold_starts(wire, version),
             needs_keys='tenants' in wire,
             limits=self._limits(wire.get('limits', {})),
             has_unreadable_routes=None in routes,
@@ -107,6 +112,7 @@
                 priority=self._priority(wire) or 0,
                 open_to_all=wire.get('public') is True,
                 is_bulk=wire['routeType'] in _BULK_TYPES,
+                home_regions=_home_regions(wire),
             )
         except StoreEntryError as exc:
             self._record_unusable(route.route_id, exc)
@@ -136,11 +142,42 @@
                 rate=fields.optional_number(wire, 'ratePerS') or 0,
                 burst=fields.optional_number(wire, 'burstSize') or 0,
                 priority=self._priority(wire),
+                home_regions=_home_regions(wire),
             )
         except StoreEntryError as exc:
             self._record_unusable(account.account_id, exc)
             return attrs.evolve(account, is_usable=False)
 
+    def _cold_starts(
+        self, wire: Mapping[str, Any], version: int
+    ) -> dict[ServiceName, ColdStart]:
+        """Return what cold instances bear, of services that state it."""
+        found = self._entries(wire, 'services', self._cold_start, version)
+        return {
+            service: start
+            for service, start in filter(None, found)
+            if start is not None
+        }
+
+    def _cold_start(
+        self, wire: Mapping[str, Any]
+    ) -> tuple[ServiceName, ColdStart | None]:
+        """Return a service and what its cold instances bear.
+
+        A rate that cannot be read counts as the least one.
+        """
+        service = ServiceName(fields.text(wire, 'name'))
+        if wire.get('warmupPerS') is None:
+            return service, None
+        try:
+            return service, ColdStart(
+                rate=fields.number(wire, 'warmupPerS'),
+                duration=fields.optional_number(wire, 'warmup') or 0,
+            )
+        except StoreEntryError as exc:
+            self._record_unusable(service, exc)
+            return service, ColdStart(rate=0, duration=_UNREADABLE_WARMUP_S)
+
     def _priority(self, wire: Mapping[str, Any]) -> int | None:
         """Return the rank, the lowest one if it cannot be read."""
         if wire.get('priority') is None:
@@ -195,6 +232,24 @@
     return shares
 
 
+def _home_regions(wire: Mapping[str, Any]) -> frozenset[str] | None:
+    """Return the bound of a route or account.
+
+    Operators write an empty list where there is none. A region that no zone
+    has is kept: no instance is in it.
+
+    :raises StoreEntryError: it cannot be read.
+    """
+    if wire.get('allowedRegions') is None:
+        return None
+    regions = fields.items(wire, 'allowedRegions')
+    return frozenset(map(_region, regions)) or None
+
+
+def _region(value: object) -> str:
+    return fields.plain_text(value, 'region')
+
+
 def _optional_integer(wire: Mapping[str, Any], name: str, default: int) -> int:
     return default if wire.get(name) is None else fields.integer(wire, name)
 
