edge: learned costs of requests and speeds of instances, off by default

Cause: the choice of an instance counts each request in flight as one mean of its service, queueing included; an instance several times slower than others counts only once its answers are overdue.

Change: RequestCosts keeps a decayed histogram of work times by service and route, InstanceSpeeds a decayed ratio by instance, RemainingWork the requests of this VM by age. Candidate.queue_time and the loss of an instance come from them where COST_AWARE is true. Nothing is learned where it is not.

--- a/src/bronzewall/edge/attempt_outcomes.py
+++ b/src/bronzewall/edge/attempt_outcomes.py
@@ -1,6 +1,8 @@
 """Records how attempts at instances ended."""
 
+import asyncio
 import functools
+from collections.abc import Callable
 
 import attrs
 import structlog
@@ -11,6 +13,8 @@
 from bronzewall.edge.instance_paths import InstancePaths
 from bronzewall.edge.limit_sharing import LimitSharing
 from bronzewall.edge.ports import InstanceAnswer
+from bronzewall.edge.remaining_work import RemainingWork
+from bronzewall.edge.request_costs import CostClass
 from bronzewall.edge.response_times import ResponseTimes
 from bronzewall.edge.selection import Candidate, Selector
 from bronzewall.edge.zone_state import ZoneState
@@ -26,6 +30,7 @@
 from bronzewall.ports import Clock
 from bronzewall.types import InstanceId
 
+_STATUS_CALLER_ERROR = 400
 STATUS_SERVER_ERROR = 500
 _STATUS_TIMEOUT = 504
 # A 504 that arrives within this time of the deadline is attributed to the
@@ -48,7 +53,12 @@
 
 @attrs.define(kw_only=True, eq=False)
 class AttemptOutcomes:
-    """Records the outcomes of attempts where later decisions use them."""
+    """Records the outcomes of attempts where later decisions use them.
+
+    :param work: work that instances still have, and learned costs.
+    :param uses_costs: returns whether requests cost what was learned of their
+        class, rather than the mean of their service.
+    """
 
     clock: Clock
     catalog: Catalog
@@ -57,8 +67,41 @@
     metrics: Metrics
     paths: InstancePaths
     limits: LimitSharing
+    work: RemainingWork
+    uses_costs: Callable[[], bool]
     response_times: ResponseTimes = attrs.field(factory=ResponseTimes)
 
+    def expected_time(self, exchange: EdgeExchange) -> float:
+        """Return the seconds that an instance is expected to work."""
+        if self.uses_costs():
+            return self.work.costs.mean(_cost_class(exchange))
+        return self.response_times.mean(exchange.service)
+
+    def start(
+        self, exchange: EdgeExchange, candidate: Candidate, sent_at: float
+    ) -> Callable[[], None]:
+        """Record an attempt as in progress; return what records its end."""
+        timer = asyncio.get_running_loop().call_later(
+            self.overdue_after(exchange),
+            self.record_overdue,
+            exchange,
+            candidate,
+            sent_at,
+        )
+        if not self.uses_costs():
+            return timer.cancel
+        end_work = self.work.start(
+            candidate.instance.instance_id,
+            _cost_class(exchange),
+            starts_at=sent_at + self._queue_time(candidate),
+        )
+
+        def end() -> None:
+            timer.cancel()
+            end_work()
+
+        return end
+
     def overdue_after(self, exchange: EdgeExchange) -> float:
         """Return the seconds after which an answer is overdue.
 
@@ -164,6 +207,7 @@
                 exchange.service, is_late=is_late
             )
             self.response_times.record(exchange.service, now - sent_at)
+            self._record_cost(exchange, candidate, answer, sent_at)
             self.state.crashes.clear(exchange.fingerprint)
         locality = locality_of(
             self.selector.own_placement, candidate.instance.placement
@@ -178,11 +222,49 @@
             instance=instance_id,
             status=answer.status,
             seconds=round(now - sent_at, 3),
+            service=exchange.service,
+            route=exchange.route.route_id,
+            queue_time=round(self._queue_time(candidate), 3),
             failing=round(
                 self.state.failure_probability(instance_id, now=now), 3
             ),
         )
 
+    def _queue_time(self, candidate: Candidate) -> float:
+        """Return the expected seconds in an instance's own queue.
+
+        Requests wait for a permit before they are sent, and an instance that
+        states a limit has no queue.
+        """
+        limit = self.limits.limits.limit(candidate.instance.instance_id)
+        return candidate.queue_time if limit is None else 0
+
+    def _record_cost(
+        self,
+        exchange: EdgeExchange,
+        candidate: Candidate,
+        answer: InstanceAnswer,
+        sent_at: float,
+    ) -> None:
+        """Learn from a good answer what requests of its class cost.
+
+        Answers of instances that have just started are left out.
+        """
+        if (
+            not self.uses_costs()
+            or answer.status >= _STATUS_CALLER_ERROR
+            or candidate.instance.warmup
+        ):
+            return
+        now = self.clock.now()
+        self.work.record(
+            candidate.instance.instance_id,
+            _cost_class(exchange),
+            now - sent_at,
+            queue_time=self._queue_time(candidate),
+            now=now,
+        )
+
     def _record_failure(
         self,
         exchange: EdgeExchange,
@@ -234,3 +316,7 @@
         self.metrics.events['answers_with_pause'] += 1
         _LOG.info('instance_pauses', instance=instance_id, seconds=pause)
         self.selector.pauses.record(instance_id, pause, now=self.clock.now())
+
+
+def _cost_class(exchange: EdgeExchange) -> CostClass:
+    return CostClass(service=exchange.service, route=exchange.route.route_id)
--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -28,6 +28,7 @@
 from bronzewall.edge.relay_messages import RelayRequest
 from bronzewall.edge.relay_peers import RelayPeers
 from bronzewall.edge.relay_tickets import RelayTickets
+from bronzewall.edge.remaining_work import RemainingWork
 from bronzewall.edge.request_path import EdgeRequestHandler
 from bronzewall.edge.retry_budget import RetryBudget
 from bronzewall.edge.selection import Selector
@@ -102,11 +103,18 @@
     )
     election = LeaderElection(fleet=fleet, age=age, started_at=clock.now())
     limits = InstanceLimits()
+    work = RemainingWork()
+
+    def uses_costs() -> bool:
+        return settings.cost_aware
+
     selector = Selector(
         own_id=own.vm_id,
         own_placement=own.placement,
         catalog=catalog,
         state=state,
+        work=work,
+        uses_costs=uses_costs,
         limits=limits,
     )
 
@@ -254,6 +262,8 @@
             metrics=ports.metrics,
             paths=instance_paths,
             limits=limit_sharing,
+            work=work,
+            uses_costs=uses_costs,
         ),
     )
     path = EdgeRequestHandler(
--- a/src/bronzewall/edge/selection.py
+++ b/src/bronzewall/edge/selection.py
@@ -2,7 +2,7 @@
 
 import math
 import zlib
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import attrs
 
@@ -11,6 +11,7 @@
 from bronzewall.edge.instance_limits import InstanceLimits
 from bronzewall.edge.instance_pauses import InstancePauses
 from bronzewall.edge.model import EdgeInstance
+from bronzewall.edge.remaining_work import RemainingWork
 from bronzewall.edge.zone_state import ZoneState
 from bronzewall.locality import Locality, locality_of
 from bronzewall.types import InstanceId, Placement, ServiceName, VmId
@@ -70,12 +71,19 @@
 
 @attrs.define(kw_only=True, eq=False)
 class Selector:
-    """Chooses among the usable instances of a service."""
+    """Chooses among the usable instances of a service.
+
+    :param work: work that instances still have, if it is learned.
+    :param uses_costs: returns whether the learned work counts; otherwise each
+        request in flight counts as one of usual cost.
+    """
 
     own_id: VmId
     own_placement: Placement
     catalog: Catalog
     state: ZoneState
+    work: RemainingWork | None = None
+    uses_costs: Callable[[], bool] = lambda: True
     limits: InstanceLimits = attrs.field(factory=InstanceLimits)
     pauses: InstancePauses = attrs.field(factory=InstancePauses)
     _last_used_at: dict[InstanceId, float] = attrs.field(factory=dict)
@@ -151,6 +159,8 @@
         for item in removed:
             self._last_used_at.pop(item.instance_id, None)
             self.state.forget(item.instance_id)
+            if self.work is not None:
+                self.work.speeds.forget(item.instance_id)
 
     def _candidates(
         self,
@@ -185,19 +195,48 @@
         in_flight = self.state.in_flight(item.instance_id)
         if item.instance_id in self.state.busy_elsewhere:
             in_flight = max(in_flight, item.slots)
-        queued = max(0, in_flight + 1 - item.slots)
-        queue_time = queued / item.slots * profile.expected_time
+        queue_time = self._queue_time(item, profile, in_flight, now)
         queue_time += self.limits.wait(item.instance_id, now=now)
         loss = (
             failure_rate(failure_probability) * weight
             + _LOCALITY_LOSS[locality_of(self.own_placement, item.placement)]
             + _IN_FLIGHT_WEIGHT * min(1, in_flight / item.slots)
-            + _QUEUE_TIME_WEIGHT * queue_time / _target_latency(profile)
+            + _QUEUE_TIME_WEIGHT
+            * (queue_time + self._slow_time(item, profile, now))
+            / _target_latency(profile)
         )
         if item.warmup:
             loss += _WARMUP_LOSS
         return Candidate(instance=item, loss=loss, queue_time=queue_time)
 
+    def _queue_time(
+        self,
+        item: EdgeInstance,
+        profile: RequestProfile,
+        in_flight: int,
+        now: float,
+    ) -> float:
+        """Return the expected seconds in an instance's queue."""
+        if self.work is None or not self.uses_costs():
+            queued = max(0, in_flight + 1 - item.slots)
+            return queued / item.slots * profile.expected_time
+        return self.work.wait(
+            item.instance_id,
+            in_flight=in_flight,
+            slots=item.slots,
+            service=item.service,
+            now=now,
+        )
+
+    def _slow_time(
+        self, item: EdgeInstance, profile: RequestProfile, now: float
+    ) -> float:
+        """Return by how many seconds an instance works longer than others."""
+        if self.work is None or not self.uses_costs():
+            return 0
+        factor = self.work.speeds.factor(item.instance_id, now=now)
+        return (factor - 1) * profile.expected_time
+
 
 def _target_latency(profile: RequestProfile) -> float:
     return profile.target_latency or _DEFAULT_TARGET_S
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -149,7 +149,7 @@
         return RequestProfile(
             service=exchange.service,
             is_retryable=self._may_run_again(exchange, sent=1),
-            expected_time=self.outcomes.response_times.mean(exchange.service),
+            expected_time=self.outcomes.expected_time(exchange),
             target_latency=exchange.route.target_latency,
         )
 
@@ -245,13 +245,7 @@
             configuration=self.gate.freshness.age(),
             instances=sent_at - self.catalog.confirmed_at,
         )
-        timer = asyncio.get_running_loop().call_later(
-            self.outcomes.overdue_after(exchange),
-            self.outcomes.record_overdue,
-            exchange,
-            candidate,
-            sent_at,
-        )
+        end = self.outcomes.start(exchange, candidate, sent_at)
         try:
             answer = await self.instances.send(
                 self._build_request(exchange, candidate)
@@ -260,7 +254,7 @@
             self.outcomes.record_error(exchange, candidate, exc, sent_at)
             raise
         finally:
-            timer.cancel()
+            end()
         self.outcomes.record_answer(exchange, candidate, answer, sent_at)
         return answer
 
--- a/src/bronzewall/edge/settings.py
+++ b/src/bronzewall/edge/settings.py
@@ -75,6 +75,8 @@
     :param answer_bytes: largest body of an instance's answer.
     :param total_answer_bytes: bytes of all answers that are being received.
     :param total_body_bytes: bytes of all request bodies that are held.
+    :param cost_aware: whether the choice of an instance goes by what requests
+        are likely to cost and by the speed of instances.
     :param log_level: name of the lowest level that is logged.
     """
 
@@ -114,6 +116,7 @@
     total_body_bytes: int = attrs.field(
         default=_TOTAL_BODY_BYTES, converter=int, validator=positive
     )
+    cost_aware: bool = attrs.field(default=False, converter=_flag)
     log_level: str = attrs.field(
         default='info', validator=attrs.validators.in_(LEVELS_BY_NAME)
     )
--- /dev/null
+++ b/tests/test_edge_cost_choice.py
@@ -0,0 +1,121 @@
+"""Tests of the choice of an instance by learned costs and speeds."""
+
+import asyncio
+
+import pytest
+from edge_builders import (
+    a_caller_request,
+    an_edge_instance,
+    an_edge_vm,
+)
+
+from bronzewall.standins.memory_store import answer_of
+from bronzewall.standins.virtual_time import run_virtual
+
+_USUAL_S = 0.1
+_SLOW_FACTOR = 4
+
+
+def _taking(seconds: float, status: int = 200):
+    async def behave(request):
+        await asyncio.sleep(seconds)
+        return answer_of(request, status=status)
+
+    return behave
+
+
+async def _ask_all(vm, count: int, pause: float) -> list[float]:
+    """Return the seconds that each request took."""
+
+    async def ask() -> float:
+        before = vm.clock.now()
+        await vm.ask()
+        return vm.clock.now() - before
+
+    tasks = []
+    for _ in range(count):
+        tasks.append(asyncio.create_task(ask()))
+        await asyncio.sleep(pause)
+    return [await task for task in tasks]
+
+
+def _late_beside_slow_instances(cost_aware: bool) -> int:
+    """Return how many of 400 requests a third of slow instances delay."""
+
+    async def main() -> int:
+        vm = an_edge_vm(cost_aware=cost_aware)
+        names = [f'i-{number}' for number in range(6)]
+        vm.serve_alone(*[an_edge_instance(name) for name in names])
+        for number, name in enumerate(names):
+            factor = _SLOW_FACTOR if number < 2 else 1
+            vm.instances.behaviours_by_id[name] = _taking(_USUAL_S * factor)
+        times = await _ask_all(vm, 400, 0.02)
+        return sum(seconds > 2 * _USUAL_S for seconds in times)
+
+    return run_virtual(main())
+
+
+def test_slow_instances_get_few_requests() -> None:
+    # Pattern: a third of the instances takes four times as long, short of what
+    # counts as overdue. Before, each of them got its part of the requests.
+    without = _late_beside_slow_instances(cost_aware=False)
+    assert without > 100
+    assert _late_beside_slow_instances(cost_aware=True) < without / 3
+
+
+def test_nothing_is_learned_while_it_is_off() -> None:
+    # Guards deployments that do not ask for it, also against its cost.
+    async def main() -> None:
+        vm = an_edge_vm()
+        vm.serve_alone()
+        await vm.ask()
+        work = vm.sender.outcomes.work
+        assert not work._running_by_id
+        assert not work.costs._by_service
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize(('status', 'warmup'), [(500, 0), (404, 0), (200, 2.5)])
+def test_failed_and_cold_answers_teach_nothing(status, warmup) -> None:
+    # Guards against errors that come at once, and instances that have just
+    # started, moving what a request is expected to cost.
+    async def main() -> None:
+        vm = an_edge_vm(cost_aware=True)
+        vm.serve_alone(an_edge_instance('i-1', warmup=warmup))
+        vm.instances.behaviours_by_id['i-1'] = _taking(0.01, status)
+        await vm.ask()
+        assert not vm.sender.outcomes.work.costs._by_service
+
+    run_virtual(main())
+
+
+def test_attempt_that_is_cut_short_leaves_no_work() -> None:
+    # Guards against requests that callers gave up counting for ever.
+    async def main() -> None:
+        vm = an_edge_vm(cost_aware=True)
+        vm.serve_alone()
+        vm.instances.behaviours_by_id['i-1'] = _taking(1)
+        task = asyncio.create_task(vm.ask())
+        await asyncio.sleep(0.1)
+        assert vm.sender.outcomes.work._running_by_id
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        assert not vm.sender.outcomes.work._running_by_id
+        assert not vm.sender.outcomes.work.costs._by_service
+
+    run_virtual(main())
+
+
+def test_paths_of_a_caller_open_no_class() -> None:
+    # Guards against a caller that shapes its paths to fill the memory or to
+    # pass for another kind of request.
+    async def main() -> None:
+        vm = an_edge_vm(cost_aware=True)
+        vm.serve_alone()
+        for number in range(20):
+            path = f'/drafts/{number}/x'
+            await vm.ask(a_caller_request(target=path, path=path))
+        assert len(vm.sender.outcomes.work.costs._by_class) == 1
+
+    run_virtual(main())
