edge: learned costs count where uploads or downloads are routed

COST_AWARE is auto by default: on while the configuration has a route of type upload or download, which is a property of the deployment's own configuration; true and false override it. Deployments without such routes learn nothing and choose as before.

Under load the counts of other VMs' requests lag behind, so learned costs alone admitted requests that came too late. Whether a request can be answered in time now goes by the queue as it lately was (RequestProfile.queue_factor: mean response time by mean work time).

--- a/src/bronzewall/edge/attempt_outcomes.py
+++ b/src/bronzewall/edge/attempt_outcomes.py
@@ -77,6 +77,18 @@
             return self.work.costs.mean(_cost_class(exchange))
         return self.response_times.mean(exchange.service)
 
+    def queue_factor(self, exchange: EdgeExchange) -> float:
+        """Return by how much queues were longer than expected.
+
+        Under load the counts of other VMs' requests lag behind, so that
+        learned costs alone admit requests that answer too late. The mean
+        response time, which includes the queue, shows it.
+        """
+        if not self.uses_costs():
+            return 1
+        work = self.work.costs.service_mean(exchange.service)
+        return max(1, self.response_times.mean(exchange.service) / work)
+
     def start(
         self, exchange: EdgeExchange, candidate: Candidate, sent_at: float
     ) -> Callable[[], None]:
--- a/src/bronzewall/edge/instance_choice.py
+++ b/src/bronzewall/edge/instance_choice.py
@@ -86,18 +86,19 @@
         spare_time = (
             remaining - profile.expected_time * _MIN_RESPONSE_TIME_FRACTION
         )
-        if spare_time <= 0 or candidate.queue_time > fraction * spare_time:
+        queue_time = candidate.queue_time * profile.queue_factor
+        if spare_time <= 0 or queue_time > fraction * spare_time:
             raise exchange.refusal(
                 Reason.UPSTREAM_TIMEOUT
                 if remaining <= 0
                 else Reason.OVERLOADED,
                 detail=(
                     f'{remaining:.2f} s left before the deadline,'
-                    f' {candidate.queue_time:.2f} s expected in the queue,'
+                    f' {queue_time:.2f} s expected in the queue,'
                     f' rank {exchange.rank} may queue for a fraction of'
                     f' {fraction:g} of the time left'
                 ),
-                retry_after=max(RETRY_AFTER_S, candidate.queue_time),
+                retry_after=max(RETRY_AFTER_S, queue_time),
             )
         max_wait = fraction * spare_time
         if profile.target_latency is not None:
--- a/src/bronzewall/edge/selection.py
+++ b/src/bronzewall/edge/selection.py
@@ -46,12 +46,15 @@
     :param expected_time: expected response time in seconds.
     :param target_latency: seconds within which the answer has its full
         value.
+    :param queue_factor: factor by which queues have lately been longer than
+        expected. It counts for whether a request can be answered in time.
     """
 
     service: ServiceName
     is_retryable: bool
     expected_time: float
     target_latency: float | None
+    queue_factor: float = 1
 
 
 @attrs.frozen(kw_only=True)
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -151,6 +151,7 @@
             is_retryable=self._may_run_again(exchange, sent=1),
             expected_time=self.outcomes.expected_time(exchange),
             target_latency=exchange.route.target_latency,
+            queue_factor=self.outcomes.queue_factor(exchange),
         )
 
     async def _send_with_hedge(
--- a/tests/test_edge_cost_choice.py
+++ b/tests/test_edge_cost_choice.py
@@ -5,9 +5,14 @@
 import pytest
 from edge_builders import (
     a_caller_request,
+    a_vm,
+    an_edge_configuration,
     an_edge_instance,
+    an_edge_route,
     an_edge_vm,
+    some_settings,
 )
+from test_platform_adapter import decode_configuration, with_route
 
 from bronzewall.standins.memory_store import answer_of
 from bronzewall.standins.virtual_time import run_virtual
@@ -63,8 +68,66 @@
     assert _late_beside_slow_instances(cost_aware=True) < without / 3
 
 
-def test_nothing_is_learned_while_it_is_off() -> None:
-    # Guards deployments that do not ask for it, also against its cost.
+@pytest.mark.parametrize(
+    ('cost_aware', 'is_bulk', 'is_learned'),
+    [
+        ('auto', True, True),
+        ('auto', False, False),
+        (None, False, False),
+        ('false', True, False),
+        ('true', False, True),
+    ],
+)
+def test_costs_count_where_the_deployment_calls_for_it(
+    cost_aware, is_bulk, is_learned
+) -> None:
+    # Guards deployments without uploads and downloads against another choice of
+    # instances than before, and against the cost of learning.
+    async def main() -> None:
+        vm = an_edge_vm(cost_aware=cost_aware)
+        routes = an_edge_route(), an_edge_route(prefix='/x/', is_bulk=is_bulk)
+        vm.serve_alone(configuration=an_edge_configuration(routes=routes))
+        await vm.ask()
+        assert bool(vm.sender.outcomes.work.costs._by_service) is is_learned
+
+    run_virtual(main())
+
+
+@pytest.mark.parametrize('cost_aware', ['yes', ''])
+def test_other_words_for_the_setting_are_rejected(cost_aware) -> None:
+    with pytest.raises(ValueError, match='neither true nor false'):
+        some_settings(a_vm(), cost_aware=cost_aware)
+
+
+@pytest.mark.parametrize(
+    ('route_type', 'is_bulk'),
+    [('upload', True), ('download', True), ('idempotent', False)],
+)
+def test_uploads_and_downloads_are_bulk(route_type, is_bulk) -> None:
+    found = decode_configuration(with_route(routeType=route_type))
+    assert found.routes[0].is_bulk is is_bulk
+
+
+def test_queue_that_was_longer_than_expected_counts_for_the_deadline() -> None:
+    # Guards against admitting requests under load by costs without queueing,
+    # whose answers come too late.
+    async def main() -> None:
+        vm = an_edge_vm(cost_aware=True)
+        vm.serve_alone()
+        outcomes = vm.sender.outcomes
+        await vm.ask()
+        exchange = vm.gate.open(a_caller_request(), 'a-2', vm.clock.now())
+        assert outcomes.queue_factor(exchange) == pytest.approx(1, rel=0.1)
+        for _ in range(100):
+            outcomes.response_times.record(exchange.service, 1)
+        expected = 1 / outcomes.work.costs.service_mean(exchange.service)
+        factor = outcomes.queue_factor(exchange)
+        assert factor == pytest.approx(expected, rel=0.1)
+
+    run_virtual(main())
+
+
+def test_no_work_is_counted_while_it_is_off() -> None:
     async def main() -> None:
         vm = an_edge_vm()
         vm.serve_alone()
