--- a/src/bronzewall/edge/instance_speeds.py
+++ b/src/bronzewall/edge/instance_speeds.py
@@ -18,6 +18,7 @@
 # Instances whose estimate is below this factor count as of usual speed, so that
 # the variation of request costs does not move requests to few instances.
 _MIN_FACTOR = 1.3
+_MIN_LOG_FACTOR = math.log(_MIN_FACTOR)
 
 
 @attrs.define(kw_only=True)
@@ -52,13 +53,16 @@
     def factor(self, instance_id: InstanceId, *, now: float) -> float:
         """Return the factor, 1 for an instance of usual speed."""
         known = self._by_id.get(instance_id)
-        if known is None or known.log_sum <= 0:
+        # The factor only falls with time; most are ruled out without a power.
+        if known is None or known.log_sum < _MIN_LOG_FACTOR * (
+            known.count + _PRIOR_ANSWERS
+        ):
             return 1
         weight = _decay(now - known.at)
-        factor = math.exp(
+        log_factor = (
             known.log_sum * weight / (known.count * weight + _PRIOR_ANSWERS)
         )
-        return factor if factor >= _MIN_FACTOR else 1
+        return 1 if log_factor < _MIN_LOG_FACTOR else math.exp(log_factor)
 
     def forget(self, instance_id: InstanceId) -> None:
         """Drop the estimate of a removed instance."""
--- a/src/bronzewall/edge/remaining_work.py
+++ b/src/bronzewall/edge/remaining_work.py
@@ -91,6 +91,7 @@
         in_flight: int,
         slots: int,
         service: ServiceName,
+        factor: float,
         now: float,
     ) -> float:
         """Return the expected seconds until a slot is free.
@@ -101,27 +102,21 @@
         the number in flight times that time by slot.
 
         :param in_flight: requests at the instance, also of other VMs.
+        :param factor: how slow the instance is, see ``InstanceSpeeds``.
         """
         if in_flight < slots:
             return 0
-        own = self._remaining_of_own(instance_id, now=now)
-        others = max(0, in_flight - len(own))
         usual_time = self.costs.service_mean(service)
-        times = list(itertools.chain(own, itertools.repeat(usual_time, others)))
-        rate = sum(1 / max(_MIN_REMAINING_S, item) for item in times[:slots])
-        queued = sum(times[slots:]) / slots
-        return (1 / rate + queued) * self.speeds.factor(instance_id, now=now)
-
-    def _remaining_of_own(
-        self, instance_id: InstanceId, *, now: float
-    ) -> list[float]:
-        """Return the remaining times of own requests, the oldest first."""
         if instance_id not in self._running_by_id:
-            return []
-        factor = self.speeds.factor(instance_id, now=now)
-        return [
+            return (in_flight + 1 - slots) / slots * usual_time * factor
+        times = [
             self.costs.remaining(
                 item.cost_class, age=max(0, now - item.starts_at) / factor
             )
             for item in self._running_by_id[instance_id]
         ]
+        others = max(0, in_flight - len(times))
+        times.extend(itertools.repeat(usual_time, others))
+        rate = sum(1 / max(_MIN_REMAINING_S, item) for item in times[:slots])
+        queued = sum(times[slots:]) / slots
+        return (1 / rate + queued) * factor
--- a/src/bronzewall/edge/selection.py
+++ b/src/bronzewall/edge/selection.py
@@ -172,8 +172,9 @@
         excluded: Collection[InstanceId],
         now: float,
     ) -> list[Candidate]:
+        work = self.work if self.uses_costs() else None
         return [
-            self._candidate(item, profile, now)
+            self._candidate(item, profile, work, now)
             for item in self.catalog.usable(profile.service)
             if item.instance_id not in excluded
             and not self.pauses.time_left(item.instance_id, now=now)
@@ -189,7 +190,11 @@
         return self._last_used_at[instance_id]
 
     def _candidate(
-        self, item: EdgeInstance, profile: RequestProfile, now: float
+        self,
+        item: EdgeInstance,
+        profile: RequestProfile,
+        work: RemainingWork | None,
+        now: float,
     ) -> Candidate:
         failure_probability = self.state.failure_probability(
             item.instance_id, now=now
@@ -198,48 +203,34 @@
         in_flight = self.state.in_flight(item.instance_id)
         if item.instance_id in self.state.busy_elsewhere:
             in_flight = max(in_flight, item.slots)
-        queue_time = self._queue_time(item, profile, in_flight, now)
+        slow_time: float = 0
+        if work is None:
+            queued = max(0, in_flight + 1 - item.slots)
+            queue_time = queued / item.slots * profile.expected_time
+        else:
+            factor = work.speeds.factor(item.instance_id, now=now)
+            slow_time = (factor - 1) * profile.expected_time
+            queue_time = work.wait(
+                item.instance_id,
+                in_flight=in_flight,
+                slots=item.slots,
+                service=item.service,
+                factor=factor,
+                now=now,
+            )
         queue_time += self.limits.wait(item.instance_id, now=now)
         loss = (
             failure_rate(failure_probability) * weight
             + _LOCALITY_LOSS[locality_of(self.own_placement, item.placement)]
             + _IN_FLIGHT_WEIGHT * min(1, in_flight / item.slots)
             + _QUEUE_TIME_WEIGHT
-            * (queue_time + self._slow_time(item, profile, now))
+            * (queue_time + slow_time)
             / _target_latency(profile)
         )
         if item.warmup:
             loss += _WARMUP_LOSS
         return Candidate(instance=item, loss=loss, queue_time=queue_time)
 
-    def _queue_time(
-        self,
-        item: EdgeInstance,
-        profile: RequestProfile,
-        in_flight: int,
-        now: float,
-    ) -> float:
-        """Return the expected seconds in an instance's queue."""
-        if self.work is None or not self.uses_costs():
-            queued = max(0, in_flight + 1 - item.slots)
-            return queued / item.slots * profile.expected_time
-        return self.work.wait(
-            item.instance_id,
-            in_flight=in_flight,
-            slots=item.slots,
-            service=item.service,
-            now=now,
-        )
-
-    def _slow_time(
-        self, item: EdgeInstance, profile: RequestProfile, now: float
-    ) -> float:
-        """Return by how many seconds an instance works longer than others."""
-        if self.work is None or not self.uses_costs():
-            return 0
-        factor = self.work.speeds.factor(item.instance_id, now=now)
-        return (factor - 1) * profile.expected_time
-
 
 def _target_latency(profile: RequestProfile) -> float:
     return profile.target_latency or _DEFAULT_TARGET_S
--- a/tests/test_edge_remaining_work.py
+++ b/tests/test_edge_remaining_work.py
@@ -25,6 +25,7 @@
         in_flight=in_flight,
         slots=_SLOTS,
         service=ServiceName('library'),
+        factor=work.speeds.factor(_ID, now=now),
         now=now,
     )
 
