--- a/src/bronzewall/edge/cost_distribution.py
+++ b/src/bronzewall/edge/cost_distribution.py
@@ -50,7 +50,7 @@
     _next_weight: float = 1.0
     _total: float = 0
     _weighted_sum: float = 0
-    _remaining: tuple[float, ...] = ()
+    _remaining: 'array.array[float] | None' = None
     _remaining_as_of: int = 0
 
     def record(self, seconds: float) -> None:
@@ -85,15 +85,16 @@
 
         :param age: seconds for which it has run.
         """
-        if self.answers - self._remaining_as_of >= _REFRESH_INTERVAL or (
-            not self._remaining
-        ):
-            self._remaining = self._mean_of_longer()
+        known = self._remaining
+        is_old = self.answers - self._remaining_as_of >= _REFRESH_INTERVAL
+        if known is None or is_old:
+            known = self._mean_of_longer()
+            self._remaining = known
             self._remaining_as_of = self.answers
-        expected_end = self._remaining[_bucket(age)]
+        expected_end = known[_bucket(age)]
         return expected_end - age if expected_end > age else max(age, 0)
 
-    def _mean_of_longer(self) -> tuple[float, ...]:
+    def _mean_of_longer(self) -> 'array.array[float]':
         """Return the mean time of requests that outlast each bucket."""
         means = []
         weight: float = 0
@@ -104,7 +105,7 @@
             weighted += self._weights[index] * _CENTRES[index]
         # A request in the first bucket has only begun.
         means[-1] = self.mean()
-        return tuple(reversed(means))
+        return array.array('d', reversed(means))
 
     def _scale_down(self) -> None:
         factor = 1 / self._next_weight
--- a/src/bronzewall/edge/instance_speeds.py
+++ b/src/bronzewall/edge/instance_speeds.py
@@ -20,6 +20,10 @@
 _MIN_FACTOR = 1.3
 _MIN_LOG_FACTOR = math.log(_MIN_FACTOR)
 
+# Estimates that are kept, about 0.2 KB each. One VM sends to the instances of
+# its own region first; the size of two years has 200,000 in all.
+_MAX_ESTIMATES = 4096
+
 
 @attrs.define(kw_only=True)
 class _Estimate:
@@ -42,6 +46,8 @@
         """Record the ratio of a work time to the expected one."""
         known = self._by_id.get(instance_id)
         if known is None:
+            if len(self._by_id) >= _MAX_ESTIMATES:
+                self._by_id.pop(next(iter(self._by_id)))
             known = _Estimate(count=0, log_sum=0, at=now)
             self._by_id[instance_id] = known
         weight = _decay(now - known.at)
--- a/src/bronzewall/edge/request_costs.py
+++ b/src/bronzewall/edge/request_costs.py
@@ -14,7 +14,7 @@
 # Answers before a distribution is used for more than its mean. A quantile of
 # one in ten needs a few answers beyond it.
 _MIN_ANSWERS = 30
-# Distributions that are kept, about 0.7 KB each. The size of two years has
+# Distributions that are kept, about 1.2 KB each. The size of two years has
 # 66,000 routes, of which one VM serves few at a time.
 _MAX_DISTRIBUTIONS = 1024
 # A time in the queue that was underestimated leaves at least this fraction of
--- a/tests/test_edge_remaining_work.py
+++ b/tests/test_edge_remaining_work.py
@@ -85,6 +85,15 @@
     assert speeds.factor(_ID, now=0) == 1
 
 
+def test_number_of_estimates_is_bounded() -> None:
+    # Guards the memory of a VM that sends to very many instances.
+    speeds = InstanceSpeeds()
+    for number in range(5000):
+        speeds.record(InstanceId(f'i-{number}'), 4, now=0)
+    assert len(speeds._by_id) == 4096
+    assert 'i-4999' in speeds._by_id
+
+
 def test_one_expensive_request_does_not_make_an_instance_slow() -> None:
     # 3 in 100 requests cost seven times as much.
     speeds = InstanceSpeeds()
