edge: each request in flight counts as one mean of its service again

Cause: the class and age of this VM's own requests, with remaining times from a histogram, bring callers nothing: a VM knows them of a seventh of its zone's requests. So a part without a gain is taken out: ages, the histogram and its quantiles. Costs of classes, factors of instances and the queue factor stay.

--- a/src/bronzewall/edge/attempt_outcomes.py
+++ b/src/bronzewall/edge/attempt_outcomes.py
@@ -1,6 +1,5 @@
 """Records how attempts at instances ended."""
 
-import asyncio
 import functools
 from collections.abc import Callable
 
@@ -89,31 +88,6 @@
         work = self.work.costs.service_mean(exchange.service)
         return max(1, self.response_times.mean(exchange.service) / work)
 
-    def start(
-        self, exchange: EdgeExchange, candidate: Candidate, sent_at: float
-    ) -> Callable[[], None]:
-        """Record an attempt as in progress; return what records its end."""
-        timer = asyncio.get_running_loop().call_later(
-            self.overdue_after(exchange),
-            self.record_overdue,
-            exchange,
-            candidate,
-            sent_at,
-        )
-        if not self.uses_costs():
-            return timer.cancel
-        end_work = self.work.start(
-            candidate.instance.instance_id,
-            _cost_class(exchange),
-            starts_at=sent_at + self._queue_time(candidate),
-        )
-
-        def end() -> None:
-            timer.cancel()
-            end_work()
-
-        return end
-
     def overdue_after(self, exchange: EdgeExchange) -> float:
         """Return the seconds after which an answer is overdue.
 
--- a/src/bronzewall/edge/request_costs.py
+++ b/src/bronzewall/edge/request_costs.py
@@ -4,20 +4,18 @@
 
 import attrs
 
-from bronzewall.edge.cost_distribution import CostDistribution
 from bronzewall.types import RouteId, ServiceName
 
 # Seconds that the first requests of a service are expected to take.
 _INITIAL_MEAN_S = 0.5
 # Answers of a route that count as much as what is known of its service.
 _PRIOR_ANSWERS = 4
-# Answers before a distribution is used for more than its mean. A quantile of
-# one in ten needs a few answers beyond it.
-_MIN_ANSWERS = 30
-# Distributions that are kept, about 1.2 KB each. The size of two years has
-# 66,000 routes, of which one VM serves few at a time.
-_MAX_DISTRIBUTIONS = 1024
-# A time in the queue that was underestimated leaves at least this fraction of
+# Weight of a new answer: half of the weight is in the last 35 answers.
+_SMOOTHING_FACTOR = 0.02
+# Classes that are kept, about 0.3 KB each. The size of two years has 66,000
+# routes, of which one VM serves few at a time.
+_MAX_CLASSES = 1024
+# A time in the queue that was overestimated leaves at least this fraction of
 # the whole time to the work, so that one wrong estimate does not record 0.
 _MIN_WORK_FRACTION = 0.1
 
@@ -33,6 +31,22 @@
     route: RouteId
 
 
+@attrs.define(kw_only=True)
+class _Mean:
+    """Mean in which recent times count more.
+
+    The first answers count alike.
+    """
+
+    seconds: float = 0
+    answers: int = 0
+
+    def record(self, seconds: float) -> None:
+        self.answers += 1
+        weight = max(_SMOOTHING_FACTOR, 1 / self.answers)
+        self.seconds += weight * (seconds - self.seconds)
+
+
 @attrs.define(kw_only=True, eq=False)
 class RequestCosts:
     """Seconds that instances of usual speed work on requests.
@@ -40,23 +54,20 @@
     The time in an instance's queue is no part of it.
     """
 
-    _by_service: dict[ServiceName, CostDistribution] = attrs.field(factory=dict)
-    _by_class: 'OrderedDict[CostClass, CostDistribution]' = attrs.field(
+    _by_service: dict[ServiceName, _Mean] = attrs.field(factory=dict)
+    _by_class: 'OrderedDict[CostClass, _Mean]' = attrs.field(
         factory=OrderedDict
     )
 
     def record(self, cost_class: CostClass, work: float) -> None:
         """Record the seconds that an instance of usual speed worked."""
-        service = self._by_service.get(cost_class.service)
-        if service is None:
-            service = CostDistribution()
-            self._by_service[cost_class.service] = service
+        service = self._by_service.setdefault(cost_class.service, _Mean())
         service.record(work)
         known = self._by_class.get(cost_class)
         if known is None:
-            known = CostDistribution()
+            known = _Mean()
             self._by_class[cost_class] = known
-            if len(self._by_class) > _MAX_DISTRIBUTIONS:
+            if len(self._by_class) > _MAX_CLASSES:
                 self._by_class.popitem(last=False)
         known.record(work)
         self._by_class.move_to_end(cost_class)
@@ -71,37 +82,12 @@
         if known is None:
             return prior
         share = known.answers / (known.answers + _PRIOR_ANSWERS)
-        return share * known.mean() + (1 - share) * prior
+        return share * known.seconds + (1 - share) * prior
 
     def service_mean(self, service: ServiceName) -> float:
         """Return the expected work time of any request of a service."""
         known = self._by_service.get(service)
-        return _INITIAL_MEAN_S if known is None else known.mean()
-
-    def quantile(self, cost_class: CostClass, fraction: float) -> float | None:
-        """Return a quantile of the work time, ``None`` if not yet known."""
-        known = self._distribution(cost_class)
-        return None if known is None else known.quantile(fraction)
-
-    def remaining(self, cost_class: CostClass, *, age: float) -> float:
-        """Return the expected further seconds of work on a request.
-
-        :param age: seconds for which an instance has worked on it.
-        """
-        known = self._distribution(cost_class)
-        if known is None:
-            mean = self.mean(cost_class)
-            return mean - age if mean > age else age
-        return known.remaining(age)
-
-    def _distribution(self, cost_class: CostClass) -> CostDistribution | None:
-        for known in (
-            self._by_class.get(cost_class),
-            self._by_service.get(cost_class.service),
-        ):
-            if known is not None and known.answers >= _MIN_ANSWERS:
-                return known
-        return None
+        return _INITIAL_MEAN_S if known is None else known.seconds
 
 
 def work_time(seconds: float, *, queue_time: float) -> float:
--- a/src/bronzewall/edge/selection.py
+++ b/src/bronzewall/edge/selection.py
@@ -211,12 +211,10 @@
             factor = work.speeds.factor(item.instance_id, now=now)
             slow_time = (factor - 1) * profile.expected_time
             queue_time = work.wait(
-                item.instance_id,
                 in_flight=in_flight,
                 slots=item.slots,
                 service=item.service,
                 factor=factor,
-                now=now,
             )
         queue_time += self.limits.wait(item.instance_id, now=now)
         loss = (
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -246,7 +246,13 @@
             configuration=self.gate.freshness.age(),
             instances=sent_at - self.catalog.confirmed_at,
         )
-        end = self.outcomes.start(exchange, candidate, sent_at)
+        timer = asyncio.get_running_loop().call_later(
+            self.outcomes.overdue_after(exchange),
+            self.outcomes.record_overdue,
+            exchange,
+            candidate,
+            sent_at,
+        )
         try:
             answer = await self.instances.send(
                 self._build_request(exchange, candidate)
@@ -255,7 +261,7 @@
             self.outcomes.record_error(exchange, candidate, exc, sent_at)
             raise
         finally:
-            end()
+            timer.cancel()
         self.outcomes.record_answer(exchange, candidate, answer, sent_at)
         return answer
 
