edge: an answer is overdue by what requests of its class cost

Cause: where a service answers most requests in 50 ms and those of another route in 1 s, each of the latter was overdue by the mean of the service: it counted against its instance, and idempotent ones were hedged. 30 of 30 before, at most 8 after (the first ones, before the cost is known); see test_long_requests_of_a_service_with_short_ones_are_not_overdue.

A delay by quantile of the class was left out: with a share of 3 in 100 that cost seven times as much, the bounds in force already lie between both kinds.

--- a/src/bronzewall/edge/attempt_outcomes.py
+++ b/src/bronzewall/edge/attempt_outcomes.py
@@ -92,9 +92,10 @@
         """Return the seconds after which an answer is overdue.
 
         The delay leaves a second attempt time to answer within the target
-        latency.
+        latency. It goes by what requests of the same class cost, so that each
+        long one of a service with short ones is not overdue.
         """
-        mean = self.response_times.mean(exchange.service)
+        mean = self.expected_time(exchange) * self.queue_factor(exchange)
         delay = mean * _OVERDUE_FACTOR
         if exchange.route.target_latency is not None:
             delay = min(
--- a/tests/test_edge_cost_choice.py
+++ b/tests/test_edge_cost_choice.py
@@ -68,6 +68,48 @@
     assert _late_beside_slow_instances(cost_aware=True) < without / 3
 
 
+def _overdue_beside_short_requests(cost_aware: bool) -> int:
+    """Return how many of 30 long requests count as overdue."""
+
+    async def main() -> int:
+        vm = an_edge_vm(cost_aware=cost_aware)
+        routes = (
+            an_edge_route(),
+            an_edge_route(
+                route_id='r-long',
+                prefix='/exports/',
+                idempotent=False,
+                target_latency=3.0,
+            ),
+        )
+        vm.serve_alone(
+            *[an_edge_instance(f'i-{number}') for number in range(6)],
+            configuration=an_edge_configuration(routes=routes),
+        )
+
+        async def behave(request):
+            is_long = request.target.startswith('/exports/')
+            await asyncio.sleep(1 if is_long else 0.05)
+            return answer_of(request)
+
+        for number in range(6):
+            vm.instances.behaviours_by_id[f'i-{number}'] = behave
+        export = a_caller_request(target='/exports/1', path='/exports/1')
+        for _ in range(30):
+            await _ask_all(vm, 20, 0.01)
+            await vm.ask(export)
+        return vm.sender.metrics.events['overdue']
+
+    return run_virtual(main())
+
+
+def test_long_requests_of_a_service_with_short_ones_are_not_overdue() -> None:
+    # Pattern: a service answers most requests in 50 ms and a few of another
+    # route in 1 s. Each of those counted against the instance that ran it.
+    assert _overdue_beside_short_requests(cost_aware=False) == 30
+    assert _overdue_beside_short_requests(cost_aware=True) <= 8
+
+
 @pytest.mark.parametrize(
     ('cost_aware', 'is_bulk', 'is_learned'),
     [
