command: explain-route shows where a request would go now, and why

Change: RouteExplainer goes through route, account, split and choice with the product's own Selector and queue check, and spends nothing; the page /explain-route of the admin endpoint serves it, the command shows it as text or JSON. Selector.choose is split into best and the record of use.

The only counter that changes is route_explained. Not run on a demo of real processes.

--- a/src/bronzewall/adapters/report_http.py
+++ b/src/bronzewall/adapters/report_http.py
@@ -22,6 +22,7 @@
 
 
 PageBuilder = Callable[[], Page]
+QueryPageBuilder = Callable[[Mapping[str, str]], Page]
 
 
 def readiness_page(is_ready: Callable[[], bool]) -> PageBuilder:
@@ -40,10 +41,14 @@
     """Serves pages by path.
 
     :param listen: ``host:port``.
+    :param query_pages_by_path: pages that depend on the query.
     """
 
     listen: str
     pages_by_path: Mapping[str, PageBuilder]
+    query_pages_by_path: Mapping[str, QueryPageBuilder] = attrs.field(
+        factory=dict
+    )
     _runner: web.ServerRunner | None = None
 
     async def start(self) -> None:
@@ -59,9 +64,13 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
         build = self.pages_by_path.get(request.path)
-        if build is None:
+        build_of_query = self.query_pages_by_path.get(request.path)
+        if build is not None:
+            page = build()
+        elif build_of_query is not None:
+            page = build_of_query(request.query)
+        else:
             return web.Response(status=_STATUS_MISSING, text='no such page\n')
-        page = build()
         return web.Response(
             status=page.status,
             body=page.body,
--- a/src/bronzewall/command.py
+++ b/src/bronzewall/command.py
@@ -9,10 +9,10 @@
 
 from cleo.application import Application
 from cleo.commands.command import Command
-from cleo.exceptions import CleoError
+from cleo.exceptions import CleoError, CleoValueError
 from cleo.helpers import argument, option
 
-from bronzewall import fleet_report
+from bronzewall import fleet_report, route_report
 from bronzewall.command_support import (
     EXIT_FAILED,
     EXIT_OK,
@@ -22,10 +22,15 @@
     collect_reports,
     parse_flags,
     platform_url,
+    with_session,
 )
 from bronzewall.composition import serve
 from bronzewall.config_files import load_directory
-from bronzewall.errors import BronzewallError, ConfigurationFilesError
+from bronzewall.errors import (
+    BronzewallError,
+    ConfigurationFilesError,
+    QuestionError,
+)
 from bronzewall.key_table import key_digest
 from bronzewall.log_explain import steps_of
 from bronzewall.logs import configure_logs
@@ -186,6 +191,50 @@
         return EXIT_OK if steps else EXIT_FAILED
 
 
+class ExplainRouteCommand(Command):
+    """Show where a VM of the edge would send a request now, and why."""
+
+    name = 'explain-route'
+    description = 'Show where a request would go now, without sending it.'
+    help = (
+        'Asks one VM by its admin address. Exit 1 if the VM does not answer '
+        f'or would refuse the request.\n{_EXIT_HELP}'
+    )
+    arguments = [
+        argument('admin', 'host:port of the admin endpoint of a VM.'),
+        argument('host', 'Host that the request names.'),
+        argument('target', 'Path and query of the request.'),
+    ]
+    options = [
+        JSON_OPTION,
+        option('method', None, 'Method.', flag=False, default='GET'),
+        option('account', None, 'Id of the account.', flag=False),
+        option('size', None, 'Bytes of the body.', flag=False, default='0'),
+    ]
+
+    def handle(self) -> int:
+        """Print what the VM answers."""
+        query = {name: self.argument(name) for name in ('host', 'target')} | {
+            name: self.option(name)
+            for name in ('method', 'account', 'size')
+            if self.option(name)
+        }
+        try:
+            found = with_session(
+                lambda session: route_report.fetch(
+                    session, address=self.argument('admin'), query=query
+                )
+            )
+        except QuestionError as exc:
+            raise CleoValueError(str(exc)) from exc
+        if self.option('json'):
+            self.line(json.dumps(found))
+        else:
+            for line in route_report.lines(found):
+                self.line(line)
+        return EXIT_FAILED if route_report.is_refused(found) else EXIT_OK
+
+
 class DebugCommand(Command):
     """Show settings and internal state of VMs."""
 
@@ -218,6 +267,7 @@
         DigestCommand,
         StatusCommand,
         ExplainCommand,
+        ExplainRouteCommand,
         DebugCommand,
     ):
         application.add(command_class())
--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -31,6 +31,7 @@
 from bronzewall.edge.remaining_work import RemainingWork
 from bronzewall.edge.request_path import EdgeRequestHandler
 from bronzewall.edge.retry_budget import RetryBudget
+from bronzewall.edge.route_explanation import RouteExplainer
 from bronzewall.edge.selection import Selector
 from bronzewall.edge.sending import Sender
 from bronzewall.edge.settings import EdgeSettings
@@ -80,6 +81,7 @@
     instance_paths: InstancePaths
     sender: Sender
     path: EdgeRequestHandler
+    explainer: RouteExplainer
 
 
 def build_components(
@@ -296,4 +298,11 @@
         instance_paths=instance_paths,
         sender=sender,
         path=path,
+        explainer=RouteExplainer(
+            clock=clock,
+            gate=gate,
+            chooser=sender.chooser,
+            outcomes=sender.outcomes,
+            metrics=ports.metrics,
+        ),
     )
--- a/src/bronzewall/edge/composition.py
+++ b/src/bronzewall/edge/composition.py
@@ -19,7 +19,7 @@
 from bronzewall.build import build_id
 from bronzewall.collector import configure_collector
 from bronzewall.edge.components import EdgePorts, build_components
-from bronzewall.edge.daemon import EdgeDaemon, status_page
+from bronzewall.edge.daemon import EdgeDaemon, route_page, status_page
 from bronzewall.edge.model import CallerLimits, VmEntry
 from bronzewall.edge.ports import FleetStore, HeaderNames
 from bronzewall.edge.settings import EdgeSettings
@@ -146,6 +146,7 @@
         entry=entry,
         pages=pages,
         ready_pages=ready_pages,
+        query_pages={'/explain-route': route_page(components.explainer)},
     )
     ready_pages[platform.ready_path] = readiness_page(daemon.is_ready)
     pages['/metrics'] = lambda: Page(body=metrics.exposition())
--- a/src/bronzewall/edge/daemon.py
+++ b/src/bronzewall/edge/daemon.py
@@ -11,7 +11,12 @@
 
 from bronzewall.adapters.entry_http import EntryServer
 from bronzewall.adapters.instance_http import InstanceClient
-from bronzewall.adapters.report_http import Page, PageBuilder, ReportServer
+from bronzewall.adapters.report_http import (
+    Page,
+    PageBuilder,
+    QueryPageBuilder,
+    ReportServer,
+)
 from bronzewall.adapters.websocket_link import WebSocketLink
 from bronzewall.build import build_id
 from bronzewall.edge.fleet_view import FleetView
@@ -20,6 +25,10 @@
 from bronzewall.edge.member import Member
 from bronzewall.edge.refresh import Refresher
 from bronzewall.edge.request_path import EdgeRequestHandler
+from bronzewall.edge.route_explanation import (
+    RouteExplainer,
+    explanation_page,
+)
 from bronzewall.edge.settings import EdgeSettings
 from bronzewall.edge.store_reader import StoreReader
 from bronzewall.edge.token_transfers import TokenTransfers
@@ -61,6 +70,7 @@
 
     :param reload: reads the settings again.
     :param pages: pages for operators and metrics, by path.
+    :param query_pages: those that depend on the query.
     :param ready_pages: pages for the load balancer's health check, by path.
     """
 
@@ -82,6 +92,7 @@
     entry: EntryServer
     pages: Mapping[str, PageBuilder]
     ready_pages: Mapping[str, PageBuilder]
+    query_pages: Mapping[str, QueryPageBuilder]
     is_stopping: bool = False
     _tasks: list['asyncio.Task[None]'] = attrs.field(factory=list)
     _members_revision: int = -1
@@ -103,7 +114,9 @@
                 pages_by_path=self.ready_pages,
             ),
             ReportServer(
-                listen=self.settings.admin_listen, pages_by_path=self.pages
+                listen=self.settings.admin_listen,
+                pages_by_path=self.pages,
+                query_pages_by_path=self.query_pages,
             ),
         ]
         await self.link.start()
@@ -295,6 +308,20 @@
     return build
 
 
+def route_page(explainer: RouteExplainer) -> QueryPageBuilder:
+    """Return the page that explains where a request would go."""
+
+    def build(query: Mapping[str, str]) -> Page:
+        status, found = explanation_page(explainer, query)
+        return Page(
+            body=json.dumps(found).encode(),
+            status=status,
+            content_type='application/json',
+        )
+
+    return build
+
+
 async def _log_failure(loop: Awaitable[None]) -> None:
     """Run a background loop and log the exception that ends it."""
     try:
--- a/src/bronzewall/edge/instance_choice.py
+++ b/src/bronzewall/edge/instance_choice.py
@@ -62,6 +62,19 @@
             waits.append(wait)
         raise self._refusal(exchange, waits)
 
+    def queue_refusal(
+        self,
+        exchange: EdgeExchange,
+        profile: RequestProfile,
+        candidate: Candidate,
+    ) -> RefusalError | None:
+        """Return the refusal of a request whose queue is too long, if any."""
+        try:
+            self._check_queue(exchange, profile, candidate, self.clock.now())
+        except RefusalError as refusal:
+            return refusal
+        return None
+
     def _limit(self, candidate: Candidate) -> float | None:
         return self.permits.limits.limit(candidate.instance.instance_id)
 
--- a/src/bronzewall/edge/rate_limits.py
+++ b/src/bronzewall/edge/rate_limits.py
@@ -305,6 +305,10 @@
             own_rate = self._own_rates_by_id.setdefault(account_id, OwnRate())
             own_rate.count(now=now)
 
+    def tokens(self, account: EdgeAccount, *, now: float) -> float:
+        """Return how many requests of an account could be admitted now."""
+        return self._bucket(account, now)[0].level
+
     def refund(self, account: EdgeAccount) -> None:
         """Refund the token of a request that no instance ran."""
         if not account.rate:
--- a/src/bronzewall/edge/selection.py
+++ b/src/bronzewall/edge/selection.py
@@ -72,6 +72,35 @@
     queue_time: float
 
 
+@attrs.frozen(kw_only=True)
+class ExplainedCandidate:
+    """A usable instance with the terms of its loss.
+
+    :param limit: requests a second that it states, ``None`` for no limit.
+    :param pause: seconds for which it wants no requests.
+    :param loss: sum of the five terms.
+    :param failing: expected loss by failures.
+    :param distance: loss by traffic to another zone or region.
+    :param load: loss by an instance that is nearly full.
+    :param queue: loss by its queue and by its slowness.
+    :param cold: loss by its start.
+    """
+
+    instance: InstanceId
+    zone: str
+    in_flight: int
+    slots: int
+    limit: float | None
+    pause: float
+    queue_time: float
+    loss: float
+    failing: float
+    distance: float
+    load: float
+    queue: float
+    cold: float
+
+
 @attrs.define(kw_only=True, eq=False)
 class Selector:
     """Chooses among the usable instances of a service.
@@ -102,11 +131,24 @@
 
         :param excluded: instances that the request was already sent to.
         """
+        best = self.best(profile, excluded=excluded, now=now)
+        if best is not None:
+            self._last_used_at[best.instance.instance_id] = now
+        return best
+
+    def best(
+        self,
+        profile: RequestProfile,
+        *,
+        excluded: Collection[InstanceId],
+        now: float,
+    ) -> Candidate | None:
+        """Return the best instance without counting it as used."""
         candidates = self._candidates(profile, excluded=excluded, now=now)
         if not candidates:
             return None
         min_loss = min(candidate.loss for candidate in candidates)
-        best = min(
+        return min(
             (
                 item
                 for item in candidates
@@ -114,8 +156,30 @@
             ),
             key=self._last_use,
         )
-        self._last_used_at[best.instance.instance_id] = now
-        return best
+
+    def explain(
+        self, profile: RequestProfile, *, now: float
+    ) -> list[ExplainedCandidate]:
+        """Return the usable instances with the terms of their losses."""
+        work = self.work if self.uses_costs() else None
+        found = []
+        for item in self.catalog.usable(profile.service):
+            terms: dict[str, float] = {}
+            candidate = self._candidate(item, profile, work, now, terms)
+            found.append(
+                ExplainedCandidate(
+                    instance=item.instance_id,
+                    zone=item.placement.zone,
+                    in_flight=self.state.in_flight(item.instance_id),
+                    slots=item.slots,
+                    limit=self.limits.limit(item.instance_id),
+                    pause=self.pauses.time_left(item.instance_id, now=now),
+                    queue_time=candidate.queue_time,
+                    loss=candidate.loss,
+                    **terms,
+                )
+            )
+        return sorted(found, key=lambda one: one.loss)
 
     def tolerable_wait(
         self,
@@ -195,7 +259,12 @@
         profile: RequestProfile,
         work: RemainingWork | None,
         now: float,
+        terms: dict[str, float] | None = None,
     ) -> Candidate:
+        """Return an instance with its loss.
+
+        :param terms: filled with the terms of the loss.
+        """
         failure_probability = self.state.failure_probability(
             item.instance_id, now=now
         )
@@ -217,17 +286,30 @@
                 factor=factor,
             )
         queue_time += self.limits.wait(item.instance_id, now=now)
-        loss = (
-            failure_rate(failure_probability) * weight
-            + _LOCALITY_LOSS[locality_of(self.own_placement, item.placement)]
-            + _IN_FLIGHT_WEIGHT * min(1, in_flight / item.slots)
-            + _QUEUE_TIME_WEIGHT
+        failing = failure_rate(failure_probability) * weight
+        distance = _LOCALITY_LOSS[
+            locality_of(self.own_placement, item.placement)
+        ]
+        load = _IN_FLIGHT_WEIGHT * min(1, in_flight / item.slots)
+        queue = (
+            _QUEUE_TIME_WEIGHT
             * (queue_time + slow_time)
             / _target_latency(profile)
         )
-        if item.warmup:
-            loss += _WARMUP_LOSS
-        return Candidate(instance=item, loss=loss, queue_time=queue_time)
+        cold = _WARMUP_LOSS if item.warmup else 0
+        if terms is not None:
+            terms.update(
+                failing=failing,
+                distance=distance,
+                load=load,
+                queue=queue,
+                cold=cold,
+            )
+        return Candidate(
+            instance=item,
+            loss=failing + distance + load + queue + cold,
+            queue_time=queue_time,
+        )
 
 
 def _target_latency(profile: RequestProfile) -> float:
--- a/src/bronzewall/errors.py
+++ b/src/bronzewall/errors.py
@@ -45,6 +45,10 @@
     """The admin endpoint of a VM did not answer."""
 
 
+class QuestionError(BronzewallError):
+    """A VM was asked about a request that is described wrongly."""
+
+
 class AddressError(BronzewallError):
     """A text is not the address of a host and port."""
 
