--- a/src/bronzewall/edge/attempt_outcomes.py
+++ b/src/bronzewall/edge/attempt_outcomes.py
@@ -1,6 +1,7 @@
 """Records how attempts at instances ended."""
 
 import functools
+from collections.abc import Callable
 
 import attrs
 import structlog
@@ -11,6 +12,8 @@
 from bronzewall.edge.instance_paths import InstancePaths
 from bronzewall.edge.limit_sharing import LimitSharing
 from bronzewall.edge.ports import InstanceAnswer
+from bronzewall.edge.remaining_work import RemainingWork
+from bronzewall.edge.request_costs import CostClass
 from bronzewall.edge.response_times import ResponseTimes
 from bronzewall.edge.scheduling.scheduler import Scheduler
 from bronzewall.edge.scheduling.service_outcomes import Outcome
@@ -28,6 +31,7 @@
 from bronzewall.ports import Clock
 from bronzewall.types import InstanceId
 
+_STATUS_CALLER_ERROR = 400
 STATUS_SERVER_ERROR = 500
 _STATUS_TIMEOUT = 504
 # A 504 that arrives within this time of the deadline is attributed to the
@@ -50,7 +54,12 @@
 
 @attrs.define(kw_only=True, eq=False)
 class AttemptOutcomes:
-    """Records the outcomes of attempts where later decisions use them."""
+    """Records the outcomes of attempts where later decisions use them.
+
+    :param work: work that instances still have, and learned costs.
+    :param uses_costs: returns whether requests cost what was learned of their
+        class, rather than the mean of their service.
+    """
 
     clock: Clock
     catalog: Catalog
@@ -60,15 +69,36 @@
     paths: InstancePaths
     limits: LimitSharing
     scheduler: Scheduler
+    work: RemainingWork
+    uses_costs: Callable[[], bool]
     response_times: ResponseTimes = attrs.field(factory=ResponseTimes)
 
+    def expected_time(self, exchange: EdgeExchange) -> float:
+        """Return the seconds that an instance is expected to work."""
+        if self.uses_costs():
+            return self.work.costs.mean(_cost_class(exchange))
+        return self.response_times.mean(exchange.service)
+
+    def queue_factor(self, exchange: EdgeExchange) -> float:
+        """Return by how much queues were longer than expected.
+
+        Under load the counts of other VMs' requests lag behind, so that
+        learned costs alone admit requests that answer too late. The mean
+        response time, which includes the queue, shows it.
+        """
+        if not self.uses_costs():
+            return 1
+        work = self.work.costs.service_mean(exchange.service)
+        return max(1, self.response_times.mean(exchange.service) / work)
+
     def overdue_after(self, exchange: EdgeExchange) -> float:
         """Return the seconds after which an answer is overdue.
 
         The delay leaves a second attempt time to answer within the target
-        latency.
+        latency. It goes by what requests of the same class cost, so that each
+        long one of a service with short ones is not overdue.
         """
-        mean = self.response_times.mean(exchange.service)
+        mean = self.expected_time(exchange) * self.queue_factor(exchange)
         delay = mean * _OVERDUE_FACTOR
         if exchange.route.target_latency is not None:
             delay = min(
@@ -181,6 +211,7 @@
                 exchange.service, is_late=is_late
             )
             self.response_times.record(exchange.service, now - sent_at)
+            self._record_cost(exchange, candidate, answer, sent_at)
             self.state.crashes.clear(exchange.fingerprint)
         locality = locality_of(
             self.selector.own_placement, candidate.instance.placement
@@ -195,6 +226,9 @@
             instance=instance_id,
             status=answer.status,
             seconds=round(now - sent_at, 3),
+            service=exchange.service,
+            route=exchange.route.route_id,
+            queue_time=round(self._queue_time(candidate), 3),
             failing=round(
                 self.state.failure_probability(instance_id, now=now), 3
             ),
@@ -211,6 +245,41 @@
         if not self.scheduler.is_shedding(exchange.service):
             self._observe(instance_id, Observation.OVERDUE)
 
+    def _queue_time(self, candidate: Candidate) -> float:
+        """Return the expected seconds in an instance's own queue.
+
+        Requests wait for a permit before they are sent, and an instance that
+        states a limit has no queue.
+        """
+        limit = self.limits.limits.limit(candidate.instance.instance_id)
+        return candidate.queue_time if limit is None else 0
+
+    def _record_cost(
+        self,
+        exchange: EdgeExchange,
+        candidate: Candidate,
+        answer: InstanceAnswer,
+        sent_at: float,
+    ) -> None:
+        """Learn from a good answer what requests of its class cost.
+
+        Answers of instances that have just started are left out.
+        """
+        if (
+            not self.uses_costs()
+            or answer.status >= _STATUS_CALLER_ERROR
+            or candidate.instance.warmup
+        ):
+            return
+        now = self.clock.now()
+        self.work.record(
+            candidate.instance.instance_id,
+            _cost_class(exchange),
+            now - sent_at,
+            queue_time=self._queue_time(candidate),
+            now=now,
+        )
+
     def _record_failure(
         self,
         exchange: EdgeExchange,
@@ -262,3 +331,7 @@
         self.metrics.events['answers_with_pause'] += 1
         _LOG.info('instance_pauses', instance=instance_id, seconds=pause)
         self.selector.pauses.record(instance_id, pause, now=self.clock.now())
+
+
+def _cost_class(exchange: EdgeExchange) -> CostClass:
+    return CostClass(service=exchange.service, route=exchange.route.route_id)
--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -29,8 +29,10 @@
 from bronzewall.edge.relay_messages import RelayRequest
 from bronzewall.edge.relay_peers import RelayPeers
 from bronzewall.edge.relay_tickets import RelayTickets
+from bronzewall.edge.remaining_work import RemainingWork
 from bronzewall.edge.request_path import EdgeRequestHandler
 from bronzewall.edge.retry_budget import RetryBudget
+from bronzewall.edge.route_explanation import RouteExplainer
 from bronzewall.edge.scheduling.scheduler import Scheduler
 from bronzewall.edge.scheduling.use_floor import UseFloor
 from bronzewall.edge.selection import Selector
@@ -83,6 +85,7 @@
     instance_paths: InstancePaths
     sender: Sender
     path: EdgeRequestHandler
+    explainer: RouteExplainer
 
 
 def build_components(
@@ -113,11 +116,20 @@
     )
     catalog.on_listed = cold_starts.record_list
     limits = InstanceLimits(cold_starts=cold_starts)
+    work = RemainingWork()
+
+    def uses_costs() -> bool:
+        if settings.cost_aware is None:
+            return directory.has_bulk_routes
+        return settings.cost_aware
+
     selector = Selector(
         own_id=own.vm_id,
         own_placement=own.placement,
         catalog=catalog,
         state=state,
+        work=work,
+        uses_costs=uses_costs,
         limits=limits,
     )
 
@@ -232,7 +244,9 @@
         state=state,
         budget=budget,
         metrics=ports.metrics,
-        is_enabled=lambda: settings.scheduling.is_on(directory.configuration),
+        is_enabled=lambda: settings.scheduling.is_on(
+            has_bulk_routes=directory.has_bulk_routes
+        ),
     )
     scheduler.connect()
     use_floor = UseFloor(
@@ -282,6 +296,8 @@
             paths=instance_paths,
             limits=limit_sharing,
             scheduler=scheduler,
+            work=work,
+            uses_costs=uses_costs,
         ),
         scheduler=scheduler,
     )
@@ -314,4 +330,11 @@
         instance_paths=instance_paths,
         sender=sender,
         path=path,
+        explainer=RouteExplainer(
+            clock=clock,
+            gate=gate,
+            chooser=sender.chooser,
+            outcomes=sender.outcomes,
+            metrics=ports.metrics,
+        ),
     )
--- a/src/bronzewall/edge/instance_choice.py
+++ b/src/bronzewall/edge/instance_choice.py
@@ -86,6 +86,19 @@
             profile, excluded=excluded, now=self.clock.now()
         )
 
+    def queue_refusal(
+        self,
+        exchange: EdgeExchange,
+        profile: RequestProfile,
+        candidate: Candidate,
+    ) -> RefusalError | None:
+        """Return the refusal of a request whose queue is too long, if any."""
+        try:
+            self._check_queue(exchange, profile, candidate, self.clock.now())
+        except RefusalError as refusal:
+            return refusal
+        return None
+
     def _limit(self, candidate: Candidate) -> float | None:
         return self.permits.limits.limit(candidate.instance.instance_id)
 
@@ -106,18 +119,19 @@
         remaining = exchange.deadline - now
         fraction = self._queue_fraction(exchange, now)
         spare_time = remaining - least_time(profile)
-        if spare_time <= 0 or candidate.queue_time > fraction * spare_time:
+        queue_time = candidate.queue_time * profile.queue_factor
+        if spare_time <= 0 or queue_time > fraction * spare_time:
             raise exchange.refusal(
                 Reason.UPSTREAM_TIMEOUT
                 if remaining <= 0
                 else Reason.OVERLOADED,
                 detail=(
                     f'{remaining:.2f} s left before the deadline,'
-                    f' {candidate.queue_time:.2f} s expected in the queue,'
+                    f' {queue_time:.2f} s expected in the queue,'
                     f' rank {exchange.rank} may queue for a fraction of'
                     f' {fraction:g} of the time left'
                 ),
-                retry_after=max(RETRY_AFTER_S, candidate.queue_time),
+                retry_after=max(RETRY_AFTER_S, queue_time),
             )
         max_wait = fraction * spare_time
         if profile.target_latency is not None:
--- a/src/bronzewall/edge/model.py
+++ b/src/bronzewall/edge/model.py
@@ -37,7 +37,7 @@
     :param max_instances: number of instances that may run one request.
     :param priority: rank among requests; 0 is the most urgent.
     :param open_to_all: whether requests are served without a key.
-    :param is_bulk: whether its requests or answers are large.
+    :param is_bulk: its requests or answers are large.
     :param home_regions: the only regions in which requests may be served,
         ``None`` for no bound.
     :param traffic_split: empty if the route's entry is malformed; its
@@ -124,11 +124,6 @@
     has_unreadable_routes: bool = False
     has_unreadable_accounts: bool = False
 
-    @property
-    def has_bulk_routes(self) -> bool:
-        """Whether large requests or answers share instances with others."""
-        return any(route.is_bulk for route in self.routes)
-
 
 @attrs.frozen(kw_only=True)
 class EdgeInstance:
--- a/src/bronzewall/edge/selection.py
+++ b/src/bronzewall/edge/selection.py
@@ -18,6 +18,7 @@
 from bronzewall.edge.instance_limits import InstanceLimits
 from bronzewall.edge.instance_pauses import InstancePauses
 from bronzewall.edge.model import EdgeInstance
+from bronzewall.edge.remaining_work import RemainingWork
 from bronzewall.edge.zone_state import ZoneState
 from bronzewall.locality import Locality, locality_of
 from bronzewall.types import InstanceId, Placement, ServiceName, VmId
@@ -57,6 +58,8 @@
         value.
     :param home_regions: the only regions whose instances may get it,
         ``None`` for no bound.
+    :param queue_factor: factor by which queues have lately been longer than
+        expected. It counts for whether a request can be answered in time.
     """
 
     service: ServiceName
@@ -64,6 +67,7 @@
     expected_time: float
     target_latency: float | None
     home_regions: HomeRegions | None = None
+    queue_factor: float = 1
 
 
 @attrs.frozen(kw_only=True)
@@ -96,6 +100,35 @@
     """Never send a request to a suspected instance for its own sake."""
 
 
+@attrs.frozen(kw_only=True)
+class ExplainedCandidate:
+    """A usable instance with the terms of its loss.
+
+    :param limit: requests a second that it states, ``None`` for no limit.
+    :param pause: seconds for which it wants no requests.
+    :param loss: sum of the five terms.
+    :param failing: expected loss by failures.
+    :param distance: loss by traffic to another zone or region.
+    :param load: loss by an instance that is nearly full.
+    :param queue: loss by its queue and by its slowness.
+    :param cold: loss by its start.
+    """
+
+    instance: InstanceId
+    zone: str
+    in_flight: int
+    slots: int
+    limit: float | None
+    pause: float
+    queue_time: float
+    loss: float
+    failing: float
+    distance: float
+    load: float
+    queue: float
+    cold: float
+
+
 @attrs.define(kw_only=True, eq=False)
 class Selector:
     """Chooses among the usable instances of a service.
@@ -103,12 +136,17 @@
     :param tolerance: difference of loss that counts as equal, by service.
     :param due_probe: returns a suspected instance to which a request of a
         profile is due, if any.
+    :param work: work that instances still have, if it is learned.
+    :param uses_costs: returns whether the learned work counts; otherwise each
+        request in flight counts as one of usual cost.
     """
 
     own_id: VmId
     own_placement: Placement
     catalog: Catalog
     state: ZoneState
+    work: RemainingWork | None = None
+    uses_costs: Callable[[], bool] = lambda: True
     limits: InstanceLimits = attrs.field(factory=InstanceLimits)
     pauses: InstancePauses = attrs.field(factory=InstancePauses)
     tolerance: Callable[[ServiceName], float] = _usual_tolerance
@@ -128,8 +166,19 @@
 
         :param excluded: instances that the request was already sent to.
         """
+        best = self.best(profile, excluded=excluded, now=now)
+        return None if best is None else self._use(best, now)
+
+    def best(
+        self,
+        profile: RequestProfile,
+        *,
+        excluded: Collection[InstanceId],
+        now: float,
+    ) -> Candidate | None:
+        """Return the best instance without counting it as used."""
         candidates = self._candidates(profile, excluded=excluded, now=now)
-        return self._best(candidates, profile, now=now)
+        return self._best(candidates, profile)
 
     def choose_with_room(
         self,
@@ -155,9 +204,10 @@
             return self._use(probed, now)
         least = min((item.loss for item in candidates), default=0)
         max_loss = least + extra_loss + self.tolerance(profile.service)
-        return self._best(
-            [item for item in free if item.loss <= max_loss], profile, now=now
+        best = self._best(
+            [item for item in free if item.loss <= max_loss], profile
         )
+        return None if best is None else self._use(best, now)
 
     def has_any(
         self,
@@ -170,6 +220,30 @@
         permitted = self._permitted(profile, excluded=excluded, now=now)
         return next(permitted, None) is not None
 
+    def explain(
+        self, profile: RequestProfile, *, now: float
+    ) -> list[ExplainedCandidate]:
+        """Return the usable instances with the terms of their losses."""
+        work = self.work if self.uses_costs() else None
+        found = []
+        for item in self.catalog.usable(profile.service):
+            terms: dict[str, float] = {}
+            candidate = self._candidate(item, profile, work, now, terms)
+            found.append(
+                ExplainedCandidate(
+                    instance=item.instance_id,
+                    zone=item.placement.zone,
+                    in_flight=self.state.in_flight(item.instance_id),
+                    slots=item.slots,
+                    limit=self.limits.limit(item.instance_id),
+                    pause=self.pauses.time_left(item.instance_id, now=now),
+                    queue_time=candidate.queue_time,
+                    loss=candidate.loss,
+                    **terms,
+                )
+            )
+        return sorted(found, key=lambda one: one.loss)
+
     def tolerable_wait(
         self,
         profile: RequestProfile,
@@ -215,6 +289,8 @@
         for item in removed:
             self._last_used_at.pop(item.instance_id, None)
             self.state.forget(item.instance_id)
+            if self.work is not None:
+                self.work.speeds.forget(item.instance_id)
 
     def _candidates(
         self,
@@ -223,8 +299,9 @@
         excluded: Collection[InstanceId],
         now: float,
     ) -> list[Candidate]:
+        work = self.work if self.uses_costs() else None
         return [
-            self._candidate(item, profile, now)
+            self._candidate(item, profile, work, now)
             for item in self._permitted(profile, excluded=excluded, now=now)
         ]
 
@@ -245,22 +322,17 @@
                 yield item
 
     def _best(
-        self,
-        candidates: Collection[Candidate],
-        profile: RequestProfile,
-        *,
-        now: float,
+        self, candidates: Collection[Candidate], profile: RequestProfile
     ) -> Candidate | None:
-        """Return a candidate of least loss and note its use."""
+        """Return a candidate of least loss, the one that was used longest ago."""
         if not candidates:
             return None
         max_loss = min(item.loss for item in candidates)
         max_loss += self.tolerance(profile.service)
-        best = min(
+        return min(
             (item for item in candidates if item.loss <= max_loss),
             key=self._last_use,
         )
-        return self._use(best, now)
 
     def _use(self, candidate: Candidate, now: float) -> Candidate:
         """Note the use of a candidate and return it."""
@@ -277,8 +349,17 @@
         return self._last_used_at[instance_id]
 
     def _candidate(
-        self, item: EdgeInstance, profile: RequestProfile, now: float
+        self,
+        item: EdgeInstance,
+        profile: RequestProfile,
+        work: RemainingWork | None,
+        now: float,
+        terms: dict[str, float] | None = None,
     ) -> Candidate:
+        """Return an instance with its loss.
+
+        :param terms: filled with the terms of the loss.
+        """
         failure_probability = self.state.failure_probability(
             item.instance_id, now=now
         )
@@ -286,21 +367,41 @@
         in_flight = self.state.in_flight(item.instance_id)
         if item.instance_id in self.state.busy_elsewhere:
             in_flight = max(in_flight, item.slots)
-        queued = max(0, in_flight + 1 - item.slots)
-        queue_time = queued / item.slots * profile.expected_time
+        slow_time: float = 0
+        if work is None:
+            queued = max(0, in_flight + 1 - item.slots)
+            queue_time = queued / item.slots * profile.expected_time
+        else:
+            factor = work.speeds.factor(item.instance_id, now=now)
+            slow_time = (factor - 1) * profile.expected_time
+            queue_time = work.wait(
+                in_flight=in_flight,
+                slots=item.slots,
+                service=item.service,
+                factor=factor,
+            )
         queue_time += self.limits.wait(item.instance_id, now=now)
+        failing = failure_rate(failure_probability) * weight
         locality = locality_of(self.own_placement, item.placement)
-        loss = (
-            failure_rate(failure_probability) * weight
-            + _LOCALITY_LOSS[locality]
-            + _IN_FLIGHT_WEIGHT * min(1, in_flight / item.slots)
-            + QUEUE_TIME_WEIGHT * queue_time / target_latency(profile)
+        distance = _LOCALITY_LOSS[locality]
+        load = _IN_FLIGHT_WEIGHT * min(1, in_flight / item.slots)
+        queue = (
+            QUEUE_TIME_WEIGHT
+            * (queue_time + slow_time)
+            / target_latency(profile)
         )
-        if item.warmup:
-            loss += _WARMUP_LOSS
+        cold = _WARMUP_LOSS if item.warmup else 0
+        if terms is not None:
+            terms.update(
+                failing=failing,
+                distance=distance,
+                load=load,
+                queue=queue,
+                cold=cold,
+            )
         return Candidate(
             instance=item,
-            loss=loss,
+            loss=failing + distance + load + queue + cold,
             queue_time=queue_time,
             failure_probability=failure_probability,
             in_flight=in_flight,
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -152,9 +152,10 @@
         return RequestProfile(
             service=exchange.service,
             is_retryable=self._may_run_again(exchange, sent=1),
-            expected_time=self.outcomes.response_times.mean(exchange.service),
+            expected_time=self.outcomes.expected_time(exchange),
             target_latency=exchange.route.target_latency,
             home_regions=exchange.home_regions,
+            queue_factor=self.outcomes.queue_factor(exchange),
         )
 
     async def _send_with_hedge(
--- a/src/bronzewall/edge/settings.py
+++ b/src/bronzewall/edge/settings.py
@@ -6,7 +6,6 @@
 
 import attrs
 
-from bronzewall.edge.model import EdgeConfiguration
 from bronzewall.errors import SettingsError
 from bronzewall.logs import LEVELS_BY_NAME
 from bronzewall.settings_checks import (
@@ -17,6 +16,7 @@
 )
 
 _COMMENT = '#'
+_AUTO = 'auto'
 _DISCOVERY_INTERVAL_S = 1.5
 _FLAGS_BY_TEXT: Mapping[bool | str, bool] = {
     'true': True,
@@ -39,6 +39,12 @@
     raise ValueError(f'{given!r} is neither true nor false')
 
 
+def _flag_or_auto(given: bool | str | None) -> bool | None:
+    if given is None or given == _AUTO:
+        return None
+    return _flag(given)
+
+
 def _text() -> Any:
     return attrs.field(validator=not_empty)
 
@@ -59,13 +65,14 @@
     ON = 'on'
     OFF = 'off'
 
-    def is_on(self, configuration: EdgeConfiguration | None) -> bool:
+    def is_on(self, *, has_bulk_routes: bool) -> bool:
         """Return whether a VM schedules.
 
-        :param configuration: the one in force, if any.
+        :param has_bulk_routes: whether the configuration in force has routes
+            of large requests or answers.
         """
         if self is Scheduling.AUTO:
-            return configuration is not None and configuration.has_bulk_routes
+            return has_bulk_routes
         return self is Scheduling.ON
 
 
@@ -100,6 +107,9 @@
     :param answer_bytes: largest body of an instance's answer.
     :param total_answer_bytes: bytes of all answers that are being received.
     :param total_body_bytes: bytes of all request bodies that are held.
+    :param cost_aware: whether the choice of an instance goes by what requests
+        are likely to cost and by the speed of instances; ``None`` (``auto``)
+        while the configuration has routes for uploads or downloads.
     :param log_level: name of the lowest level that is logged.
     """
 
@@ -141,6 +151,7 @@
     total_body_bytes: int = attrs.field(
         default=_TOTAL_BODY_BYTES, converter=int, validator=positive
     )
+    cost_aware: bool | None = attrs.field(default=None, converter=_flag_or_auto)
     log_level: str = attrs.field(
         default='info', validator=attrs.validators.in_(LEVELS_BY_NAME)
     )
