edge: headerTimeout, idleTimeout and maxConnections are in force

Cause: the adapter read only the two limits on bytes. A header block on a kept connection was never timed, idle connections were closed after a fixed 75 s whatever the operator allowed, and connections to an instance were not bounded at all.

Ruled out: aiohttp's keep-alive timer, which takes its time when a connection opens and closes in the middle of a header block; the permits of instance_limits.py, which are rates and cost a message for each request; limit_per_host of aiohttp's connector, which makes a request wait after its instance was chosen.

Change: CallerLimits has both times and EdgeService the connections. A late header block gets 408 header_timeout and the connection is closed; an idle connection is closed without an answer. An instance at which this VM's part of maxConnections is in use is no candidate; if no other is left, a request waits for at most 0.25 s in the order of arrival.

--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -4,6 +4,7 @@
 import math
 import socket
 import struct
+from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -18,6 +19,7 @@
     BufferedAnswer,
     start_buffered_answer,
 )
+from bronzewall.adapters.caller_timeouts import CallerTimeouts
 from bronzewall.adapters.entry_protocol import (
     BadInputReporter,
     ProblemRequestHandler,
@@ -137,6 +139,8 @@
     :param max_line_bytes: largest line of a header block.
     :param is_parallel: handle pipelined requests without a body
         concurrently and buffer their answers until they may be sent.
+    :param timeouts: time limits of connections.
+    :param events: counts connections that were closed.
     :param options: further options of aiohttp's server.
     """
 
@@ -147,6 +151,8 @@
     max_total_body_bytes: float = math.inf
     max_line_bytes: int = _MAX_LINE_BYTES
     is_parallel: bool = False
+    timeouts: CallerTimeouts = CallerTimeouts()
+    events: Counter[str] = attrs.field(factory=Counter)
     options: Mapping[str, Any] = attrs.field(factory=dict)
     _bodies: BodyBudget = attrs.field(
         default=attrs.Factory(
@@ -165,6 +171,8 @@
             start_buffered_answer=self._start_buffered_answer
             if self.is_parallel
             else None,
+            find_timeouts=lambda: self.timeouts,
+            events=self.events,
             handler_cancellation=True,
             max_line_size=self.max_line_bytes,
             max_field_size=self.max_line_bytes,
@@ -186,6 +194,15 @@
         """
         self._is_draining = True
 
+    def apply_timeouts(self, timeouts: CallerTimeouts) -> None:
+        """Put time limits in force, also for open connections."""
+        if timeouts == self.timeouts:
+            return
+        _LOG.info('caller_timeouts', header=timeouts.header, idle=timeouts.idle)
+        self.timeouts = timeouts
+        for connection in self.connections():
+            connection.apply_timeouts()
+
     def connections(self) -> list[ProblemRequestHandler]:
         """Return the open connections of callers."""
         if self._runner is None or self._runner.server is None:
--- a/src/bronzewall/adapters/entry_protocol.py
+++ b/src/bronzewall/adapters/entry_protocol.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -15,11 +15,9 @@
 from multidict import CIMultiDict
 
 from bronzewall.adapters.buffered_answers import BufferedAnswer
+from bronzewall.adapters.caller_timeouts import CallerTimeouts, last_answer
 from bronzewall.problems import Problem
 
-# Limit for the first header block of a connection. The load balancer in front
-# sends headers at once; a slower sender only occupies the connection.
-_HEADER_TIMEOUT_S = 10.0
 # A caller sends its first request within this time, seconds.
 _FIRST_REQUEST_S = 1.0
 
@@ -58,6 +56,7 @@
     """Request handler of one caller's connection."""
 
     __slots__ = (
+        '_find_timeouts',
         '_has_dropped_input',
         '_header_timer',
         '_lingering',
@@ -65,6 +64,7 @@
         '_opened_at',
         '_pending_requests',
         '_start_buffered_answer',
+        'events',
     )
 
     def __init__(
@@ -73,12 +73,18 @@
         *,
         on_bad_input: BadInputReporter,
         start_buffered_answer: BufferedAnswerStarter | None,
+        find_timeouts: Callable[[], CallerTimeouts],
+        events: Counter[str],
         **options: Any,
     ) -> None:
         """Store the callbacks for bad input and for pipelined requests."""
-        super().__init__(manager, **options)
+        # With a keep-alive timeout of 0, aiohttp notes the end of each answer
+        # and calls ``_process_keepalive``, which applies the present limit.
+        super().__init__(manager, keepalive_timeout=0, **options)
         self._on_bad_input = on_bad_input
         self._start_buffered_answer = start_buffered_answer
+        self._find_timeouts = find_timeouts
+        self.events = events
         self._header_timer: asyncio.TimerHandle | None = None
         self._pending_requests: deque[PendingRequest] = deque()
         self._opened_at = float(0)
@@ -86,17 +92,15 @@
         self._lingering: asyncio.Event | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Start the timer of the first header block."""
-        super().connection_made(transport)
+        """Start the timer of the idle connection."""
         self._opened_at = self._loop.time()
-        self._header_timer = self._loop.call_later(
-            _HEADER_TIMEOUT_S, self._check_header_timeout
-        )
+        self._next_keepalive_close_time = self._opened_at
+        super().connection_made(transport)
+        self.apply_timeouts()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel the timer and the tasks of answers that cannot be sent."""
-        if self._header_timer is not None:
-            self._header_timer.cancel()
+        self._stop_header_timer()
         for pending in self._pending_requests:
             if pending.answer_task is not None:
                 pending.answer_task.cancel()
@@ -115,9 +119,12 @@
         if self._close or self._force_close:
             self._log_dropped_input(len(data))
         known_count = len(self._messages)
-        # aiohttp sets ``_waiter`` while the connection waits for a request.
-        is_idle = self._waiter is not None and not known_count
+        is_idle = self._is_waiting()
         super().data_received(data)
+        # Empty lines before a request line are not a part of it (RFC 9112,
+        # 2.2); some callers end a body with one.
+        if is_idle and data.strip(b'\r\n'):
+            self._time_header()
         now = self._loop.time()
         messages = tuple(self._messages)
         for count in range(known_count + 1, len(messages) + 1):
@@ -193,14 +200,18 @@
 
         :return: whether it was closed.
         """
-        # aiohttp sets ``_waiter`` while the connection waits for a request.
-        is_waiting = self._waiter is not None and not self._messages
         is_new = self._loop.time() - self._opened_at <= _FIRST_REQUEST_S
-        if not is_waiting or is_new or self.has_unsent_answers():
+        if not self._is_waiting() or is_new or self.has_unsent_answers():
             return False
         self.close()
         return True
 
+    def apply_timeouts(self) -> None:
+        """Check at once, and from now on, the idle time allowed now."""
+        if self._keepalive_handle is not None:
+            self._keepalive_handle.cancel()
+        self._process_keepalive()
+
     def queueing_time(self, pending: PendingRequest) -> float:
         """Return the seconds for which a request was queued."""
         return self._loop.time() - pending.received_at
@@ -248,10 +259,64 @@
             self._has_dropped_input = True
             _LOG.warning('input_dropped', received=received)
 
-    def _check_header_timeout(self) -> None:
-        if self._request_count == 0:
-            self._on_bad_input('HeaderTimeout')
+    def _is_waiting(self) -> bool:
+        """Return whether no request is in progress or waits to be handled."""
+        # aiohttp sets ``_waiter`` while the connection waits for a request.
+        return self._waiter is not None and not self._messages
+
+    def _time_header(self) -> None:
+        """Time the header block whose bytes are being received, if any.
+
+        Bytes that come while a request is in progress are not timed. If the
+        caller then sends no more, the connection is closed as an idle one.
+        """
+        if not self._is_waiting():
+            self._stop_header_timer()
+        elif self._header_timer is None:
+            self._header_timer = self._loop.call_later(
+                self._find_timeouts().header, self._refuse_late_header
+            )
+
+    def _stop_header_timer(self) -> None:
+        if self._header_timer is not None:
+            self._header_timer.cancel()
+            self._header_timer = None
+
+    def _refuse_late_header(self) -> None:
+        """Answer and close: a request without its header block never runs."""
+        self._header_timer = None
+        problem = self._on_bad_input('HeaderTimeout')
+        if self.transport is not None:
+            self.transport.write(last_answer(problem))
+        self.force_close()
+
+    def _process_keepalive(self) -> None:
+        """Close the connection if it has been idle for too long.
+
+        aiohttp calls this at the end of an answer unless a call is due
+        already, so that there is one timer for a connection.
+        """
+        self._keepalive_handle = None
+        if self._force_close or not self._keepalive:
+            return
+        now = self._loop.time()
+        idle_timeout = self._find_timeouts().idle
+        idle_s = now - self._next_keepalive_close_time
+        # A caller that still takes an answer cannot send the next request yet.
+        is_idle = (
+            self._is_waiting()
+            and self._header_timer is None
+            and not self.has_unsent_answers()
+        )
+        if is_idle and idle_s >= idle_timeout:
+            self.events['idle_connections_closed'] += 1
+            _LOG.info('caller_idle', seconds=round(idle_s, 3))
             self.force_close()
+            return
+        left = idle_timeout - idle_s if is_idle else idle_timeout
+        self._keepalive_handle = self._loop.call_later(
+            left, self._process_keepalive
+        )
 
 
 def _may_run_concurrently(parsed: Any) -> bool:
@@ -274,12 +339,20 @@
         *,
         on_bad_input: BadInputReporter,
         start_buffered_answer: BufferedAnswerStarter | None = None,
+        find_timeouts: Callable[[], CallerTimeouts] = CallerTimeouts,
+        events: Counter[str] | None = None,
         **options: Any,
     ) -> None:
-        """Store the callbacks for bad input and for pipelined requests."""
+        """Store the callbacks for bad input and for pipelined requests.
+
+        :param find_timeouts: returns the time limits in force.
+        :param events: counts connections that were closed.
+        """
         super().__init__(handler, **options)
         self._on_bad_input = on_bad_input
         self._start_buffered_answer = start_buffered_answer
+        self._find_timeouts = find_timeouts
+        self.events: Counter[str] = Counter() if events is None else events
 
     def __call__(self) -> RequestHandler:
         """Return the handler of a new connection."""
@@ -288,5 +361,7 @@
             loop=self._loop,
             on_bad_input=self._on_bad_input,
             start_buffered_answer=self._start_buffered_answer,
+            find_timeouts=self._find_timeouts,
+            events=self.events,
             **self._kwargs,
         )
--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -6,6 +6,7 @@
 import attrs
 
 from bronzewall.edge.catalog import Catalog
+from bronzewall.edge.connection_shares import ConnectionShares
 from bronzewall.edge.directory import Directory
 from bronzewall.edge.fleet_view import FleetView
 from bronzewall.edge.freshness import KeyFreshness
@@ -101,12 +102,17 @@
     )
     election = LeaderElection(fleet=fleet, age=age, started_at=clock.now())
     limits = InstanceLimits()
+    connections = ConnectionShares(
+        fleet=fleet, directory=directory, catalog=catalog, state=state
+    )
+    state.on_ended = connections.record_end
     selector = Selector(
         own_id=own.vm_id,
         own_placement=own.placement,
         catalog=catalog,
         state=state,
         limits=limits,
+        has_room=connections.has_room,
     )
 
     def on_removed(removed: Iterable[EdgeInstance]) -> None:
@@ -243,6 +249,7 @@
             selector=selector,
             permits=permits,
             metrics=ports.metrics,
+            connections=connections,
         ),
         limits=limit_sharing,
     )
--- a/src/bronzewall/edge/composition.py
+++ b/src/bronzewall/edge/composition.py
@@ -9,6 +9,7 @@
 import attrs
 import structlog
 
+from bronzewall.adapters.caller_timeouts import CallerTimeouts
 from bronzewall.adapters.entry_http import EntryServer
 from bronzewall.adapters.instance_http import open_instance_client
 from bronzewall.adapters.receive_limits import ReceiveLimits
@@ -31,8 +32,6 @@
 from bronzewall.types import Placement, VmId
 
 _MS_PER_S = 1000
-# Idle connections are kept open for longer than callers reuse them, seconds.
-_KEEPALIVE_S = 75.0
 _BACKLOG = 512
 # Largest answer of the store and sum of those in progress, bytes. A page of
 # rows holds 1 MB.
@@ -123,7 +122,10 @@
         max_total_body_bytes=settings.total_body_bytes,
         max_line_bytes=limits.header_bytes * 2,
         is_parallel=True,
-        options={'keepalive_timeout': _KEEPALIVE_S},
+        timeouts=CallerTimeouts(
+            header=limits.header_timeout, idle=limits.idle_timeout
+        ),
+        events=metrics.events,
     )
     pages: dict[str, Any] = {}
     ready_pages: dict[str, Any] = {}
--- a/src/bronzewall/edge/daemon.py
+++ b/src/bronzewall/edge/daemon.py
@@ -9,6 +9,7 @@
 import attrs
 import structlog
 
+from bronzewall.adapters.caller_timeouts import CallerTimeouts
 from bronzewall.adapters.entry_http import EntryServer
 from bronzewall.adapters.instance_http import InstanceClient
 from bronzewall.adapters.report_http import Page, PageBuilder, ReportServer
@@ -162,8 +163,12 @@
             await self.clock.sleep(_TICK_S)
             now = self.clock.now()
             self._apply_members()
-            self.entry.max_body_bytes = (
-                self.path.gate.directory.limits.body_bytes
+            limits = self.path.gate.directory.limits
+            self.entry.max_body_bytes = limits.body_bytes
+            self.entry.apply_timeouts(
+                CallerTimeouts(
+                    header=limits.header_timeout, idle=limits.idle_timeout
+                )
             )
             self.reader.update_role(self.member.election.decide(now=now))
             self.limit_sharing.send_updates()
--- a/src/bronzewall/edge/directory.py
+++ b/src/bronzewall/edge/directory.py
@@ -14,7 +14,7 @@
     EdgeRoute,
 )
 from bronzewall.key_table import key_digest
-from bronzewall.types import AccountId
+from bronzewall.types import AccountId, ServiceName
 
 _LOG = structlog.get_logger()
 
@@ -27,6 +27,8 @@
     its source, so this VM never returns to an older one.
 
     :param raw: stored form, as it is sent to other VMs.
+    :param connection_limits: connections that each instance accepts from all
+        VMs together, by service.
     """
 
     configuration: EdgeConfiguration | None = None
@@ -35,6 +37,7 @@
         factory=dict
     )
     accounts_by_id: Mapping[AccountId, EdgeAccount] = attrs.field(factory=dict)
+    connection_limits: Mapping[ServiceName, int] = attrs.field(factory=dict)
     _loaded: asyncio.Event = attrs.field(factory=asyncio.Event)
     _account_ids_by_digest: Mapping[bytes, AccountId] = attrs.field(
         factory=dict
@@ -94,6 +97,11 @@
         self.accounts_by_id = {
             account.account_id: account for account in configuration.accounts
         }
+        self.connection_limits = {
+            found.service: found.max_connections
+            for found in configuration.services
+            if found.max_connections is not None
+        }
         self._account_ids_by_digest = {
             key_digest(key): account.account_id
             for account in configuration.accounts
--- a/src/bronzewall/edge/instance_choice.py
+++ b/src/bronzewall/edge/instance_choice.py
@@ -1,8 +1,11 @@
 """Chooses the instance for a request and waits for its permit."""
 
+from collections.abc import Collection
+
 import attrs
 import structlog
 
+from bronzewall.edge.connection_shares import ConnectionShares
 from bronzewall.edge.exchange import EdgeExchange
 from bronzewall.edge.limit_permits import LimitPermits
 from bronzewall.edge.recent_ranks import RecentRanks
@@ -10,6 +13,7 @@
 from bronzewall.metrics import Metrics
 from bronzewall.ports import Clock
 from bronzewall.problems import Reason, RefusalError
+from bronzewall.types import InstanceId
 
 # A request is refused if less than this fraction of the expected response
 # time is left before its deadline.
@@ -18,6 +22,10 @@
 RETRY_AFTER_S = 0.5
 # Instances whose limit may refuse a request before the VM refuses it.
 _MAX_PERMIT_REFUSALS = 6
+# Time for which a request waits for a connection that another one uses,
+# seconds. Response times are of this order; a longer wait would cost a caller
+# more than a retry at another VM.
+_MAX_CONNECTION_WAIT_S = 0.25
 _LOG = structlog.get_logger()
 
 
@@ -29,6 +37,7 @@
     selector: Selector
     permits: LimitPermits
     metrics: Metrics
+    connections: ConnectionShares
     recent_ranks: RecentRanks = attrs.field(factory=RecentRanks)
 
     async def choose(
@@ -41,12 +50,12 @@
         excluded = set(exchange.tried_ids)
         waits: list[float] = []
         while len(waits) < _MAX_PERMIT_REFUSALS:
-            now = self.clock.now()
-            candidate = self.selector.choose(
-                profile, excluded=excluded, now=now
+            candidate = await self._find_candidate(
+                exchange, profile, excluded, may_wait=not waits
             )
             if candidate is None:
                 break
+            now = self.clock.now()
             max_wait = self._check_queue(exchange, profile, candidate, now)
             if self._limit(candidate) is None:
                 return candidate
@@ -62,6 +71,64 @@
             waits.append(wait)
         raise self._refusal(exchange, waits)
 
+    async def _find_candidate(
+        self,
+        exchange: EdgeExchange,
+        profile: RequestProfile,
+        excluded: Collection[InstanceId],
+        *,
+        may_wait: bool,
+    ) -> Candidate | None:
+        """Return the best instance to which a connection may be used.
+
+        :param may_wait: whether to wait for a connection if all are in use.
+        """
+        wait_ends = self.clock.now() + _MAX_CONNECTION_WAIT_S
+        is_first = True
+        while True:
+            candidate = self.selector.choose(
+                profile, excluded=excluded, now=self.clock.now()
+            )
+            if candidate is not None or not may_wait:
+                return candidate
+            may_wait = await self._wait_for_connection(
+                exchange, excluded, wait_ends, is_first=is_first
+            )
+            is_first = False
+
+    async def _wait_for_connection(
+        self,
+        exchange: EdgeExchange,
+        excluded: Collection[InstanceId],
+        wait_ends: float,
+        *,
+        is_first: bool,
+    ) -> bool:
+        """Wait until a connection may be free; return whether to try again.
+
+        :param wait_ends: clock time after which the request waits no more.
+        """
+        now = self.clock.now()
+        if not self.selector.has_full_instance(
+            exchange.service, excluded=excluded, now=now
+        ):
+            return False
+        timeout = min(wait_ends, exchange.deadline) - now
+        if is_first:
+            self.metrics.events['connection_awaited'] += 1
+        is_ended = timeout > 0 and await self.connections.wait(
+            exchange.service, timeout, is_first=is_first
+        )
+        if not is_ended:
+            self.metrics.events['connection_refused'] += 1
+            _LOG.info(
+                'connections_in_use',
+                request_id=exchange.request_id,
+                service=exchange.service,
+                share=self.connections.share(exchange.service),
+            )
+        return is_ended
+
     def _limit(self, candidate: Candidate) -> float | None:
         return self.permits.limits.limit(candidate.instance.instance_id)
 
@@ -142,9 +209,17 @@
 
         :param waits: seconds until instances at their limit may take one.
         """
-        pause = self.selector.shortest_pause(
-            exchange.service, now=self.clock.now()
-        )
+        now = self.clock.now()
+        if not waits and self.selector.has_full_instance(
+            exchange.service, excluded=exchange.tried_ids, now=now
+        ):
+            share = self.connections.share(exchange.service)
+            return exchange.refusal(
+                Reason.OVERLOADED,
+                detail=f'all {share:g} connections to each instance in use',
+                retry_after=RETRY_AFTER_S,
+            )
+        pause = self.selector.shortest_pause(exchange.service, now=now)
         if pause and not waits:
             # Instances pause for one VM each; another one may serve a retry.
             return exchange.refusal(
--- a/src/bronzewall/edge/model.py
+++ b/src/bronzewall/edge/model.py
@@ -68,16 +68,35 @@
     is_usable: bool = True
 
 
+@attrs.frozen(kw_only=True)
+class EdgeService:
+    """Limits of the instances of one service.
+
+    :param max_connections: connections that an instance accepts from all VMs
+        together, ``None`` for no limit.
+    """
+
+    service: ServiceName
+    max_connections: int | None = None
+
+
 @attrs.frozen(kw_only=True)
 class CallerLimits:
-    """Limits on the size of a caller's request.
+    """Limits on callers' requests and connections.
 
     :param header_bytes: maximum size of the header block.
     :param body_bytes: maximum size of the body.
+    :param header_timeout: seconds from the first byte of a header block to
+        its last one. The load balancer in front sends headers at once; a
+        slower sender only occupies the connection.
+    :param idle_timeout: seconds for which a connection may be idle. The
+        default is longer than callers reuse connections.
     """
 
     header_bytes: int = 16_384
     body_bytes: int = 1_048_576
+    header_timeout: float = 10
+    idle_timeout: float = 75
 
 
 @attrs.frozen(kw_only=True)
@@ -94,6 +113,7 @@
     version: int
     routes: tuple[EdgeRoute, ...]
     accounts: tuple[EdgeAccount, ...] = ()
+    services: tuple[EdgeService, ...] = ()
     needs_keys: bool = False
     limits: CallerLimits = CallerLimits()
     has_unreadable_routes: bool = False
--- a/src/bronzewall/edge/selection.py
+++ b/src/bronzewall/edge/selection.py
@@ -2,7 +2,7 @@
 
 import math
 import zlib
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 import attrs
 
@@ -70,7 +70,11 @@
 
 @attrs.define(kw_only=True, eq=False)
 class Selector:
-    """Chooses among the usable instances of a service."""
+    """Chooses among the usable instances of a service.
+
+    :param has_room: returns whether this VM may have one more connection to an
+        instance.
+    """
 
     own_id: VmId
     own_placement: Placement
@@ -78,6 +82,7 @@
     state: ZoneState
     limits: InstanceLimits = attrs.field(factory=InstanceLimits)
     pauses: InstancePauses = attrs.field(factory=InstancePauses)
+    has_room: Callable[[EdgeInstance], bool] = lambda _instance: True
     _last_used_at: dict[InstanceId, float] = attrs.field(factory=dict)
 
     def choose(
@@ -132,9 +137,27 @@
 
     def is_usable(self, instance: EdgeInstance, *, now: float) -> bool:
         """Return whether an instance may still get new requests."""
-        return instance in self.catalog.usable(
-            instance.service
-        ) and not self.pauses.time_left(instance.instance_id, now=now)
+        return (
+            instance in self.catalog.usable(instance.service)
+            and not self.pauses.time_left(instance.instance_id, now=now)
+            and self.has_room(instance)
+        )
+
+    def has_full_instance(
+        self,
+        service: ServiceName,
+        *,
+        excluded: Collection[InstanceId],
+        now: float,
+    ) -> bool:
+        """Return whether only connections are missing to use an instance.
+
+        :param excluded: instances that the request was already sent to.
+        """
+        return any(
+            not self.has_room(item)
+            for item in self._free_instances(service, excluded, now)
+        )
 
     def shortest_pause(self, service: ServiceName, *, now: float) -> float:
         """Return the seconds until an instance ends its pause, 0 if none."""
@@ -161,7 +184,17 @@
     ) -> list[Candidate]:
         return [
             self._candidate(item, profile, now)
-            for item in self.catalog.usable(profile.service)
+            for item in self._free_instances(profile.service, excluded, now)
+            if self.has_room(item)
+        ]
+
+    def _free_instances(
+        self, service: ServiceName, excluded: Collection[InstanceId], now: float
+    ) -> list[EdgeInstance]:
+        """Return the usable instances that are not excluded and not paused."""
+        return [
+            item
+            for item in self.catalog.usable(service)
             if item.instance_id not in excluded
             and not self.pauses.time_left(item.instance_id, now=now)
         ]
--- a/src/bronzewall/edge/zone_state.py
+++ b/src/bronzewall/edge/zone_state.py
@@ -1,6 +1,7 @@
 """State of the instances as recorded by one VM, shared within its zone."""
 
 from collections import Counter
+from collections.abc import Callable
 
 import attrs
 
@@ -31,6 +32,7 @@
     :param unreported_observations: observations not yet sent to the zone
         leader.
     :param unreported_breaks: broken requests not yet sent to the zone leader.
+    :param on_ended: called when a request of this VM to an instance has ended.
     """
 
     own_in_flight: Counter[str] = attrs.field(factory=Counter)
@@ -48,6 +50,7 @@
     unreported_breaks: list[BrokenRequest] = attrs.field(factory=list)
     has_updates: bool = False
     has_urgent_updates: bool = False
+    on_ended: Callable[[InstanceId], None] = lambda _instance_id: None
 
     def add_in_flight(self, instance_id: InstanceId) -> None:
         """Count a request as in flight at an instance."""
@@ -60,6 +63,7 @@
         if self.own_in_flight[instance_id] <= 0:
             del self.own_in_flight[instance_id]
         self.has_updates = True
+        self.on_ended(instance_id)
 
     def record_observation(
         self, instance_id: InstanceId, observation: Observation, *, now: float
--- a/src/bronzewall/platform/configuration.py
+++ b/src/bronzewall/platform/configuration.py
@@ -16,6 +16,7 @@
     EdgeAccount,
     EdgeConfiguration,
     EdgeRoute,
+    EdgeService,
     TrafficShare,
 )
 from bronzewall.errors import StoreEntryError
@@ -30,6 +31,7 @@
 _LOWEST_PRIORITY = 9
 _LOG = structlog.get_logger()
 _EntryT = TypeVar('_EntryT')
+_LimitReader = Callable[[Mapping[str, Any], str], float]
 
 
 @attrs.frozen(kw_only=True, eq=False)
@@ -54,6 +56,7 @@
             version=version,
             routes=tuple(route for route in routes if route is not None),
             accounts=tuple(found for found in accounts if found is not None),
+            services=tuple(self._services(wire)),
             needs_keys='tenants' in wire,
             limits=self._limits(wire.get('limits', {})),
             has_unreadable_routes=None in routes,
@@ -138,6 +141,19 @@
             self._record_unusable(account.account_id, exc)
             return attrs.evolve(account, is_usable=False)
 
+    def _services(self, wire: Mapping[str, Any]) -> Iterator[EdgeService]:
+        """Yield the services; a limit that cannot be read is none.
+
+        Service discovery, not this list, tells which services there are.
+        """
+        found = wire.get('services')
+        for item in found if isinstance(found, list) else ():
+            try:
+                yield _service(fields.entry(item))
+            except StoreEntryError as exc:
+                self._record('unknown_limit')
+                _LOG.warning('unknown_limit', error=str(exc))
+
     def _priority(self, wire: Mapping[str, Any]) -> int | None:
         """Return the rank, the lowest one if it cannot be read."""
         if wire.get('priority') is None:
@@ -153,16 +169,12 @@
 
     def _limits(self, wire: object) -> CallerLimits:
         """Return the limits; those that cannot be read keep their default."""
-        fields_by_name = {
-            'maxHeaderBytes': 'header_bytes',
-            'maxBodyBytes': 'body_bytes',
-        }
-        found: dict[str, int] = {}
-        for name, field in fields_by_name.items():
+        found: dict[str, Any] = {}
+        for name, (field, read) in _LIMITS_BY_NAME.items():
             if not isinstance(wire, dict) or name not in wire:
                 continue
             try:
-                found[field] = int(fields.number(wire, name))
+                found[field] = read(wire, name)
             except StoreEntryError as exc:
                 self._record('unknown_limit')
                 _LOG.warning('unknown_limit', error=str(exc))
@@ -196,6 +208,43 @@
     return default if wire.get(name) is None else fields.integer(wire, name)
 
 
+def _service(wire: Mapping[str, Any]) -> EdgeService:
+    """Return the limits of a service.
+
+    :raises StoreEntryError: a field holds something else.
+    """
+    limit = fields.optional_number(wire, 'maxConnections')
+    return EdgeService(
+        service=ServiceName(fields.text(wire, 'name')),
+        # 0 and a missing field mean no limit.
+        max_connections=max(1, int(limit)) if limit else None,
+    )
+
+
+def _byte_count(wire: Mapping[str, Any], name: str) -> int:
+    return int(fields.number(wire, name))
+
+
+def _time_limit(wire: Mapping[str, Any], name: str) -> float:
+    """Return seconds; no caller can keep a limit of 0.
+
+    :raises StoreEntryError: the field holds something else.
+    """
+    seconds = fields.number(wire, name)
+    if not seconds:
+        raise StoreEntryError(f'{name} is 0')
+    return seconds
+
+
+# Fields of ``CallerLimits`` with their readers, by the platform's name.
+_LIMITS_BY_NAME: Mapping[str, tuple[str, _LimitReader]] = {
+    'maxHeaderBytes': ('header_bytes', _byte_count),
+    'maxBodyBytes': ('body_bytes', _byte_count),
+    'headerTimeout': ('header_timeout', _time_limit),
+    'idleTimeout': ('idle_timeout', _time_limit),
+}
+
+
 def _key(value: object) -> str:
     try:
         return fields.plain_text(value, 'key')
--- a/src/bronzewall/problems.py
+++ b/src/bronzewall/problems.py
@@ -33,6 +33,7 @@
     KEY_UNKNOWN = ('key_unknown', 401)
     UNKNOWN_ROUTE = ('unknown_route', 404)
     BODY_TIMEOUT = ('body_timeout', 408)
+    HEADER_TIMEOUT = ('header_timeout', 408)
     IN_PROGRESS = ('in_progress', 409)
     OUTCOME_UNKNOWN = ('outcome_unknown', 409)
     BODY_TOO_LARGE = ('body_too_large', 413)
--- a/src/bronzewall/refusals.py
+++ b/src/bronzewall/refusals.py
@@ -24,6 +24,8 @@
 # Retry-After while the bodies in progress leave no room, seconds; another VM
 # may have room.
 _BODIES_RETRY_AFTER_S = 0.3
+# Reasons of errors that are not faults of syntax, by the error's name.
+_REASONS_BY_ERROR = {'HeaderTimeout': Reason.HEADER_TIMEOUT}
 
 
 async def read_whole_body(request: CallerRequest) -> bytes:
@@ -50,13 +52,14 @@
 ) -> Problem:
     """Count a request that cannot be parsed and return its refusal.
 
-    :param error: name of the parser's error.
+    :param error: name of the parser's error, or ``HeaderTimeout``.
     """
+    reason = _REASONS_BY_ERROR.get(error, Reason.BAD_REQUEST)
     metrics.requests += 1
-    metrics.refusals[Reason.BAD_REQUEST.code] += 1
+    metrics.refusals[reason.code] += 1
     metrics.events[f'bad_input_{error}'] += 1
     return problem_document(
-        refusal=RefusalError(reason=Reason.BAD_REQUEST, detail=error),
+        refusal=RefusalError(reason=reason, detail=error),
         request_id=request_id,
     )
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -148,6 +148,11 @@
     assert [part.weight for part in second.traffic_split] == [90, 10]
     assert (second.timeout, second.open_to_all) == (None, True)
     assert found.limits.body_bytes == 99
+    assert found.limits.idle_timeout == 15
+    assert found.limits.header_timeout == 10
+    assert [(one.service, one.max_connections) for one in found.services] == [
+        ('drafts', 360)
+    ]
     assert (found.accounts[0].rate, found.accounts[0].priority) == (3, 0)
 
 
@@ -242,6 +247,37 @@
     assert found.routes[0].priority > 5
 
 
+@pytest.mark.parametrize(
+    ('text', 'seconds'),
+    [(0.5, 0.5), (0, 75), (-1, 75), ('1500ms', 75), (True, 75), (None, 75)],
+)
+def test_limits_of_time(text, seconds) -> None:
+    # Guards against limits that nobody can keep, and against a configuration
+    # that one odd limit takes out of force.
+    limits = {'idleTimeout': text, 'headerTimeout': 5}
+    found = decode_configuration({**CONFIGURATION, 'limits': limits}).limits
+    assert (found.idle_timeout, found.header_timeout) == (seconds, 5)
+
+
+@pytest.mark.parametrize(
+    ('services', 'limits'),
+    [
+        ([{'name': 'a', 'maxConnections': 7}, {'name': 'b'}], [7, None]),
+        ([{'name': 'a', 'maxConnections': 0}], [None]),
+        ([{'name': 'a', 'maxConnections': 0.5}], [1]),
+        ([{'name': 'a', 'maxConnections': 'x'}, {'name': 'b'}], [None]),
+        ([7, {'maxConnections': 7}], []),
+        ({'a': 7}, []),
+        (None, []),
+    ],
+)
+def test_connection_limits(services, limits) -> None:
+    # Guards against an odd entry of a service that takes routes out of force.
+    found = decode_configuration({**CONFIGURATION, 'services': services})
+    assert [one.max_connections for one in found.services] == limits
+    assert len(found.routes) == 2
+
+
 def test_unknown_limit_keeps_its_default() -> None:
     limits = {'maxBodyBytes': 'large', 'maxHeaderBytes': 50}
     found = decode_configuration({**CONFIGURATION, 'limits': limits})
