edge: bound what callers that read slowly make a VM hold

Cause: answers that callers had not taken were counted nowhere. They went whole into the kernel's send buffers (or, where these are small, twice into the process).

Ruled out: passing answers on while they are received (an instance cuts off an answer that stays unread); smaller send buffers (they bound nothing by themselves and hold up a planned stop); cutting the slowest reader (its request has run).

Change: AnswerRoom counts an answer until the caller has acknowledged it and refuses, before anything runs, a request whose answer is expected to be large, if its account on its route holds more than is free for all others. Ready answers are always delivered. Bodies are written in slices. A caller that acknowledges nothing for idleTimeout is cut.

--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -35,6 +35,9 @@
 
 _BODY_TIMEOUT_S = 10.0
 _MAX_LINE_BYTES = 8192
+# Bodies are written in slices of this size, bytes. asyncio copies what the
+# kernel does not take at once, so a body written as a whole is held twice.
+_SLICE_BYTES = 65_536
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 # Values of the socket option SO_LINGER: whether it is on, and seconds. On with
 # 0 seconds, closing the socket resets the connection.
@@ -92,7 +95,8 @@
         """Send a chunk of the body."""
         assert self.response is not None
         try:
-            await self.response.write(chunk)
+            for start in range(0, len(chunk), _SLICE_BYTES):
+                await self.response.write(chunk[start : start + _SLICE_BYTES])
         except OSError as exc:
             raise CallerGoneError(str(exc)) from exc
 
@@ -309,6 +313,8 @@
     def _caller_request(
         self, request: web.BaseRequest, waited: float, counted: BodyBytes
     ) -> CallerRequest:
+        assert isinstance(request.protocol, ProblemRequestHandler)
+
         async def read_body() -> bytes:
             try:
                 async with asyncio.timeout(_BODY_TIMEOUT_S):
@@ -325,6 +331,7 @@
             headers=tuple(request.headers.items()),
             read_body=read_body,
             waited=waited,
+            untaken=request.protocol.untaken_bytes,
         )
 
     async def _read_body(
--- a/src/bronzewall/adapters/entry_protocol.py
+++ b/src/bronzewall/adapters/entry_protocol.py
@@ -16,6 +16,10 @@
 
 from bronzewall.adapters.buffered_answers import BufferedAnswer
 from bronzewall.adapters.caller_timeouts import CallerTimeouts, last_answer
+from bronzewall.adapters.tcp_state import (
+    acknowledged_bytes,
+    unacknowledged_bytes,
+)
 from bronzewall.problems import Problem
 
 # A caller sends its first request within this time, seconds.
@@ -63,7 +67,9 @@
         '_on_bad_input',
         '_opened_at',
         '_pending_requests',
+        '_stalled_at',
         '_start_buffered_answer',
+        '_taken_bytes',
         'events',
     )
 
@@ -89,6 +95,8 @@
         self._pending_requests: deque[PendingRequest] = deque()
         self._opened_at = float(0)
         self._has_dropped_input = False
+        self._stalled_at: float | None = None
+        self._taken_bytes = 0
         self._lingering: asyncio.Event | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -165,6 +173,14 @@
             or bool(self.transport and self.transport.get_write_buffer_size())
         )
 
+    def untaken_bytes(self) -> int:
+        """Return the bytes sent that the caller has not acknowledged."""
+        if self.transport is None:
+            return 0
+        return self.transport.get_write_buffer_size() + unacknowledged_bytes(
+            self.transport
+        )
+
     async def linger(self) -> None:
         """End the connection after its last answer.
 
@@ -290,6 +306,27 @@
             self.transport.write(last_answer(problem))
         self.force_close()
 
+    def _is_stalled(self, now: float) -> bool:
+        """Return whether the caller takes nothing of an answer for too long.
+
+        A caller that reads slowly acknowledges a little now and then.
+        """
+        transport = self.transport
+        if transport is None or not self.untaken_bytes():
+            self._stalled_at = None
+            return False
+        taken = acknowledged_bytes(transport)
+        if self._stalled_at is None or taken != self._taken_bytes:
+            self._stalled_at = now
+            self._taken_bytes = taken
+        return now - self._stalled_at >= self._find_timeouts().idle
+
+    def _abort(self) -> None:
+        """Drop the connection with what the caller does not take."""
+        transport = self.transport
+        if transport is not None:
+            transport.abort()
+
     def _process_keepalive(self) -> None:
         """Close the connection if it has been idle for too long.
 
@@ -302,11 +339,16 @@
         now = self._loop.time()
         idle_timeout = self._find_timeouts().idle
         idle_s = now - self._next_keepalive_close_time
+        if self._is_stalled(now):
+            self.events['stalled_callers_cut'] += 1
+            _LOG.warning('caller_stalled', untaken=self.untaken_bytes())
+            self._abort()
+            return
         # A caller that still takes an answer cannot send the next request yet.
         is_idle = (
             self._is_waiting()
             and self._header_timer is None
-            and not self.has_unsent_answers()
+            and not self.untaken_bytes()
         )
         if is_idle and idle_s >= idle_timeout:
             self.events['idle_connections_closed'] += 1
--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from bronzewall.edge.answer_room import AnswerRoom
 from bronzewall.edge.catalog import Catalog
 from bronzewall.edge.connection_shares import ConnectionShares
 from bronzewall.edge.directory import Directory
@@ -261,6 +262,11 @@
         sender=sender,
         tickets=tickets,
         metrics=ports.metrics,
+        room=AnswerRoom(
+            clock=clock,
+            metrics=ports.metrics,
+            limit=settings.held_answer_bytes,
+        ),
     )
     return EdgeComponents(
         fleet=fleet,
--- a/src/bronzewall/edge/request_path.py
+++ b/src/bronzewall/edge/request_path.py
@@ -7,6 +7,7 @@
 import structlog
 
 from bronzewall import headers as header_rules
+from bronzewall.edge.answer_room import AnswerRoom
 from bronzewall.edge.exchange import EdgeExchange
 from bronzewall.edge.gate import Gate
 from bronzewall.edge.ports import HeaderNames, InstanceAnswer
@@ -80,6 +81,7 @@
     sender: Sender
     tickets: RelayTickets
     metrics: Metrics
+    room: AnswerRoom
     _in_progress: set[_Arrival] = attrs.field(factory=set)
 
     @property
@@ -153,15 +155,17 @@
         if exchange.body:
             exchange.received_at = self.clock.now()
         self.gate.check(exchange)
-        if not self._is_admitted(arrival):
-            self.gate.admit(exchange)
-        try:
-            answer = await self.sender.run(exchange)
-        except RefusalError:
-            if not exchange.runs:
-                self.gate.refund(exchange)
-            raise
-        await self._deliver(exchange, answer, arrival.writer)
+        with self.room.hold(exchange) as held:
+            if not self._is_admitted(arrival):
+                self.gate.admit(exchange)
+            try:
+                answer = await self.sender.run(exchange)
+            except RefusalError:
+                if not exchange.runs:
+                    self.gate.refund(exchange)
+                raise
+            self.room.record_answer(held, len(answer.body))
+            await self._deliver(exchange, answer, arrival.writer)
 
     def _open(self, arrival: '_Arrival') -> EdgeExchange:
         """Find the route and account of a request.
--- a/src/bronzewall/edge/settings.py
+++ b/src/bronzewall/edge/settings.py
@@ -25,6 +25,9 @@
 ANSWER_BYTES = 4_194_304
 TOTAL_ANSWER_BYTES = 33_554_432
 _TOTAL_BODY_BYTES = 33_554_432
+# Sixty answers of half a megabyte. With the two totals above and a process of
+# about 70 MB, a VM of 200 MB keeps a margin.
+_HELD_ANSWER_BYTES = 33_554_432
 
 
 def _seconds(default: float) -> Any:
@@ -75,6 +78,7 @@
     :param answer_bytes: largest body of an instance's answer.
     :param total_answer_bytes: bytes of all answers that are being received.
     :param total_body_bytes: bytes of all request bodies that are held.
+    :param held_answer_bytes: bytes of answers that callers have not taken.
     :param log_level: name of the lowest level that is logged.
     """
 
@@ -114,6 +118,9 @@
     total_body_bytes: int = attrs.field(
         default=_TOTAL_BODY_BYTES, converter=int, validator=positive
     )
+    held_answer_bytes: int = attrs.field(
+        default=_HELD_ANSWER_BYTES, converter=int, validator=positive
+    )
     log_level: str = attrs.field(
         default='info', validator=attrs.validators.in_(LEVELS_BY_NAME)
     )
--- a/src/bronzewall/ports.py
+++ b/src/bronzewall/ports.py
@@ -192,6 +192,8 @@
         :class:`BodyTooLargeError`, :class:`BodiesTooLargeError` or
         :class:`BodyTimeoutError`.
     :param waited: seconds since the request arrived on its connection.
+    :param untaken: returns the bytes of answers on its connection that the
+        caller has not acknowledged.
     """
 
     method: str
@@ -200,6 +202,7 @@
     headers: Headers
     read_body: Callable[[], Awaitable[bytes]]
     waited: float = 0
+    untaken: Callable[[], int] = int
 
 
 CallerHandler = Callable[[CallerRequest, AnswerWriter], Awaitable[None]]
--- a/tests/test_relay_http.py
+++ b/tests/test_relay_http.py
@@ -92,7 +92,7 @@
     return shared
 
 
-def a_daemon(name: str, shared: SharedStore) -> EdgeDaemon:
+def a_daemon(name: str, shared: SharedStore, **changes) -> EdgeDaemon:
     listen, ready, peer, admin = free_addresses(4)
     place = a_place()
     settings = EdgeSettings(
@@ -104,6 +104,7 @@
         peer_listen=peer,
         admin_listen=admin,
         store='127.0.0.1:1',
+        **changes,
     )
     platform = Platform(
         names=NAMES,
