--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -5,9 +5,11 @@
 
 import attrs
 
+from bronzewall.edge.answer_room import AnswerRoom
 from bronzewall.edge.attempt_outcomes import AttemptOutcomes
 from bronzewall.edge.catalog import Catalog
 from bronzewall.edge.cold_starts import ColdStarts
+from bronzewall.edge.connection_shares import ConnectionShares
 from bronzewall.edge.directory import Directory
 from bronzewall.edge.fleet_view import FleetView
 from bronzewall.edge.freshness import KeyFreshness
@@ -123,6 +125,10 @@
             return directory.has_bulk_routes
         return settings.cost_aware
 
+    connections = ConnectionShares(
+        fleet=fleet, directory=directory, catalog=catalog, state=state
+    )
+    state.end_listeners.append(connections.record_end)
     selector = Selector(
         own_id=own.vm_id,
         own_placement=own.placement,
@@ -131,6 +137,7 @@
         work=work,
         uses_costs=uses_costs,
         limits=limits,
+        has_room=connections.has_room,
     )
 
     def on_removed(removed: Iterable[EdgeInstance]) -> None:
@@ -285,6 +292,7 @@
             permits=permits,
             metrics=ports.metrics,
             scheduler=scheduler,
+            connections=connections,
         ),
         limits=limit_sharing,
         outcomes=AttemptOutcomes(
@@ -309,6 +317,11 @@
         sender=sender,
         tickets=tickets,
         metrics=ports.metrics,
+        room=AnswerRoom(
+            clock=clock,
+            metrics=ports.metrics,
+            limit=settings.held_answer_bytes,
+        ),
     )
     return EdgeComponents(
         fleet=fleet,
--- a/src/bronzewall/edge/instance_choice.py
+++ b/src/bronzewall/edge/instance_choice.py
@@ -1,8 +1,11 @@
 """Chooses the instance for a request and waits for its permit."""
 
+from collections.abc import Collection
+
 import attrs
 import structlog
 
+from bronzewall.edge.connection_shares import ConnectionShares
 from bronzewall.edge.exchange import EdgeExchange
 from bronzewall.edge.limit_permits import LimitPermits
 from bronzewall.edge.recent_ranks import RecentRanks
@@ -23,6 +26,10 @@
 # Instances whose limit may refuse a request before only those without a limit
 # are considered.
 _MAX_PERMIT_REFUSALS = 6
+# Time for which a request waits for a connection that another one uses,
+# seconds. Response times are of this order; a longer wait would cost a caller
+# more than a retry at another VM.
+_MAX_CONNECTION_WAIT_S = 0.25
 _LOG = structlog.get_logger()
 
 
@@ -35,6 +42,7 @@
     permits: LimitPermits
     metrics: Metrics
     scheduler: Scheduler
+    connections: ConnectionShares
     recent_ranks: RecentRanks = attrs.field(factory=RecentRanks)
 
     async def choose(
@@ -49,7 +57,9 @@
         while True:
             if len(waits) == _MAX_PERMIT_REFUSALS:
                 excluded |= self.permits.limits.limited_ids()
-            candidate = await self._next(exchange, profile, excluded)
+            candidate = await self._next(
+                exchange, profile, excluded, may_wait=not waits
+            )
             if candidate is None:
                 break
             now = self.clock.now()
@@ -66,38 +76,100 @@
             if wait is None:
                 return candidate
             waits.append(wait)
-        raise self._refusal(exchange, waits)
+        raise self._refusal(exchange, profile, waits)
+
+    def queue_refusal(
+        self,
+        exchange: EdgeExchange,
+        profile: RequestProfile,
+        candidate: Candidate,
+    ) -> RefusalError | None:
+        """Return the refusal of a request whose queue is too long, if any."""
+        try:
+            self._check_queue(exchange, profile, candidate, self.clock.now())
+        except RefusalError as refusal:
+            return refusal
+        return None
 
     async def _next(
         self,
         exchange: EdgeExchange,
         profile: RequestProfile,
         excluded: set[InstanceId],
+        *,
+        may_wait: bool,
     ) -> Candidate | None:
         """Return the best instance, one with room if the VM schedules.
 
+        :param may_wait: whether to wait for a connection if all are in use.
         :raises RefusalError: the request cannot wait until there is room.
         """
         if self.scheduler.is_enabled():
             return await self.scheduler.choose(
                 exchange, profile, excluded=frozenset(excluded)
             )
-        return self.selector.choose(
-            profile, excluded=excluded, now=self.clock.now()
+        return await self._find_candidate(
+            exchange, profile, excluded, may_wait=may_wait
         )
 
-    def queue_refusal(
+    async def _find_candidate(
         self,
         exchange: EdgeExchange,
         profile: RequestProfile,
-        candidate: Candidate,
-    ) -> RefusalError | None:
-        """Return the refusal of a request whose queue is too long, if any."""
-        try:
-            self._check_queue(exchange, profile, candidate, self.clock.now())
-        except RefusalError as refusal:
-            return refusal
-        return None
+        excluded: Collection[InstanceId],
+        *,
+        may_wait: bool,
+    ) -> Candidate | None:
+        """Return the best instance to which a connection may be used.
+
+        :param may_wait: whether to wait for a connection if all are in use.
+        """
+        wait_ends = self.clock.now() + _MAX_CONNECTION_WAIT_S
+        is_first = True
+        while True:
+            candidate = self.selector.choose(
+                profile, excluded=excluded, now=self.clock.now()
+            )
+            if candidate is not None or not may_wait:
+                return candidate
+            may_wait = await self._wait_for_connection(
+                exchange, profile, excluded, wait_ends, is_first=is_first
+            )
+            is_first = False
+
+    async def _wait_for_connection(
+        self,
+        exchange: EdgeExchange,
+        profile: RequestProfile,
+        excluded: Collection[InstanceId],
+        wait_ends: float,
+        *,
+        is_first: bool,
+    ) -> bool:
+        """Wait until a connection may be free; return whether to try again.
+
+        :param wait_ends: clock time after which the request waits no more.
+        """
+        now = self.clock.now()
+        if not self.selector.has_full_instance(
+            profile, excluded=excluded, now=now
+        ):
+            return False
+        timeout = min(wait_ends, exchange.deadline) - now
+        if is_first:
+            self.metrics.events['connection_awaited'] += 1
+        is_ended = timeout > 0 and await self.connections.wait(
+            exchange.service, timeout, is_first=is_first
+        )
+        if not is_ended:
+            self.metrics.events['connection_refused'] += 1
+            _LOG.info(
+                'connections_in_use',
+                request_id=exchange.request_id,
+                service=exchange.service,
+                share=self.connections.share(exchange.service),
+            )
+        return is_ended
 
     def _limit(self, candidate: Candidate) -> float | None:
         return self.permits.limits.limit(candidate.instance.instance_id)
@@ -181,15 +253,26 @@
         return wait
 
     def _refusal(
-        self, exchange: EdgeExchange, waits: list[float]
+        self,
+        exchange: EdgeExchange,
+        profile: RequestProfile,
+        waits: list[float],
     ) -> RefusalError:
         """Return the refusal of a request that no instance can take.
 
         :param waits: seconds until instances at their limit may take one.
         """
-        pause = self.selector.shortest_pause(
-            exchange.service, now=self.clock.now()
-        )
+        now = self.clock.now()
+        if not waits and self.selector.has_full_instance(
+            profile, excluded=exchange.tried_ids, now=now
+        ):
+            share = self.connections.share(exchange.service)
+            return exchange.refusal(
+                Reason.OVERLOADED,
+                detail=f'all {share:g} connections to each instance in use',
+                retry_after=RETRY_AFTER_S,
+            )
+        pause = self.selector.shortest_pause(exchange.service, now=now)
         if pause and not waits:
             # Instances pause for one VM each; another one may serve a retry.
             return exchange.refusal(
--- a/src/bronzewall/edge/scheduling/scheduler.py
+++ b/src/bronzewall/edge/scheduling/scheduler.py
@@ -69,7 +69,7 @@
 
     def connect(self) -> None:
         """Send waiting requests whenever a request of this VM ends."""
-        self.state.on_ended = self._on_ended
+        self.state.end_listeners.append(self._on_ended)
 
     def is_shedding(self, service: ServiceName) -> bool:
         """Return whether the instances of a service reject in general."""
--- a/src/bronzewall/edge/selection.py
+++ b/src/bronzewall/edge/selection.py
@@ -139,6 +139,8 @@
     :param work: work that instances still have, if it is learned.
     :param uses_costs: returns whether the learned work counts; otherwise each
         request in flight counts as one of usual cost.
+    :param has_room: returns whether this VM may have one more connection to an
+        instance.
     """
 
     own_id: VmId
@@ -153,6 +155,7 @@
     due_probe: Callable[
         [RequestProfile, Sequence[Candidate], float], Candidate | None
     ] = _no_probe
+    has_room: Callable[[EdgeInstance], bool] = lambda _instance: True
     _last_used_at: dict[InstanceId, float] = attrs.field(factory=dict)
 
     def choose(
@@ -270,8 +273,26 @@
 
     def is_usable(self, instance: EdgeInstance, *, now: float) -> bool:
         """Return whether an instance may still get new requests."""
-        return self.catalog.is_usable(instance) and not self.pauses.time_left(
-            instance.instance_id, now=now
+        return (
+            self.catalog.is_usable(instance)
+            and not self.pauses.time_left(instance.instance_id, now=now)
+            and self.has_room(instance)
+        )
+
+    def has_full_instance(
+        self,
+        profile: RequestProfile,
+        *,
+        excluded: Collection[InstanceId],
+        now: float,
+    ) -> bool:
+        """Return whether only connections are missing to use an instance.
+
+        :param excluded: instances that the request was already sent to.
+        """
+        return any(
+            not self.has_room(item)
+            for item in self._permitted(profile, excluded=excluded, now=now)
         )
 
     def shortest_pause(self, service: ServiceName, *, now: float) -> float:
@@ -303,6 +324,7 @@
         return [
             self._candidate(item, profile, work, now)
             for item in self._permitted(profile, excluded=excluded, now=now)
+            if self.has_room(item)
         ]
 
     def _permitted(
@@ -324,7 +346,7 @@
     def _best(
         self, candidates: Collection[Candidate], profile: RequestProfile
     ) -> Candidate | None:
-        """Return a candidate of least loss, the one that was used longest ago."""
+        """Return a candidate of least loss, the least recently used one."""
         if not candidates:
             return None
         max_loss = min(item.loss for item in candidates)
@@ -381,27 +403,23 @@
                 factor=factor,
             )
         queue_time += self.limits.wait(item.instance_id, now=now)
-        failing = failure_rate(failure_probability) * weight
         locality = locality_of(self.own_placement, item.placement)
-        distance = _LOCALITY_LOSS[locality]
-        load = _IN_FLIGHT_WEIGHT * min(1, in_flight / item.slots)
-        queue = (
-            QUEUE_TIME_WEIGHT
-            * (queue_time + slow_time)
-            / target_latency(profile)
-        )
-        cold = _WARMUP_LOSS if item.warmup else 0
+        losses = {
+            'failing': failure_rate(failure_probability) * weight,
+            'distance': _LOCALITY_LOSS[locality],
+            'load': _IN_FLIGHT_WEIGHT * min(1, in_flight / item.slots),
+            'queue': (
+                QUEUE_TIME_WEIGHT
+                * (queue_time + slow_time)
+                / target_latency(profile)
+            ),
+            'cold': _WARMUP_LOSS if item.warmup else 0,
+        }
         if terms is not None:
-            terms.update(
-                failing=failing,
-                distance=distance,
-                load=load,
-                queue=queue,
-                cold=cold,
-            )
+            terms.update(losses)
         return Candidate(
             instance=item,
-            loss=failing + distance + load + queue + cold,
+            loss=sum(losses.values()),
             queue_time=queue_time,
             failure_probability=failure_probability,
             in_flight=in_flight,
--- a/src/bronzewall/edge/settings.py
+++ b/src/bronzewall/edge/settings.py
@@ -27,6 +27,9 @@
 ANSWER_BYTES = 4_194_304
 TOTAL_ANSWER_BYTES = 33_554_432
 _TOTAL_BODY_BYTES = 33_554_432
+# Sixty answers of half a megabyte. With the two totals above and a process of
+# about 70 MB, a VM of 200 MB keeps a margin.
+_HELD_ANSWER_BYTES = 33_554_432
 
 
 def _seconds(default: float) -> Any:
@@ -110,6 +113,7 @@
     :param cost_aware: whether the choice of an instance goes by what requests
         are likely to cost and by the speed of instances; ``None`` (``auto``)
         while the configuration has routes for uploads or downloads.
+    :param held_answer_bytes: bytes of answers that callers have not taken.
     :param log_level: name of the lowest level that is logged.
     """
 
@@ -152,6 +156,9 @@
         default=_TOTAL_BODY_BYTES, converter=int, validator=positive
     )
     cost_aware: bool | None = attrs.field(default=None, converter=_flag_or_auto)
+    held_answer_bytes: int = attrs.field(
+        default=_HELD_ANSWER_BYTES, converter=int, validator=positive
+    )
     log_level: str = attrs.field(
         default='info', validator=attrs.validators.in_(LEVELS_BY_NAME)
     )
--- a/src/bronzewall/edge/zone_state.py
+++ b/src/bronzewall/edge/zone_state.py
@@ -29,7 +29,8 @@
     :param busy_elsewhere: instances in other zones without a free slot.
     :param zone_estimates: failure estimates shared by the zone.
     :param local_estimates: failure estimates from this VM's own attempts.
-    :param on_ended: called when a request of this VM at an instance has ended.
+    :param end_listeners: called when a request of this VM at an instance has
+        ended.
     :param unreported_observations: observations not yet sent to the zone
         leader.
     :param unreported_breaks: broken requests not yet sent to the zone leader.
@@ -48,7 +49,9 @@
     crashes: CrashTracker = attrs.field(factory=CrashTracker)
     unreported_observations: list[tuple[str, str]] = attrs.field(factory=list)
     unreported_breaks: list[BrokenRequest] = attrs.field(factory=list)
-    on_ended: Callable[[InstanceId], None] = lambda _instance_id: None
+    end_listeners: list[Callable[[InstanceId], None]] = attrs.field(
+        factory=list
+    )
     has_updates: bool = False
     has_urgent_updates: bool = False
 
@@ -61,7 +64,8 @@
         """Count a request as ended at an instance."""
         self.unreserve(instance_id)
         self.has_updates = True
-        self.on_ended(instance_id)
+        for listener in self.end_listeners:
+            listener(instance_id)
 
     def reserve(self, instance_id: InstanceId) -> None:
         """Keep room for a request that will be sent in a moment."""
