edge: zones can be evacuated and taken back

Cause: rows that ask for the evacuation of a zone were not read, so that its instances went on getting requests.

Change: the reads and watches of the configuration's table bring the evacuated zones. Each choice of an instance leaves evacuated zones out, and a request that waited for its permit is checked again. Instances of a zone that is taken back count as cold for the time that their service states. Without the store, what is known stands; a store restored from a copy takes no evacuation back.

Ruled out: the evacuation as part of the configuration, whose version orders configurations only, and marking instances as leaving, which no process undoes.

--- a/src/bronzewall/edge/cold_starts.py
+++ b/src/bronzewall/edge/cold_starts.py
@@ -53,6 +53,7 @@
         They may have become cold after their last report.
         """
         now = self.clock.now()
+        self.events['zones_taken_back'] += 1
         for item in self.catalog.instances_by_id.values():
             found = self._cold_start(item)
             if item.placement.zone == zone and found is not None:
--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -1,7 +1,7 @@
 """Wires the components of an edge VM over its ports."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -109,6 +109,8 @@
         events=ports.metrics.events,
     )
     catalog.on_listed = cold_starts.record_list
+    state.evacuations.on_evacuated = _evacuation_counter(ports.metrics)
+    state.evacuations.on_returned = cold_starts.record_return
     limits = InstanceLimits(cold_starts=cold_starts)
     selector = Selector(
         own_id=own.vm_id,
@@ -178,6 +180,7 @@
         directory=directory,
         catalog=catalog,
         freshness=freshness,
+        evacuations=state.evacuations,
         age=age,
         store=ports.store,
         find_ahead=leader.vm_ahead,
@@ -286,3 +289,12 @@
         sender=sender,
         path=path,
     )
+
+
+def _evacuation_counter(metrics: Metrics) -> Callable[[str], None]:
+    """Return a function that counts the evacuated zones."""
+
+    def count(_zone: str) -> None:
+        metrics.events['zones_evacuated'] += 1
+
+    return count
--- a/src/bronzewall/edge/instance_choice.py
+++ b/src/bronzewall/edge/instance_choice.py
@@ -162,6 +162,10 @@
                 retry_after=max(RETRY_AFTER_S, min(waits)),
             )
         detail = f'{exchange.service}: no further instance'
+        evacuated = self.selector.state.evacuations.zones
+        if evacuated:
+            self.metrics.events['no_instance_while_evacuated'] += 1
+            detail = f'{detail}, evacuated: {sorted(evacuated)}'
         if exchange.home_regions is not None:
             self.metrics.events['no_instance_in_home_regions'] += 1
             detail = f'{detail} in {sorted(exchange.home_regions)}'
--- a/src/bronzewall/edge/ports.py
+++ b/src/bronzewall/edge/ports.py
@@ -1,6 +1,7 @@
 """Protocols of the store and of the HTTP client, as the edge uses them."""
 
 from collections.abc import Mapping, Sequence
+from collections.abc import Set as AbstractSet
 from typing import Protocol
 
 import attrs
@@ -30,11 +31,17 @@
     :param raw: the stored form, or ``None`` if it has not changed.
     :param revision: revision of the store up to which the result is valid.
     :param confirmed_at: clock time at which it was certainly up to date.
+    :param is_whole: it states all evacuated zones and not only changes.
+    :param evacuated: zones that are evacuated, or since a revision.
+    :param returned: zones that were taken back since a revision.
     """
 
     raw: bytes | None
     revision: Revision
     confirmed_at: float
+    is_whole: bool = False
+    evacuated: AbstractSet[str] = frozenset()
+    returned: AbstractSet[str] = frozenset()
 
 
 @attrs.frozen(kw_only=True)
--- a/src/bronzewall/edge/refresh.py
+++ b/src/bronzewall/edge/refresh.py
@@ -9,6 +9,7 @@
 
 from bronzewall.edge.catalog import Catalog
 from bronzewall.edge.directory import Directory
+from bronzewall.edge.evacuations import Evacuations
 from bronzewall.edge.fleet_view import FleetView
 from bronzewall.edge.freshness import KeyFreshness
 from bronzewall.edge.knowledge_age import KnowledgeAge
@@ -61,6 +62,7 @@
     directory: Directory
     catalog: Catalog
     freshness: KeyFreshness
+    evacuations: Evacuations
     age: KnowledgeAge
     store: FleetStore
     find_ahead: Callable[[], VmId | None]
@@ -84,6 +86,7 @@
             catalog=pack_instances(self.catalog.instances_by_id.values())
             if is_list_newer
             else None,
+            evacuations=self.evacuations.known,
         )
 
     async def run(self) -> None:
@@ -153,6 +156,8 @@
         Ages count from when the question was sent, because the other VM
         answered later.
         """
+        if reply.evacuations is not None:
+            self.evacuations.accept(reply.evacuations, source='vm')
         if reply.raw is not None:
             raw = unpack_configuration(reply.raw)
             self.directory.accept(
--- a/src/bronzewall/edge/selection.py
+++ b/src/bronzewall/edge/selection.py
@@ -136,8 +136,10 @@
 
     def is_usable(self, instance: EdgeInstance, *, now: float) -> bool:
         """Return whether an instance may still get new requests."""
-        return self.catalog.is_usable(instance) and not self.pauses.time_left(
-            instance.instance_id, now=now
+        return (
+            self.catalog.is_usable(instance)
+            and instance.placement.zone not in self.state.evacuations.zones
+            and not self.pauses.time_left(instance.instance_id, now=now)
         )
 
     def shortest_pause(self, service: ServiceName, *, now: float) -> float:
@@ -145,6 +147,7 @@
         pauses = [
             self.pauses.time_left(item.instance_id, now=now)
             for item in self.catalog.usable(service)
+            if item.placement.zone not in self.state.evacuations.zones
         ]
         return min(filter(None, pauses), default=0)
 
@@ -168,6 +171,7 @@
             for item in self.catalog.usable(profile.service)
             if item.instance_id not in excluded
             and allows(profile.home_regions, item.placement.region)
+            and item.placement.zone not in self.state.evacuations.zones
             and not self.pauses.time_left(item.instance_id, now=now)
         ]
 
--- a/src/bronzewall/edge/store_reader.py
+++ b/src/bronzewall/edge/store_reader.py
@@ -385,6 +385,8 @@
 
     def _apply_reading(self, reading: ConfigurationReading) -> None:
         self._note_era(reading.revision)
+        evacuations = self.leader.state.evacuations
+        self._mark_updates(is_new=evacuations.apply_reading(reading))
         if reading.raw is not None and reading.raw != self._unreadable_raw:
             self._unreadable_raw = None
             try:
--- a/src/bronzewall/edge/zone_state.py
+++ b/src/bronzewall/edge/zone_state.py
@@ -5,6 +5,7 @@
 import attrs
 
 from bronzewall.edge.crash_tracker import CrashTracker
+from bronzewall.edge.evacuations import Evacuations
 from bronzewall.edge.failure_estimates import FailureEstimates, Observation
 from bronzewall.edge.rate_limits import Admission
 from bronzewall.edge.zone_messages import BrokenRequest
@@ -44,6 +45,7 @@
     )
     admission: Admission = attrs.field(factory=Admission)
     crashes: CrashTracker = attrs.field(factory=CrashTracker)
+    evacuations: Evacuations = attrs.field(factory=Evacuations)
     unreported_observations: list[tuple[str, str]] = attrs.field(factory=list)
     unreported_breaks: list[BrokenRequest] = attrs.field(factory=list)
     has_updates: bool = False
--- a/src/bronzewall/platform/names.py
+++ b/src/bronzewall/platform/names.py
@@ -30,5 +30,7 @@
 # that holds the configuration.
 CONFIGURATION_TABLE = 'op'
 CONFIGURATION_KEY = 'config'
+# Keys of rows of that table that ask for the evacuation of a zone.
+EVACUATION_PREFIX = 'evacuate/'
 INSTANCES_TABLE = 'servers'
 VMS_TABLE = 'bronzewall-vms'
--- a/src/bronzewall/platform/store.py
+++ b/src/bronzewall/platform/store.py
@@ -24,7 +24,7 @@
     StoreUnavailableError,
 )
 from bronzewall.metrics import Metrics
-from bronzewall.platform import decoding, names
+from bronzewall.platform import decoding, fields, names
 from bronzewall.platform.configuration import ConfigurationDecoder
 from bronzewall.platform.store_clock import StoreClock
 from bronzewall.ports import Clock
@@ -114,9 +114,8 @@
 
     async def read_configuration(self) -> ConfigurationReading:
         """Read the configuration."""
-        return _configuration_reading(
-            await self._read(names.CONFIGURATION_TABLE)
-        )
+        page = await self._read(names.CONFIGURATION_TABLE)
+        return self._configuration_reading(page, is_whole=True)
 
     async def watch_configuration(
         self, *, after: Revision, wait: float
@@ -126,9 +125,8 @@
         :param after: revision after which changes are reported.
         :param wait: longest wait in seconds.
         """
-        return _configuration_reading(
-            await self._watch(names.CONFIGURATION_TABLE, after, wait)
-        )
+        page = await self._watch(names.CONFIGURATION_TABLE, after, wait)
+        return self._configuration_reading(page, is_whole=False)
 
     async def read_instances(self) -> InstancesReading:
         """Read the instances."""
@@ -219,6 +217,40 @@
             },
         )
 
+    def _configuration_reading(
+        self, page: _Page, *, is_whole: bool
+    ) -> ConfigurationReading:
+        raw_by_key = {row.key: row.raw for row in page.rows}
+        # The key alone asks for an evacuation, whatever the row holds.
+        raw_by_zone = {
+            key.removeprefix(names.EVACUATION_PREFIX): raw
+            for key, raw in raw_by_key.items()
+            if key.startswith(names.EVACUATION_PREFIX)
+        }
+        zones = frozenset(filter(self._is_zone, raw_by_zone))
+        returned = frozenset(
+            zone for zone in zones if raw_by_zone[zone] is None
+        )
+        return ConfigurationReading(
+            raw=raw_by_key.get(names.CONFIGURATION_KEY),
+            revision=page.revision,
+            confirmed_at=page.written_at,
+            is_whole=is_whole,
+            evacuated=zones - returned,
+            returned=returned,
+        )
+
+    def _is_zone(self, zone: str) -> bool:
+        """Return whether a text may be a zone; record one that may not."""
+        try:
+            fields.plain_text(zone, 'zone')
+        except StoreEntryError as exc:
+            self._record_bad_entry(
+                names.CONFIGURATION_TABLE, names.EVACUATION_PREFIX, str(exc)
+            )
+            return False
+        return True
+
     def _decode_instance(self, key: str, raw: bytes) -> EdgeInstance:
         return decoding.decode_instance(
             key, raw, region_by_zone=self.region_by_zone
@@ -436,13 +468,3 @@
         # No entry is empty, so that it is counted and logged as malformed.
         raw = b''
     return _Row(key=key, raw=raw)
-
-
-def _configuration_reading(page: _Page) -> ConfigurationReading:
-    raw = None
-    for row in page.rows:
-        if row.key == names.CONFIGURATION_KEY:
-            raw = row.raw
-    return ConfigurationReading(
-        raw=raw, revision=page.revision, confirmed_at=page.written_at
-    )
--- a/src/bronzewall/standins/memory_store.py
+++ b/src/bronzewall/standins/memory_store.py
@@ -54,7 +54,13 @@
     async def read_configuration(self) -> ConfigurationReading:
         """Return the configuration."""
         await self._begin_read()
-        return await self._deliver(self._configuration(self.shared.raw))
+        return await self._deliver(
+            attrs.evolve(
+                self._configuration(self.shared.raw),
+                is_whole=True,
+                evacuated=self.shared.evacuated,
+            )
+        )
 
     async def watch_configuration(
         self, *, after: Revision, wait: float
@@ -70,8 +76,15 @@
         has_changed = (
             not self.omits_changes and self.shared.changed_at > after.number
         )
+        if not has_changed:
+            return await self._deliver(self._configuration(None))
+        changed = self.shared.evacuations_changed_after(after.number)
         return await self._deliver(
-            self._configuration(self.shared.raw if has_changed else None)
+            attrs.evolve(
+                self._configuration(self.shared.raw),
+                evacuated=changed & self.shared.evacuated,
+                returned=changed - self.shared.evacuated,
+            )
         )
 
     async def read_instances(self) -> InstancesReading:
@@ -218,7 +231,9 @@
     :param era: incremented by each restore from a copy.
     :param is_unavailable: every call of every VM fails.
     :param configurations: configurations by their stored form.
-    :param changed_at: revision of the last change of the configuration.
+    :param changed_at: revision of the last change of the configuration or of
+        an evacuation.
+    :param evacuated: evacuated zones.
     :param history_from: least revision after which changes can be read.
     :param instances_by_id: a test may replace it; watches report how the new
         instances differ.
@@ -228,6 +243,7 @@
     revision: int = 1
     era: int = 0
     changed_at: int = 0
+    evacuated: frozenset[str] = frozenset()
     history_from: int = 0
     is_unavailable: bool = False
     vms_by_id: Mapping[VmId, StoredVm] = attrs.field(factory=dict)
@@ -235,6 +251,8 @@
     configurations: dict[bytes, EdgeConfiguration] = attrs.field(factory=dict)
     _noted_by_id: Mapping[str, EdgeInstance] = attrs.field(factory=dict)
     _numbers_by_id: Mapping[str, int] = attrs.field(factory=dict)
+    # Revisions of the last changes of evacuations.
+    _numbers_by_zone: Mapping[str, int] = attrs.field(factory=dict)
 
     def position(self) -> Revision:
         """Return the current revision."""
@@ -261,6 +279,20 @@
         self.revision += 1
         self.changed_at = self.revision
 
+    def evacuate(self, zone: str) -> None:
+        """Ask for the evacuation of a zone."""
+        self._change_evacuated(zone, self.evacuated | {zone})
+
+    def take_back(self, zone: str) -> None:
+        """End the evacuation of a zone."""
+        self._change_evacuated(zone, self.evacuated - {zone})
+
+    def evacuations_changed_after(self, number: int) -> frozenset[str]:
+        """Return the zones whose evacuation changed since a revision."""
+        return frozenset(
+            zone for zone, at in self._numbers_by_zone.items() if at > number
+        )
+
     def register(self, entry: VmEntry) -> None:
         """Add the entry of a VM."""
         self.revision += 1
@@ -291,6 +323,8 @@
         self.raw = copy.raw
         self.revision = copy.revision
         self.changed_at = copy.changed_at
+        self.evacuated = copy.evacuated
+        self._numbers_by_zone = copy._numbers_by_zone
         self.history_from = copy.history_from
         self.vms_by_id = copy.vms_by_id
         self.instances_by_id = dict(copy.instances_by_id)
@@ -303,6 +337,12 @@
         self._note_changes()
         return [name for name, at in self._numbers_by_id.items() if at > number]
 
+    def _change_evacuated(self, zone: str, evacuated: frozenset[str]) -> None:
+        self.evacuated = evacuated
+        self.revision += 1
+        self.changed_at = self.revision
+        self._numbers_by_zone = {**self._numbers_by_zone, zone: self.revision}
+
     def _note_changes(self) -> None:
         """Assign revisions to the instances that a test has changed."""
         if self._noted_by_id == self.instances_by_id:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -283,6 +283,7 @@
         self.eras: list[str] = []
         self.clock_ahead = float(0)
         self.queries = []
+        self.deleted: set[str] = set()
 
     def put(self, table: str, key: str, document) -> None:
         raw = document
@@ -334,6 +335,7 @@
             {'table': 't', 'part': '', 'key': key, 'value': text}
             for key, text in rows[: self.page]
         ]
+        page.extend({'key': key, 'deleted': True} for key in self.deleted)
         return web.json_response(
             {
                 'tableRows': page,
@@ -571,3 +573,34 @@
     rates = {name: start.rate for name, start in found.cold_starts.items()}
     assert rates.get('drafts') == rate
     assert len(found.routes) == 2
+
+
+# Guards against an evacuation that is not read, because its row says nothing
+# that can be read, and against rows that name no zone.
+async def test_rows_of_evacuations() -> None:
+    async with StoreStandIn() as stand_in:
+        stand_in.put('op', 'config', CONFIGURATION)
+        stand_in.put('op', 'evacuate/muscat-a', {})
+        stand_in.put('op', 'evacuate/muscat-b', b'\xff')
+        stand_in.put('op', 'evacuate/', {})
+        stand_in.put('op', 'evacuated/muscat-c', {})
+        reading = await stand_in.store.read_configuration()
+        assert reading.is_whole
+        assert reading.evacuated == {'muscat-a', 'muscat-b'}
+        assert not reading.returned
+        assert stand_in.store.metrics.events['bad_store_entry'] == 1
+
+
+# Guards against a zone that stays evacuated after its row was removed.
+async def test_removed_row_takes_a_zone_back() -> None:
+    async with StoreStandIn() as stand_in:
+        stand_in.put('op', 'evacuate/muscat-a', {})
+        stand_in.deleted.add('evacuate/muscat-b')
+        reading = await stand_in.store.watch_configuration(
+            after=Revision(era=0, number=40), wait=1
+        )
+        assert not reading.is_whole
+        assert (reading.evacuated, reading.returned) == (
+            {'muscat-a'},
+            {'muscat-b'},
+        )
