--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -1,7 +1,7 @@
 """Wires the components of an edge VM over its ports."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -117,6 +117,8 @@
         events=ports.metrics.events,
     )
     catalog.on_listed = cold_starts.record_list
+    state.evacuations.on_evacuated = _evacuation_counter(ports.metrics)
+    state.evacuations.on_returned = cold_starts.record_return
     limits = InstanceLimits(cold_starts=cold_starts)
     work = RemainingWork()
 
@@ -200,6 +202,7 @@
         directory=directory,
         catalog=catalog,
         freshness=freshness,
+        evacuations=state.evacuations,
         age=age,
         store=ports.store,
         find_ahead=leader.vm_ahead,
@@ -351,3 +354,12 @@
             metrics=ports.metrics,
         ),
     )
+
+
+def _evacuation_counter(metrics: Metrics) -> Callable[[str], None]:
+    """Return a function that counts the evacuated zones."""
+
+    def count(_zone: str) -> None:
+        metrics.events['zones_evacuated'] += 1
+
+    return count
--- a/src/bronzewall/edge/selection.py
+++ b/src/bronzewall/edge/selection.py
@@ -275,6 +275,7 @@
         """Return whether an instance may still get new requests."""
         return (
             self.catalog.is_usable(instance)
+            and instance.placement.zone not in self.state.evacuations.zones
             and not self.pauses.time_left(instance.instance_id, now=now)
             and self.has_room(instance)
         )
@@ -300,6 +301,7 @@
         pauses = [
             self.pauses.time_left(item.instance_id, now=now)
             for item in self.catalog.usable(service)
+            if item.placement.zone not in self.state.evacuations.zones
         ]
         return min(filter(None, pauses), default=0)
 
@@ -339,6 +341,7 @@
             if (
                 item.instance_id not in excluded
                 and allows(profile.home_regions, item.placement.region)
+                and item.placement.zone not in self.state.evacuations.zones
                 and not self.pauses.time_left(item.instance_id, now=now)
             ):
                 yield item
