adapters: an answer with an odd status ends as a broken exchange

Cause: aiohttp's parser accepts any three digits and the versions 0.9 and 2.0 in a status line, and ends its wait for a final answer at any code outside 100 to 199. The edge's client caught statuses below 200 only; the product's daemon caught none.

Ruled out: other odd status lines (no digits, four digits, signs, other versions, other protocols): the parser refuses them, all readers raised before. A check in each client: all of them share SafeReuseHandler, and a client that is added later would lack it.

Change: SafeReuseHandler ends an exchange whose status line is not of HTTP/1.0 or 1.1, whose status is outside 100 to 599, or which changes the protocol (101). The caller gets 502, ran unknown; a transaction of the store counts as lost, not as refused. Counted as answers_with_odd_status, logged as status_line_not_valid.

--- a/src/bronzewall/adapters/instance_http.py
+++ b/src/bronzewall/adapters/instance_http.py
@@ -2,6 +2,7 @@
 
 import math
 import socket
+from collections import Counter
 from collections.abc import Sequence
 from http import HTTPStatus
 from typing import Any
@@ -230,14 +231,21 @@
 
 
 def open_instance_client(
-    names: HeaderNames, limits: ReceiveLimits = _LIMITS
+    names: HeaderNames,
+    limits: ReceiveLimits = _LIMITS,
+    *,
+    events: Counter[str] | None = None,
 ) -> InstanceClient:
     """Return a client that never resends a request on its own.
 
     :param limits: limits on the bytes of answers.
+    :param events: counts answers that are none.
     """
     connector = SafeReuseConnector(
-        limits=limits, keepalive_timeout=_IDLE_S, socket_factory=_open_socket
+        limits=limits,
+        events=events,
+        keepalive_timeout=_IDLE_S,
+        socket_factory=_open_socket,
     )
     session = open_no_retry_session(
         connector,
--- a/src/bronzewall/adapters/platform_http.py
+++ b/src/bronzewall/adapters/platform_http.py
@@ -1,5 +1,6 @@
 """Table service, object store and VM list over HTTP."""
 
+from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from typing import Any, TypeVar
 
@@ -23,13 +24,17 @@
 _DecodedT = TypeVar('_DecodedT')
 
 
-def open_platform_session() -> aiohttp.ClientSession:
+def open_platform_session(
+    events: Counter[str] | None = None,
+) -> aiohttp.ClientSession:
     """Return a session for calls to the platform and to VMs.
 
     Their answers carry no id of the request: one that comes on an idle
     connection must not be the answer to the next request.
+
+    :param events: counts answers that are none.
     """
-    return aiohttp.ClientSession(connector=SafeReuseConnector())
+    return aiohttp.ClientSession(connector=SafeReuseConnector(events=events))
 
 
 @attrs.define(kw_only=True)
--- a/src/bronzewall/adapters/safe_reuse_connector.py
+++ b/src/bronzewall/adapters/safe_reuse_connector.py
@@ -4,12 +4,15 @@
 import functools
 import re
 import sys
+from collections import Counter
 from collections.abc import Collection
 from http import HTTPStatus
 from typing import Any
 
 import aiohttp
+import structlog
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http import HttpVersion10, HttpVersion11
 from aiohttp.http_parser import RawResponseMessage
 from aiohttp.streams import EMPTY_PAYLOAD
 
@@ -20,11 +23,16 @@
 # The start of an answer inside the header block of another one. The parser
 # takes it as a part of a header or of the reason phrase.
 _STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}')
+# RFC 9110, 15: statuses outside 100 to 599 are not valid.
+_CLASSES = range(1, 6)
+_STATUSES_OF_A_CLASS = 100
+_VERSIONS = (HttpVersion10, HttpVersion11)
 # Interim answers of a server that works on the request.
 _STATUSES_AT_WORK = frozenset((HTTPStatus.PROCESSING, HTTPStatus.EARLY_HINTS))
 # A connection is closed after this many refused requests, since it remembers
 # their ids, which takes up to 1.4 KB.
 _MAX_REFUSED = 32
+_LOG = structlog.get_logger()
 
 
 class SafeReuseHandler(ResponseHandler):
@@ -40,13 +48,18 @@
     """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, received: ReceivedBytes
+        self,
+        loop: asyncio.AbstractEventLoop,
+        received: ReceivedBytes,
+        events: Counter[str],
     ) -> None:
         """Create a connection that has not sent a request yet.
 
         :param received: counts the bytes of all connections.
+        :param events: counts answers that are none.
         """
         super().__init__(loop)
+        self.events = events
         self.is_idle = True
         self.is_first = True
         self.has_begun = False
@@ -77,6 +90,14 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Receive the header block of an answer, which may be interim."""
         message, payload = data
+        problem = _status_problem(message)
+        if problem is not None:
+            self.events['answers_with_odd_status'] += 1
+            _LOG.warning(
+                'status_line_not_valid', status=message.code, problem=problem
+            )
+            self.fail(problem)
+            return
         if _is_spliced(message):
             self.fail('a status line inside a header block')
             return
@@ -199,6 +220,23 @@
         return data[:end], data[end:]
 
 
+def _status_problem(message: RawResponseMessage) -> str | None:
+    """Return why a status line belongs to no answer.
+
+    The parser accepts any three digits and more versions of HTTP. A caller
+    could not understand such an answer, and its statements, such as that
+    nothing has run, cannot be believed.
+    """
+    if message.version not in _VERSIONS:
+        version = message.version
+        return f'a status line of HTTP/{version.major}.{version.minor}'
+    if message.code // _STATUSES_OF_A_CLASS not in _CLASSES:
+        return f'status {message.code:03}'
+    if message.code == HTTPStatus.SWITCHING_PROTOCOLS:
+        return 'a change of protocol that was not requested'
+    return None
+
+
 def _is_spliced(message: RawResponseMessage) -> bool:
     """Return whether a header block was put together from two answers.
 
@@ -233,17 +271,25 @@
     """Connector without limits; the dispatcher limits connections."""
 
     def __init__(
-        self, *, limits: ReceiveLimits | None = None, **options: Any
+        self,
+        *,
+        limits: ReceiveLimits | None = None,
+        events: Counter[str] | None = None,
+        **options: Any,
     ) -> None:
         """Create a connector of :class:`SafeReuseHandler` connections.
 
         :param limits: limits on the bytes of answers.
+        :param events: counts answers that are none.
         :param options: passed on to ``TCPConnector``.
         """
         super().__init__(limit=0, limit_per_host=0, **options)
         received = ReceivedBytes(limits=limits or ReceiveLimits())
         make_handler: Any = functools.partial(
-            SafeReuseHandler, loop=self._loop, received=received
+            SafeReuseHandler,
+            loop=self._loop,
+            received=received,
+            events=Counter() if events is None else events,
         )
         self._factory = make_handler
 
--- a/src/bronzewall/adapters/upstream_http.py
+++ b/src/bronzewall/adapters/upstream_http.py
@@ -1,5 +1,6 @@
 """Exchanges with upstream instances over aiohttp's client."""
 
+from collections import Counter
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -77,10 +78,15 @@
         return AiohttpExchange(answer=answer, response=response)
 
 
-def open_session() -> aiohttp.ClientSession:
-    """Return a client session that never resends a request."""
+def open_session(
+    events: Counter[str] | None = None,
+) -> aiohttp.ClientSession:
+    """Return a client session that never resends a request.
+
+    :param events: counts answers that are none.
+    """
     return open_no_retry_session(
-        SafeReuseConnector(), max_line_bytes=_MAX_LINE_BYTES
+        SafeReuseConnector(events=events), max_line_bytes=_MAX_LINE_BYTES
     )
 
 
--- a/src/bronzewall/composition.py
+++ b/src/bronzewall/composition.py
@@ -32,14 +32,14 @@
 
 def build_daemon(settings: Settings, origins: tuple[Origin, ...]) -> Daemon:
     """Return the daemon; an event loop must be running."""
-    store_session = open_platform_session()
-    upstream_session = open_session()
+    metrics, journal = Metrics(), Journal()
+    store_session = open_platform_session(metrics.events)
+    upstream_session = open_session(metrics.events)
     clock = SystemClock()
     store = PlatformClient(base_url=settings.platform, session=store_session)
     vm_id = VmId(settings.vm_id)
     link = WebSocketLink(listen=settings.peer_listen)
     rng = random.SystemRandom()
-    metrics, journal = Metrics(), Journal()
     placement = Placement(region=settings.region, zone=settings.zone)
     members = Members(own_id=vm_id, own_placement=placement)
     endpoint = PeerEndpoint(vm_id=vm_id, incarnation=time.time_ns(), link=link)
--- a/src/bronzewall/edge/composition.py
+++ b/src/bronzewall/edge/composition.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -70,11 +71,15 @@
         sink.stop()
 
 
-def _open_store_session() -> aiohttp.ClientSession:
+def _open_store_session(
+    events: Counter[str] | None = None,
+) -> aiohttp.ClientSession:
     limits = ReceiveLimits(
         answer_bytes=_STORE_ANSWER_BYTES, total_bytes=_STORE_TOTAL_BYTES
     )
-    return aiohttp.ClientSession(connector=SafeReuseConnector(limits=limits))
+    return aiohttp.ClientSession(
+        connector=SafeReuseConnector(limits=limits, events=events)
+    )
 
 
 def build_daemon(
@@ -91,6 +96,7 @@
             answer_bytes=settings.answer_bytes,
             total_bytes=settings.total_answer_bytes,
         ),
+        events=metrics.events,
     )
     components = build_components(
         VmEntry(
@@ -106,7 +112,9 @@
             endpoint=PeerEndpoint(
                 vm_id=vm_id, incarnation=time.time_ns(), link=link
             ),
-            store=platform.open_store(clock, metrics, _open_store_session()),
+            store=platform.open_store(
+                clock, metrics, _open_store_session(metrics.events)
+            ),
             instances=client,
             names=platform.names,
             metrics=metrics,
