Send request targets as they came

POST /file/17? ran as POST /file/17. start_request put the target into a yarl.URL that parses it into parts, and aiohttp writes the request line from the parts, where an empty query and no query are the same. The whole target is now the path of the URL, which is written unchanged.

The same cause elsewhere: the stand-in upstream recorded path_qs, which loses the "?" too and would have hidden the fault; it records raw_path now. Ruled out: the server side (raw_path and message.path are the bytes as received), the relay between VMs (the same start_request), methods (the parser takes only upper-case ones), CONNECT (no route matches its authority form), the clients of the store and of the admin interface (paths of their own). Not covered: callers of the edge that send an absolute form get 404, since the path of the route is looked up in the whole target.

--- a/src/bronzewall/adapters/upstream_calls.py
+++ b/src/bronzewall/adapters/upstream_calls.py
@@ -59,7 +59,7 @@
     """
     return session.request(
         request.method,
-        URL(f'http://{request.address}{request.target}', encoded=True),
+        _request_url(request),
         headers=CIMultiDict(request.headers),
         data=request.body or None,
         timeout=aiohttp.ClientTimeout(
@@ -71,6 +71,21 @@
     )
 
 
+def _request_url(request: UpstreamRequest) -> URL:
+    """Return the URL from which aiohttp writes the request line.
+
+    The whole target, query included, is the path of the URL. A target that
+    is parsed into parts and put together again can change: an empty query
+    loses its "?".
+    """
+    return URL.build(
+        scheme='http',
+        authority=request.address,
+        path=request.target,
+        encoded=True,
+    )
+
+
 @contextmanager
 def translate_errors(timeout: float) -> Iterator[None]:
     """Translate aiohttp's errors to those of the upstream ports.
--- a/src/bronzewall/standins/upstream.py
+++ b/src/bronzewall/standins/upstream.py
@@ -113,7 +113,7 @@
                 request_id=request.headers.get(header_rules.REQUEST_ID, ''),
                 account=request.headers.get(header_rules.ACCOUNT, ''),
                 method=request.method,
-                target=request.path_qs,
+                target=request.raw_path,
                 marker=request.headers.get('X-Marker', ''),
                 saw_key='authorization' in names,
             )
