Explain what the waiting room would do with a request

explain-route named the best instance also where a request would wait in the VM, and overlooked home regions.

--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -85,6 +85,7 @@
     selector: Selector
     gate: Gate
     instance_paths: InstancePaths
+    scheduler: Scheduler
     sender: Sender
     path: EdgeRequestHandler
     explainer: RouteExplainer
@@ -344,6 +345,7 @@
         selector=selector,
         gate=gate,
         instance_paths=instance_paths,
+        scheduler=scheduler,
         sender=sender,
         path=path,
         explainer=RouteExplainer(
--- a/src/bronzewall/edge/route_explanation.py
+++ b/src/bronzewall/edge/route_explanation.py
@@ -153,6 +153,7 @@
             expected_time=self.outcomes.expected_time(exchange),
             target_latency=route.target_latency,
             queue_factor=self.outcomes.queue_factor(exchange),
+            home_regions=exchange.home_regions,
         )
         now = exchange.started
         selector = self.chooser.selector
@@ -171,10 +172,32 @@
         if winner is None:
             refusal = RefusalError(reason=Reason.NO_INSTANCE)
             return {**found, **_refused(refusal)}
+        if self.chooser.scheduler.is_enabled():
+            return {**found, **self._scheduled(exchange, profile)}
         found['instance'] = winner.instance.instance_id
         found['wait'] = round(winner.queue_time, _DIGITS)
         return {**found, **self._refusal(exchange, profile, winner)}
 
+    def _scheduled(
+        self, exchange: EdgeExchange, profile: RequestProfile
+    ) -> dict[str, Any]:
+        """Return whether the request would wait in this VM, and how long."""
+        preview = self.chooser.scheduler.preview(exchange, profile)
+        found: dict[str, Any] = {
+            'waiting': preview.waiting,
+            'wait': round(preview.wait, _DIGITS),
+        }
+        if preview.is_hopeless:
+            refusal = RefusalError(reason=Reason.OVERLOADED)
+            return {**found, **_refused(refusal)}
+        if preview.candidate is None:
+            return found
+        found['instance'] = preview.candidate.instance.instance_id
+        return {
+            **found,
+            **self._refusal(exchange, profile, preview.candidate),
+        }
+
     def _refusal(
         self,
         exchange: EdgeExchange,
--- a/src/bronzewall/edge/scheduling/scheduler.py
+++ b/src/bronzewall/edge/scheduling/scheduler.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 import structlog
@@ -49,6 +50,22 @@
 _LOG = structlog.get_logger()
 
 
+@attrs.frozen(kw_only=True)
+class Preview:
+    """What would happen to a request now.
+
+    :param candidate: instance to which it would go at once, if any.
+    :param waiting: requests that wait for its service.
+    :param wait: expected seconds until it is sent.
+    :param is_hopeless: it would be refused because that is too late.
+    """
+
+    candidate: Candidate | None
+    waiting: int
+    wait: float
+    is_hopeless: bool
+
+
 @attrs.define(kw_only=True, eq=False)
 class Scheduler:
     """Waiting rooms of one VM, by service.
@@ -126,6 +143,32 @@
             raise
         return self._take(exchange, room, item, reason)
 
+    def preview(
+        self, exchange: EdgeExchange, profile: RequestProfile
+    ) -> Preview:
+        """Return what would happen to a request now; nothing is changed."""
+        now = self.clock.now()
+        room = self.rooms_by_service.get(profile.service, WaitingRoom())
+        item = self._waiting_request(exchange, profile, frozenset(), now)
+        ordered = in_order(
+            [*room.requests, item], fair_use=room.fair_use, now=now
+        )
+        candidate = None
+        if not room.requests:
+            candidate = self.selector.best_with_room(
+                profile, now=now, **self._bounds(room, item)
+            )
+        gap = self._gap(room, item)
+        late = hopeless(
+            ordered, gap=gap, is_overloaded=room.is_overloaded(), now=now
+        )
+        return Preview(
+            candidate=candidate,
+            waiting=len(room.requests),
+            wait=0 if candidate else (ordered.index(item) + 1) * gap,
+            is_hopeless=candidate is None and item in late,
+        )
+
     def _take(
         self,
         exchange: EdgeExchange,
@@ -260,16 +303,22 @@
         The longer the queue in this VM, the more a distant instance may cost:
         each request that goes there shortens the wait of all behind it.
         """
-        profile = item.profile
-        backlog = room.backlog(gap=self._gap(room, item))
         return self.selector.choose_with_room(
-            profile,
-            excluded=item.excluded,
-            now=now,
-            max_queue_time=profile.expected_time * _QUEUED_PER_SLOT,
-            extra_loss=QUEUE_TIME_WEIGHT * backlog / target_latency(profile),
+            item.profile, now=now, **self._bounds(room, item)
         )
 
+    def _bounds(
+        self, room: WaitingRoom, item: WaitingRequest
+    ) -> dict[str, Any]:
+        """Return which instances a request may be sent to now."""
+        profile = item.profile
+        backlog = room.backlog(gap=self._gap(room, item))
+        return {
+            'excluded': item.excluded,
+            'max_queue_time': profile.expected_time * _QUEUED_PER_SLOT,
+            'extra_loss': QUEUE_TIME_WEIGHT * backlog / target_latency(profile),
+        }
+
     def _send(
         self,
         service: ServiceName,
--- a/src/bronzewall/edge/selection.py
+++ b/src/bronzewall/edge/selection.py
@@ -199,19 +199,29 @@
             with any queue.
         """
         candidates = self._candidates(profile, excluded=excluded, now=now)
-        free = [
-            item for item in candidates if item.queue_time <= max_queue_time
-        ]
-        probed = self.due_probe(profile, free, now)
-        if probed is not None:
-            return self._use(probed, now)
-        least = min((item.loss for item in candidates), default=0)
-        max_loss = least + extra_loss + self.tolerance(profile.service)
-        best = self._best(
-            [item for item in free if item.loss <= max_loss], profile
+        free = _with_room(candidates, max_queue_time)
+        best = self.due_probe(profile, free, now) or self._best_near(
+            candidates, free, profile, extra_loss
         )
         return None if best is None else self._use(best, now)
 
+    def best_with_room(
+        self,
+        profile: RequestProfile,
+        *,
+        excluded: Collection[InstanceId],
+        now: float,
+        max_queue_time: float,
+        extra_loss: float,
+    ) -> Candidate | None:
+        """Return what ``choose_with_room`` would, without counting it as used.
+
+        Probes of suspected instances are not looked at.
+        """
+        candidates = self._candidates(profile, excluded=excluded, now=now)
+        free = _with_room(candidates, max_queue_time)
+        return self._best_near(candidates, free, profile, extra_loss)
+
     def has_any(
         self,
         profile: RequestProfile,
@@ -359,6 +369,23 @@
             key=self._last_use,
         )
 
+    def _best_near(
+        self,
+        candidates: Collection[Candidate],
+        free: Collection[Candidate],
+        profile: RequestProfile,
+        extra_loss: float,
+    ) -> Candidate | None:
+        """Return the best free candidate unless its loss is much larger.
+
+        :param extra_loss: largest difference to the loss of any candidate.
+        """
+        least = min((item.loss for item in candidates), default=0)
+        max_loss = least + extra_loss + self.tolerance(profile.service)
+        return self._best(
+            [item for item in free if item.loss <= max_loss], profile
+        )
+
     def _use(self, candidate: Candidate, now: float) -> Candidate:
         """Note the use of a candidate and return it."""
         self._last_used_at[candidate.instance.instance_id] = now
@@ -430,6 +457,12 @@
         )
 
 
+def _with_room(
+    candidates: Iterable[Candidate], max_queue_time: float
+) -> list[Candidate]:
+    return [item for item in candidates if item.queue_time <= max_queue_time]
+
+
 def target_latency(profile: RequestProfile) -> float:
     """Return the seconds within which an answer has its full value."""
     return profile.target_latency or _DEFAULT_TARGET_S
--- a/tests/test_edge_route_explanation.py
+++ b/tests/test_edge_route_explanation.py
@@ -84,6 +84,43 @@
     run_virtual(main())
 
 
+def test_scheduled_request_is_shown_to_wait() -> None:
+    # Guards against an explanation that names an instance although the request
+    # would wait in the VM, or that takes a place in the waiting room.
+    async def main() -> None:
+        vm = an_edge_vm(scheduling='on')
+        vm.serve_alone(an_edge_instance('i-1', slots=1))
+        found = vm.explainer.explain(asked())['services'][0]
+        assert (found['instance'], found['waiting']) == ('i-1', 0)
+        tasks = [asyncio.create_task(vm.ask()) for _ in range(4)]
+        await asyncio.sleep(0.01)
+        found = vm.explainer.explain(asked())['services'][0]
+        assert 'instance' not in found
+        assert found['waiting'] == 2
+        assert found['wait'] > 0
+        assert len(vm.scheduler.rooms_by_service['drafts'].requests) == 2
+        assert [(await task).status for task in tasks] == [200] * 4
+
+    run_virtual(main())
+
+
+def test_instance_of_another_region_is_not_named() -> None:
+    # Guards against an explanation that overlooks home regions.
+    async def main() -> None:
+        vm = an_edge_vm()
+        vm.serve_alone(
+            an_edge_instance('i-1', zone='muscat-a'),
+            an_edge_instance('i-2', zone='dhofar-a'),
+            configuration=an_edge_configuration(
+                routes=(an_edge_route(home_regions=frozenset(('dhofar',))),)
+            ),
+        )
+        found = vm.explainer.explain(asked())['services'][0]
+        assert found['instance'] == 'i-2'
+
+    run_virtual(main())
+
+
 def test_explanation_changes_nothing() -> None:
     # Guards against an explanation that spends a token, a draw of a split or an
     # instance's turn, or counts as a request.
