Do not abandon reads of the store whose bytes keep coming

Change: the limit of a call is the time without any byte; a transfer may take 2.5 s more. A silent store is given up as soon as before.

Ruled out: waiting for the leader's packed configuration alone (not there either, since the leaders of the zone start as well).

--- a/src/bronzewall/platform/store.py
+++ b/src/bronzewall/platform/store.py
@@ -44,6 +44,9 @@
 # call timeout.
 _READ_TIMEOUT_S = 0.35
 _SLOW_ANSWER_S = 0.15
+# Time that an answer may take beyond the limit of its call while its bytes keep
+# coming, seconds. A configuration of 1 MB takes 1.6 s on a link of 5 Mbit/s.
+_TRANSFER_TIME_S = 2.5
 # Rows that one transaction may write.
 _TRANSACTION_ROWS = 100
 # Malformed rows whose errors are remembered; the oldest are forgotten.
@@ -376,9 +379,17 @@
         body: dict[str, Any] | None = None,
         timeout: float = _CALL_TIMEOUT_S,
     ) -> _Answer:
+        """Return the answer to a call.
+
+        :param timeout: seconds without any byte of an answer after which the
+            call is abandoned. A large answer on a slow link goes on coming.
+        :raises StoreUnavailableError: the call failed.
+        """
         self.metrics.events['store_calls'] += 1
         limit = aiohttp.ClientTimeout(
-            total=timeout, sock_connect=_CONNECT_TIMEOUT_S
+            total=timeout + _TRANSFER_TIME_S,
+            sock_connect=min(timeout, _CONNECT_TIMEOUT_S),
+            sock_read=timeout,
         )
         try:
             async with self.session.request(
