--- a/src/bronzewall/edge/composition.py
+++ b/src/bronzewall/edge/composition.py
@@ -164,6 +164,7 @@
             ),
             'services_out_of_reach': components.instance_paths.lost_services(),
             'limits': components.limits.limits_by_id(),
+            'evacuated': sorted(components.state.evacuations.zones),
             'in_flight': components.path.in_flight,
             'log_lines_left_out': dict(sink.dropped_by_reason),
         }
