edge: learned costs are off by default; no switch by the configuration

Change: cost_aware is false by default; the switch by routes of type upload or download, and what it read of the configuration, are taken out again.

--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -108,8 +108,6 @@
     work = RemainingWork()
 
     def uses_costs() -> bool:
-        if settings.cost_aware is None:
-            return directory.has_bulk_routes
         return settings.cost_aware
 
     selector = Selector(
--- a/src/bronzewall/edge/directory.py
+++ b/src/bronzewall/edge/directory.py
@@ -35,7 +35,6 @@
         factory=dict
     )
     accounts_by_id: Mapping[AccountId, EdgeAccount] = attrs.field(factory=dict)
-    has_bulk_routes: bool = False
     _loaded: asyncio.Event = attrs.field(factory=asyncio.Event)
     _account_ids_by_digest: Mapping[bytes, AccountId] = attrs.field(
         factory=dict
@@ -92,9 +91,6 @@
         self.raw = raw
         self._loaded.set()
         self.routes_by_host = routes
-        self.has_bulk_routes = any(
-            found.is_bulk for found in configuration.routes
-        )
         self.accounts_by_id = {
             account.account_id: account for account in configuration.accounts
         }
--- a/src/bronzewall/edge/settings.py
+++ b/src/bronzewall/edge/settings.py
@@ -15,7 +15,6 @@
 )
 
 _COMMENT = '#'
-_AUTO = 'auto'
 _DISCOVERY_INTERVAL_S = 1.5
 _FLAGS_BY_TEXT: Mapping[bool | str, bool] = {
     'true': True,
@@ -38,12 +37,6 @@
     raise ValueError(f'{given!r} is neither true nor false')
 
 
-def _flag_or_auto(given: bool | str | None) -> bool | None:
-    if given is None or given == _AUTO:
-        return None
-    return _flag(given)
-
-
 def _text() -> Any:
     return attrs.field(validator=not_empty)
 
@@ -83,8 +76,7 @@
     :param total_answer_bytes: bytes of all answers that are being received.
     :param total_body_bytes: bytes of all request bodies that are held.
     :param cost_aware: whether the choice of an instance goes by what requests
-        are likely to cost and by the speed of instances; ``None`` (``auto``)
-        while the configuration has routes for uploads or downloads.
+        are likely to cost and by the speed of instances.
     :param log_level: name of the lowest level that is logged.
     """
 
@@ -124,7 +116,7 @@
     total_body_bytes: int = attrs.field(
         default=_TOTAL_BODY_BYTES, converter=int, validator=positive
     )
-    cost_aware: bool | None = attrs.field(default=None, converter=_flag_or_auto)
+    cost_aware: bool = attrs.field(default=False, converter=_flag)
     log_level: str = attrs.field(
         default='info', validator=attrs.validators.in_(LEVELS_BY_NAME)
     )
--- a/src/bronzewall/platform/configuration.py
+++ b/src/bronzewall/platform/configuration.py
@@ -26,8 +26,6 @@
 # take large bodies and are otherwise ``non_idempotent``.
 _IDEMPOTENT = 'idempotent'
 _ROUTE_TYPES = frozenset((_IDEMPOTENT, 'non_idempotent', 'upload'))
-# Routes with large requests or answers.
-_BULK_TYPES = frozenset(('upload', 'download'))
 # Rank of routes and accounts whose priority cannot be read.
 _LOWEST_PRIORITY = 9
 _LOG = structlog.get_logger()
@@ -106,7 +104,6 @@
                 max_instances=_optional_integer(wire, 'attempts', 1),
                 priority=self._priority(wire) or 0,
                 open_to_all=wire.get('public') is True,
-                is_bulk=fields.text(wire, 'routeType') in _BULK_TYPES,
             )
         except StoreEntryError as exc:
             self._record_unusable(route.route_id, exc)
