--- a/src/bronzewall/edge/request_costs.py
+++ b/src/bronzewall/edge/request_costs.py
@@ -12,7 +12,7 @@
 _PRIOR_ANSWERS = 4
 # Weight of a new answer: half of the weight is in the last 35 answers.
 _SMOOTHING_FACTOR = 0.02
-# Classes that are kept, about 0.3 KB each. The size of two years has 66,000
+# Classes that are kept, about 0.26 KB each. The size of two years has 66,000
 # routes, of which one VM serves few at a time.
 _MAX_CLASSES = 1024
 # A time in the queue that was overestimated leaves at least this fraction of
