--- a/src/bronzewall/edge/directory.py
+++ b/src/bronzewall/edge/directory.py
@@ -95,12 +95,12 @@
         self.raw = raw
         self._loaded.set()
         self.routes_by_host = routes
-        self.has_bulk_routes = any(
-            found.is_bulk for found in configuration.routes
-        )
         self.accounts_by_id = {
             account.account_id: account for account in configuration.accounts
         }
+        self.has_bulk_routes = any(
+            route.is_bulk for route in configuration.routes
+        )
         self.connection_limits = {
             found.service: found.max_connections
             for found in configuration.services
--- a/src/bronzewall/edge/settings.py
+++ b/src/bronzewall/edge/settings.py
@@ -16,7 +16,6 @@
 )
 
 _COMMENT = '#'
-_AUTO = 'auto'
 _DISCOVERY_INTERVAL_S = 1.5
 _FLAGS_BY_TEXT: Mapping[bool | str, bool] = {
     'true': True,
@@ -42,12 +41,6 @@
     raise ValueError(f'{given!r} is neither true nor false')
 
 
-def _flag_or_auto(given: bool | str | None) -> bool | None:
-    if given is None or given == _AUTO:
-        return None
-    return _flag(given)
-
-
 def _text() -> Any:
     return attrs.field(validator=not_empty)
 
@@ -111,8 +104,7 @@
     :param total_answer_bytes: bytes of all answers that are being received.
     :param total_body_bytes: bytes of all request bodies that are held.
     :param cost_aware: whether the choice of an instance goes by what requests
-        are likely to cost and by the speed of instances; ``None`` (``auto``)
-        while the configuration has routes for uploads or downloads.
+        are likely to cost and by the speed of instances.
     :param held_answer_bytes: bytes of answers that callers have not taken.
     :param log_level: name of the lowest level that is logged.
     """
@@ -155,7 +147,7 @@
     total_body_bytes: int = attrs.field(
         default=_TOTAL_BODY_BYTES, converter=int, validator=positive
     )
-    cost_aware: bool | None = attrs.field(default=None, converter=_flag_or_auto)
+    cost_aware: bool = attrs.field(default=False, converter=_flag)
     held_answer_bytes: int = attrs.field(
         default=_HELD_ANSWER_BYTES, converter=int, validator=positive
     )
