entry: the idle time begins when a caller has taken its answer

Cause: a connection was looked at once in an idle time. If its caller had read a large answer slowly, the look after the end of the answer counted the time of reading as idle and closed the connection at once, though callers reuse connections for four fifths of the limit.

Change: eight looks within the idle time; it begins at the last look that found the connection in use.

Test: test_idle_time_begins_when_the_answer_is_taken in tests/test_slow_callers.py, which failed before.

--- a/src/bronzewall/adapters/entry_protocol.py
+++ b/src/bronzewall/adapters/entry_protocol.py
@@ -25,6 +25,11 @@
 # A caller sends its first request within this time, seconds.
 _FIRST_REQUEST_S = 1.0
 
+# Looks at a connection within its idle time. The end of an answer that a caller
+# takes slowly falls between two looks, so that the connection may be closed
+# after 7/8 of the limit; callers reuse connections for up to four fifths of it.
+_IDLE_CHECKS = 8
+
 # Time for which a connection is read after its last answer, seconds. A caller
 # closes it as soon as it has read that the answer is the last one.
 _LINGER_S = 1.0
@@ -60,6 +65,7 @@
     """Request handler of one caller's connection."""
 
     __slots__ = (
+        '_busy_at',
         '_find_timeouts',
         '_has_dropped_input',
         '_header_timer',
@@ -95,6 +101,7 @@
         self._pending_requests: deque[PendingRequest] = deque()
         self._opened_at = float(0)
         self._has_dropped_input = False
+        self._busy_at = float(0)
         self._stalled_at: float | None = None
         self._taken_bytes = 0
         self._lingering: asyncio.Event | None = None
@@ -338,7 +345,6 @@
             return
         now = self._loop.time()
         idle_timeout = self._find_timeouts().idle
-        idle_s = now - self._next_keepalive_close_time
         if self._is_stalled(now):
             self.events['stalled_callers_cut'] += 1
             _LOG.warning('caller_stalled', untaken=self.untaken_bytes())
@@ -350,14 +356,17 @@
             and self._header_timer is None
             and not self.untaken_bytes()
         )
-        if is_idle and idle_s >= idle_timeout:
+        if not is_idle:
+            self._busy_at = now
+        idle_s = now - max(self._busy_at, self._next_keepalive_close_time)
+        if idle_s >= idle_timeout:
             self.events['idle_connections_closed'] += 1
             _LOG.info('caller_idle', seconds=round(idle_s, 3))
             self.force_close()
             return
-        left = idle_timeout - idle_s if is_idle else idle_timeout
         self._keepalive_handle = self._loop.call_later(
-            left, self._process_keepalive
+            min(idle_timeout - idle_s, idle_timeout / _IDLE_CHECKS),
+            self._process_keepalive,
         )
 
 
--- a/tests/raw_callers.py
+++ b/tests/raw_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections import Counter
 from collections.abc import AsyncIterator, Awaitable, Callable
 
@@ -50,9 +51,21 @@
         """Counted events."""
         return self.metrics.events
 
-    async def connect(self) -> RawCaller:
-        """Open a connection."""
-        reader, writer = await asyncio.open_connection('127.0.0.1', self.port)
+    async def connect(self, receive_bytes: int | None = None) -> RawCaller:
+        """Open a connection.
+
+        :param receive_bytes: size of the caller's receive buffer.
+        """
+        opened = socket.socket()
+        if receive_bytes is not None:
+            opened.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes
+            )
+        opened.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(
+            opened, ('127.0.0.1', self.port)
+        )
+        reader, writer = await asyncio.open_connection(sock=opened)
         caller = RawCaller(reader=reader, writer=writer)
         self._callers.append(caller)
         return caller
--- a/tests/test_slow_callers.py
+++ b/tests/test_slow_callers.py
@@ -60,6 +60,37 @@
                 await asyncio.sleep(0.1)
 
 
+async def test_idle_time_begins_when_the_answer_is_taken(
+    unused_tcp_port: int,
+) -> None:
+    # Guards against a connection that is closed as idle at the moment in which
+    # a slow caller has read its answer and may send the next request.
+    idle_s = 1.0
+    # The kernel takes it at once.
+    body = bytes(2_000_000)
+
+    async def large(_request: CallerRequest, writer: AnswerWriter) -> None:
+        await writer.start(
+            status=200, headers=[('Content-Length', str(len(body)))]
+        )
+        await writer.write(body)
+        await writer.finish()
+
+    limits = CallerTimeouts(header=60, idle=idle_s)
+    async with a_raw_server(unused_tcp_port, limits, large) as server:
+        # What the caller's kernel has acknowledged counts as taken.
+        caller = await server.connect(receive_bytes=8192)
+        for _ in range(2):
+            assert b' 200 ' in await caller.ask()
+            received = 0
+            for _ in range(26):
+                await asyncio.sleep(idle_s / 10)
+                received += len(await caller.reader.read(60_000))
+            await caller.reader.readexactly(len(body) - received)
+            await asyncio.sleep(idle_s * 0.7)
+        assert b' 200 ' in await caller.ask()
+
+
 @pytest.mark.parametrize('is_reading', [True, False])
 async def test_only_a_caller_that_takes_nothing_is_cut(
     unused_tcp_port: int, is_reading: bool
