--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -426,7 +426,7 @@
                 exchange.service, is_late=is_late
             )
             self.response_times.record(exchange.service, now - sent_at)
-            self.state.crashes.clear(exchange.fingerprint)
+            self.state.crashes.clear(exchange.fingerprint, now=now)
         locality = locality_of(
             self.selector.own_placement, candidate.instance.placement
         )
--- a/tests/test_edge_failure_estimates.py
+++ b/tests/test_edge_failure_estimates.py
@@ -58,7 +58,7 @@
     for number in range(CRASH_INSTANCES + 2):
         item = BrokenRequest(fingerprint=b'x', instance_id=f'i-{number}')
         tracker.record((item,), now=number)
-        tracker.clear(b'x')
+        tracker.clear(b'x', now=number)
     assert not tracker.is_refused(b'x', now=5)
 
 
