Treat an answer with a control character in a header as broken

A header value with 0x01 or 0x7f made both faces close the caller's connection without an answer. The parser of answers accepts control characters, and aiohttp refuses to write them (ValueError) after the answer has counted as started, so that the handler could only abort.

The connection to the instance now fails such an answer as it does one with a status line inside its head: 502, or another attempt where the request may run again. This one place serves both faces, relayed answers, and the store.

--- a/src/bronzewall/adapters/safe_reuse_connector.py
+++ b/src/bronzewall/adapters/safe_reuse_connector.py
@@ -20,6 +20,9 @@
 # The start of an answer inside the header block of another one. The parser
 # takes it as a part of a header or of the reason phrase.
 _STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}')
+# RFC 9110, 5.5: control characters but HTAB are invalid in header values. The
+# parser accepts them and aiohttp refuses to write them to a caller.
+_CONTROL_CHARACTER = re.compile(rb'[\x00-\x08\x0a-\x1f\x7f]')
 # Interim answers of a server that works on the request.
 _STATUSES_AT_WORK = frozenset((HTTPStatus.PROCESSING, HTTPStatus.EARLY_HINTS))
 # A connection is closed after this many refused requests, since it remembers
@@ -80,6 +83,11 @@
         if _is_spliced(message):
             self.fail('a status line inside a header block')
             return
+        if any(
+            _CONTROL_CHARACTER.search(text) for _, text in message.raw_headers
+        ):
+            self.fail('a control character in a header')
+            return
         self._has_head = message.code >= HTTPStatus.OK
         self.has_begun = self.has_begun or message.code in _STATUSES_AT_WORK
         length = whole_number(
