--- a/src/bronzewall/edge/attempt_outcomes.py
+++ b/src/bronzewall/edge/attempt_outcomes.py
@@ -212,7 +212,7 @@
             )
             self.response_times.record(exchange.service, now - sent_at)
             self._record_cost(exchange, candidate, answer, sent_at)
-            self.state.crashes.clear(exchange.fingerprint)
+            self.state.crashes.clear(exchange.fingerprint, now=now)
         locality = locality_of(
             self.selector.own_placement, candidate.instance.placement
         )
