edge: token buckets and the pools of a zone in modules of their own

rate_limits.py held the bucket, the pools that a zone leader keeps and the limits on one VM. No behaviour changes; test_edge_state, test_edge_status_size and test_edge_sending pass.

--- a/bench/allowances.py
+++ b/bench/allowances.py
@@ -95,19 +95,15 @@
     seconds: float,
 ) -> dict[str, list[Any]]:
     fleet.requests_by_account.clear()
+    usual_by_id = {name: rate / QUOTA_FACTOR for name, rate in rates.items()}
+    usual_by_id['hot'] *= hot_factor
     sending = [
         fleet.send(
-            Demand(
-                account_id=name,
-                per_s=rate
-                / QUOTA_FACTOR
-                * (hot_factor if name == 'hot' else 1),
-                weights_by_vm=weights,
-            ),
+            Demand(account_id=name, per_s=per_s, weights_by_vm=weights),
             seconds,
             random.Random(drawn.random()),
         )
-        for name, rate in rates.items()
+        for name, per_s in usual_by_id.items()
     ]
     await asyncio.gather(*sending)
     return {name: list(one) for name, one in fleet.requests_by_account.items()}
--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -20,7 +20,6 @@
 from bronzewall.edge.member import Member
 from bronzewall.edge.model import EdgeInstance, VmEntry
 from bronzewall.edge.ports import FleetStore, HeaderNames, InstanceHttp
-from bronzewall.edge.rate_limits import ZonePools
 from bronzewall.edge.refresh import Refresher
 from bronzewall.edge.registrations import Registrations
 from bronzewall.edge.relay import Relay
@@ -37,6 +36,7 @@
 from bronzewall.edge.traffic_splits import TrafficSplits
 from bronzewall.edge.watch_schedule import WatchSchedule
 from bronzewall.edge.zone_leader import ZoneLeader
+from bronzewall.edge.zone_pools import ZonePools
 from bronzewall.edge.zone_state import ZoneState
 from bronzewall.metrics import Metrics
 from bronzewall.peer_calls import PeerEndpoint
--- a/src/bronzewall/edge/member.py
+++ b/src/bronzewall/edge/member.py
@@ -9,7 +9,6 @@
 from bronzewall.edge.freshness import KeyFreshness
 from bronzewall.edge.leader_election import LeaderElection
 from bronzewall.edge.ports import FleetStore
-from bronzewall.edge.rate_limits import ZoneQuota
 from bronzewall.edge.zone_leader import ZoneLeader
 from bronzewall.edge.zone_messages import MemberReport, ZoneStatus
 from bronzewall.edge.zone_packing import (
@@ -17,6 +16,7 @@
     unpack_instances,
     unpack_vms,
 )
+from bronzewall.edge.zone_pools import ZoneQuota
 from bronzewall.edge.zone_state import ZoneState
 from bronzewall.errors import StoreEntryError
 from bronzewall.messages import Envelope
--- a/src/bronzewall/edge/rate_limits.py
+++ b/src/bronzewall/edge/rate_limits.py
@@ -1,29 +1,16 @@
-"""Rate limits of client accounts, divided among zones and VMs."""
+"""Rate limits of client accounts on one VM."""
 
-import math
 from collections import Counter
 from collections.abc import Mapping
 
 import attrs
 
 from bronzewall.edge.model import EdgeAccount
+from bronzewall.edge.token_bucket import Bucket, OwnRate
 from bronzewall.errors import RateExceededError
-from bronzewall.types import AccountId
 
-# A zone's share of a small burst can be less than one request. The zones may
-# therefore use this fraction of the fleet's slack in addition, in equal
-# shares; the rest covers messages in transit.
-_SLACK_FRACTION = 0.8
-_MAX_ROUNDING_TOKENS = 2.5
 # A VM without a zone leader may admit at least one request at once.
 _LOCAL_ROUNDING_TOKENS = 1.0
-# Initial fill of a zone's buckets. A new process has no record of what
-# was admitted before its start.
-_INITIAL_FILL_FRACTION = 0.5
-# A demand below this is dropped, requests a second.
-_MIN_DEMAND_PER_S = 0.001
-# Decay time of the demand by account, seconds.
-_DEMAND_DECAY_TIME_S = 4.0
 # A VM that received nothing from a zone leader for this long uses only its
 # own quota share, seconds.
 LEADER_TIMEOUT_S = 1.0
@@ -33,210 +20,11 @@
 _STATUS_TIMEOUT_S = 0.3
 # Factor on that share: not all VMs use theirs at the same time.
 _SHARE_FACTOR = 1.5
-# Time constant of the rate at which a VM admits an account's requests, seconds.
-_OWN_RATE_TIME_S = 2.0
 # Limits of the Retry-After of refused requests, seconds.
 _MIN_RETRY_AFTER_S = 0.05
 _MAX_RETRY_AFTER_S = 5.0
 
 
-@attrs.define(kw_only=True)
-class Bucket:
-    """Token bucket that may be overdrawn.
-
-    :param level: tokens at the time ``at``; negative if other VMs admitted
-        requests that were counted only later.
-    :param at: clock time of the last refill, seconds.
-    """
-
-    level: float
-    at: float
-
-    def refill(self, *, rate: float, limit: float, now: float) -> None:
-        """Add the tokens accrued since the last call.
-
-        :param rate: tokens a second.
-        :param limit: level above which nothing is added.
-        """
-        elapsed = max(0, now - self.at)
-        self.at = max(self.at, now)
-        # Tokens transferred from another zone may exceed the limit. They are
-        # kept until they are used, and no refill is added meanwhile.
-        if self.level < limit:
-            self.level = min(limit, self.level + rate * elapsed)
-
-
-@attrs.define(kw_only=True)
-class OwnRate:
-    """Requests a second of one account on this VM, as a decaying mean."""
-
-    _rate: float = 0
-    _at: float = 0
-
-    def count(self, *, now: float) -> None:
-        """Count one request."""
-        self._rate = self.rate(now=now) + 1 / _OWN_RATE_TIME_S
-        self._at = now
-
-    def rate(self, *, now: float) -> float:
-        """Return the requests a second."""
-        elapsed = max(0, now - self._at)
-        return self._rate * math.exp(-elapsed / _OWN_RATE_TIME_S)
-
-
-@attrs.define(kw_only=True)
-class Demand:
-    """Requests a second by account, as a decaying mean."""
-
-    _rates: dict[str, float] = attrs.field(factory=dict)
-    _at: float = 0
-
-    def add(self, counts: Mapping[str, int], *, now: float) -> None:
-        """Count requests by account."""
-        self._decay(now)
-        for account_id, count in counts.items():
-            added = count / _DEMAND_DECAY_TIME_S
-            self._rates[account_id] = self._rates.get(account_id, 0) + added
-
-    def rates(self, *, now: float) -> dict[str, float]:
-        """Return the requests a second by account."""
-        self._decay(now)
-        return self._rates
-
-    def _decay(self, now: float) -> None:
-        elapsed = max(0, now - self._at)
-        self._at = now
-        remaining_fraction = max(0, 1 - elapsed / _DEMAND_DECAY_TIME_S)
-        self._rates = {
-            account_id: rate * remaining_fraction
-            for account_id, rate in self._rates.items()
-            if rate * remaining_fraction > _MIN_DEMAND_PER_S
-        }
-
-
-@attrs.frozen(kw_only=True)
-class ZoneQuota:
-    """What a zone may admit, as its leader tells the VMs.
-
-    :param share: the zone's fraction of each account's rate and burst.
-    :param extra: tokens of a full bucket beyond that of the burst.
-    :param tokens: tokens by account, of those whose bucket is not full.
-    """
-
-    share: float
-    extra: float
-    tokens: dict[str, float] = attrs.field(factory=dict)
-
-    def limit(self, account: EdgeAccount) -> float:
-        """Return the tokens of a full bucket."""
-        return account.burst * self.share + self.extra
-
-    def rate(self, account: EdgeAccount) -> float:
-        """Return the tokens a second."""
-        return account.rate * self.share
-
-    def levels(
-        self, accounts: Mapping[AccountId, EdgeAccount]
-    ) -> dict[str, float]:
-        """Return the tokens of all limited accounts."""
-        return {
-            account.account_id: self.tokens.get(
-                account.account_id, self.limit(account)
-            )
-            for account in accounts.values()
-            if account.rate
-        }
-
-    def rates(
-        self, accounts: Mapping[AccountId, EdgeAccount]
-    ) -> dict[str, float]:
-        """Return the tokens a second of all limited accounts."""
-        return {
-            account.account_id: self.rate(account)
-            for account in accounts.values()
-            if account.rate
-        }
-
-
-@attrs.define(kw_only=True, eq=False)
-class ZonePools:
-    """Token buckets of one zone by account, kept by its zone leader.
-
-    Every zone has the same share of an account's rate and burst. Zones
-    transfer tokens to one another where they are needed.
-
-    :param zone_count: number of zones.
-    :param slack: requests that the fleet may admit beyond burst and rate.
-    """
-
-    zone_count: int
-    slack: float
-    demand: Demand = attrs.field(factory=Demand)
-    _buckets_by_id: dict[str, Bucket] = attrs.field(factory=dict)
-
-    def take_over(self, levels: Mapping[str, float], *, now: float) -> None:
-        """Continue the buckets of the leader before.
-
-        :param levels: its tokens by account, as far as they are known.
-        """
-        self._buckets_by_id = {
-            account_id: Bucket(level=level, at=now)
-            for account_id, level in levels.items()
-        }
-
-    def consume(self, account_id: str, count: int) -> None:
-        """Consume the tokens of requests that were admitted in the zone."""
-        bucket = self._buckets_by_id.get(account_id)
-        if bucket is not None:
-            bucket.level -= count
-
-    def level(self, account_id: str) -> float:
-        """Return the tokens of an account as of the last refill."""
-        bucket = self._buckets_by_id.get(account_id)
-        # An account without a bucket has no limit.
-        return math.inf if bucket is None else bucket.level
-
-    def add(self, account_id: str, tokens: float) -> None:
-        """Add tokens granted by another zone, or remove granted ones."""
-        bucket = self._buckets_by_id.get(account_id)
-        if bucket is not None:
-            bucket.level += tokens
-
-    def quota(
-        self,
-        accounts: Mapping[AccountId, EdgeAccount],
-        *,
-        fraction: float,
-        now: float,
-    ) -> 'ZoneQuota':
-        """Return what the zone may admit now.
-
-        :param fraction: fraction of the zone's VMs that follow this leader.
-        """
-        quota = ZoneQuota(
-            share=fraction / self.zone_count,
-            extra=self._rounding_tokens() * fraction,
-        )
-        for account in accounts.values():
-            if not account.rate:
-                continue
-            limit = quota.limit(account)
-            rate = quota.rate(account)
-            bucket = self._buckets_by_id.get(account.account_id)
-            if bucket is None:
-                bucket = Bucket(level=limit * _INITIAL_FILL_FRACTION, at=now)
-                self._buckets_by_id[account.account_id] = bucket
-            bucket.refill(rate=rate, limit=limit, now=now)
-            if bucket.level != limit:
-                quota.tokens[account.account_id] = round(bucket.level, 2)
-        return quota
-
-    def _rounding_tokens(self) -> float:
-        return min(
-            _MAX_ROUNDING_TOKENS, self.slack * _SLACK_FRACTION / self.zone_count
-        )
-
-
 @attrs.define(kw_only=True, eq=False)
 class Admission:
     """Applies the rate limits of accounts on this VM.
--- a/src/bronzewall/edge/zone_leader.py
+++ b/src/bronzewall/edge/zone_leader.py
@@ -14,7 +14,6 @@
 from bronzewall.edge.freshness import KeyFreshness
 from bronzewall.edge.knowledge_age import KnowledgeAge
 from bronzewall.edge.older_builds import OlderBuilds
-from bronzewall.edge.rate_limits import ZonePools
 from bronzewall.edge.zone_messages import (
     BrokenRequest,
     MemberReport,
@@ -26,6 +25,7 @@
     pack_instances,
     pack_vms,
 )
+from bronzewall.edge.zone_pools import ZonePools
 from bronzewall.edge.zone_state import ZoneState
 from bronzewall.messages import Envelope
 from bronzewall.peer_calls import PeerEndpoint
--- a/tests/test_edge_status_size.py
+++ b/tests/test_edge_status_size.py
@@ -6,7 +6,7 @@
 from edge_builders import an_edge_account, an_edge_configuration
 from edge_fleet import settled
 
-from bronzewall.edge.rate_limits import ZonePools
+from bronzewall.edge.zone_pools import ZonePools
 from bronzewall.standins.virtual_time import run_virtual
 from bronzewall.types import AccountId
 
