edge: a VM without a confirmed leader uses only its own part of a quota

A new leader counted VMs that it did not hear as cut off only after 1.5 s, and the leader before left a lost VM out 3 s after its last report. VMs without a leader began with a full bucket, and each refilled the zone's bucket by itself between two statuses. The same cause sat in: reports to a leader that was killed, whose admitted requests nobody counted; and a leader that sends statuses but does not hear the VM (link cut one way), whose VM used the zone's tokens without an end.

Change: rights shrink until a leader is confirmed. A VM uses the zone's tokens only while statuses come and its reports are answered. Otherwise it takes its part of the tokens (by its use, or 1/n), adds nothing until the leader has left it out 1.5 s after the last answer, and then its part of the rate. A new leader divides at once by the VMs that report to it, and one that hears less than half of its zone refills nothing for 1.5 s. Reports that the leader before has not answered go to the next one. Requests that find no token wait for up to 0.5 s or a quarter of the time left, in their order, at most 8 of an account; that keeps what undisturbed accounts get while leaders change (log event token_waited, counters token_wait_served, token_wait_refused, token_wait_full).

Weighed: rights with an end that the leader before waits out need the same waiting on both sides and leave nothing to VMs that stay cut off.

--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -19,7 +19,9 @@
 from bronzewall.edge.limit_sharing import LimitSharing
 from bronzewall.edge.member import Member
 from bronzewall.edge.model import EdgeInstance, VmEntry
+from bronzewall.edge.own_quota import OwnQuota
 from bronzewall.edge.ports import FleetStore, HeaderNames, InstanceHttp
+from bronzewall.edge.rate_limits import Admission
 from bronzewall.edge.refresh import Refresher
 from bronzewall.edge.registrations import Registrations
 from bronzewall.edge.relay import Relay
@@ -33,6 +35,7 @@
 from bronzewall.edge.settings import EdgeSettings
 from bronzewall.edge.store_reader import WATCH_FRACTION, StoreReader
 from bronzewall.edge.token_transfers import TokenTransfers
+from bronzewall.edge.token_waits import TokenWaits
 from bronzewall.edge.traffic_splits import TrafficSplits
 from bronzewall.edge.watch_schedule import WatchSchedule
 from bronzewall.edge.zone_leader import ZoneLeader
@@ -91,7 +94,12 @@
     fleet = FleetView(own=own)
     directory = Directory()
     freshness = KeyFreshness(clock=clock, bound=settings.revoke_bound)
-    state = ZoneState()
+    zone_count = len(settings.region_by_zone())
+    state = ZoneState(
+        admission=Admission(
+            own=OwnQuota(zone_count=zone_count), started_at=clock.now()
+        )
+    )
     catalog = Catalog(clock=clock, interval=settings.discovery_interval)
     age = KnowledgeAge(
         clock=clock,
@@ -125,9 +133,7 @@
         freshness=freshness,
         age=age,
         state=state,
-        pools=ZonePools(
-            zone_count=len(settings.region_by_zone()), slack=settings.rate_slack
-        ),
+        pools=ZonePools(zone_count=zone_count, slack=settings.rate_slack),
         is_leader=lambda: election.is_leader,
         find_leader=lambda: election.current_leader(now=clock.now()),
     )
@@ -201,6 +207,12 @@
         directory=directory,
         freshness=freshness,
         state=state,
+        waits=TokenWaits(
+            clock=clock,
+            admission=state.admission,
+            on_short=state.request_update,
+            events=ports.metrics.events,
+        ),
         deadline_header=ports.names.deadline_ms,
     )
     tickets = RelayTickets(
--- a/src/bronzewall/edge/daemon.py
+++ b/src/bronzewall/edge/daemon.py
@@ -208,9 +208,11 @@
                 if entry.vm_id != self.fleet.own.vm_id
             }
         )
-        vms = len(self.fleet.entries_by_id)
-        self.member.state.admission.vm_count = vms
-        self.path.sender.budget.vm_count = vms
+        vm_count = len(self.fleet.entries_by_id)
+        self.member.state.admission.own.zone_vm_count = (
+            self.fleet.listed_zone_vms()
+        )
+        self.path.sender.budget.vm_count = vm_count
 
     async def _log_counters(self) -> None:
         """Log the counters, for periods in which no metrics are scraped."""
--- a/src/bronzewall/edge/fleet_view.py
+++ b/src/bronzewall/edge/fleet_view.py
@@ -18,11 +18,13 @@
 
     :param own: entry of this VM.
     :param revision: incremented when an entry is added or replaced.
+    :param is_listed: the VMs were read from the store, or got from a leader.
     """
 
     own: VmEntry
     entries_by_id: dict[VmId, VmEntry] = attrs.field(factory=dict)
     revision: int = 0
+    is_listed: bool = False
     _ranked_by_zone: dict[str, list[VmEntry]] = attrs.field(factory=dict)
     _ignored_errors_by_vm: dict[str, str] = attrs.field(factory=dict)
 
@@ -56,6 +58,16 @@
         self.entries_by_id.pop(vm_id, None)
         self._ranked_by_zone.clear()
 
+    def record_list(self) -> None:
+        """Record that the VMs were read or got, not only single entries."""
+        if not self.is_listed:
+            self.is_listed = True
+            self.revision += 1
+
+    def listed_zone_vms(self) -> int:
+        """Return the number of VMs of the own zone, 0 while not known."""
+        return len(self.zone_vms()) if self.is_listed else 0
+
     def zone_vms(self) -> list[VmEntry]:
         """Return the VMs of the own zone, highest rank first."""
         return self.ranked(self.own.placement.zone)
--- a/src/bronzewall/edge/gate.py
+++ b/src/bronzewall/edge/gate.py
@@ -9,6 +9,7 @@
 from bronzewall.edge.exchange import EdgeExchange
 from bronzewall.edge.freshness import KeyFreshness
 from bronzewall.edge.model import EdgeAccount, EdgeConfiguration, EdgeRoute
+from bronzewall.edge.token_waits import TokenWaits
 from bronzewall.edge.traffic_splits import TrafficSplits
 from bronzewall.edge.zone_state import ZoneState
 from bronzewall.errors import RateExceededError
@@ -47,6 +48,7 @@
     directory: Directory
     freshness: KeyFreshness
     state: ZoneState
+    waits: TokenWaits
     deadline_header: str
     stops_at: float = math.inf
     last_start: float = math.inf
@@ -99,15 +101,18 @@
         if self.directory.find_account(exchange.key) is None:
             raise exchange.refusal(Reason.KEY_UNKNOWN)
 
-    def admit(self, exchange: EdgeExchange) -> None:
+    async def admit(self, exchange: EdgeExchange) -> None:
         """Consume one rate-limit token of the account.
 
+        A request that waited for it is checked again.
+
         :raises RefusalError: the account has exceeded its rate.
         """
         if exchange.account is None:
             return
+        arrived_at = self.clock.now()
         try:
-            self.state.admission.admit(exchange.account, now=self.clock.now())
+            await self.waits.admit(exchange.account, deadline=exchange.deadline)
         except RateExceededError as exc:
             raise RefusalError(
                 reason=Reason.RATE_EXCEEDED,
@@ -115,12 +120,25 @@
                 detail=str(exc),
             ) from exc
         exchange.has_token = True
+        if self.clock.now() > arrived_at:
+            self._check_after_wait(exchange)
 
     def refund(self, exchange: EdgeExchange) -> None:
         """Refund the token of a request that has certainly not run."""
         if exchange.account is not None and exchange.has_token:
             exchange.has_token = False
-            self.state.admission.refund(exchange.account)
+            self.state.admission.refund(exchange.account, now=self.clock.now())
+
+    def _check_after_wait(self, exchange: EdgeExchange) -> None:
+        """Check a request that has waited for its token.
+
+        :raises RefusalError: it must not be sent; its token is refunded.
+        """
+        try:
+            self.check(exchange)
+        except RefusalError:
+            self.refund(exchange)
+            raise
 
     def _check_stop(self, exchange: EdgeExchange, now: float) -> None:
         """Check that the end of the process cannot cut a request off.
--- a/src/bronzewall/edge/member.py
+++ b/src/bronzewall/edge/member.py
@@ -67,9 +67,8 @@
             [],
         )
         broken, state.unreported_breaks = state.unreported_breaks, []
-        admitted = dict(state.admission.admitted)
+        admitted = state.admission.take_admitted(now=now)
         requested = dict(state.admission.requested)
-        state.admission.admitted.clear()
         state.admission.requested.clear()
         if self.election.is_leader:
             # The list that this VM reads replaces that of the leader before.
@@ -115,6 +114,7 @@
                 'hub_followed', hub=followed, before=self._followed_leader
             )
             self._followed_leader = followed
+            self.state.admission.report_again()
             self._is_known_to_leader = False
             self._catalog_revision = -1
             self._members_revision = -1
@@ -187,6 +187,7 @@
         self._update_catalog(status)
         if status.members is not None and status.members_revision >= 0:
             self._members_revision = status.members_revision
+            self.fleet.record_list()
             self.state.has_updates = True
         state.other_in_flight = status.in_flight
         self._apply_estimates(status.beliefs, now)
@@ -204,7 +205,7 @@
             accounts = self.directory.accounts_by_id
             tokens, refill = quota.levels(accounts), quota.rates(accounts)
         self.state.admission.update_from_leader(
-            tokens=tokens, refill=refill, now=now
+            tokens=tokens, refill=refill, answered_at=status.echo, now=now
         )
 
     def _apply_estimates(
--- a/src/bronzewall/edge/registrations.py
+++ b/src/bronzewall/edge/registrations.py
@@ -87,6 +87,7 @@
         self._update(reading.entries)
         for entry in reading.entries:
             self.fleet.add(entry)
+        self.fleet.record_list()
         return reading.revision
 
     def _update(self, entries: Iterable[VmEntry]) -> None:
--- a/src/bronzewall/edge/request_path.py
+++ b/src/bronzewall/edge/request_path.py
@@ -154,7 +154,7 @@
             exchange.received_at = self.clock.now()
         self.gate.check(exchange)
         if not self._is_admitted(arrival):
-            self.gate.admit(exchange)
+            await self.gate.admit(exchange)
         try:
             answer = await self.sender.run(exchange)
         except RefusalError:
--- a/src/bronzewall/edge/token_bucket.py
+++ b/src/bronzewall/edge/token_bucket.py
@@ -50,3 +50,15 @@
         """Return the requests a second."""
         elapsed = max(0, now - self._at)
         return self._rate * math.exp(-elapsed / _OWN_RATE_TIME_S)
+
+
+@attrs.frozen(kw_only=True)
+class KnownLevel:
+    """Tokens of a zone as a new leader knows them.
+
+    :param level: tokens as of the last status of the leader before.
+    :param gained: tokens that have accrued since.
+    """
+
+    level: float
+    gained: float = 0
--- /dev/null
+++ b/src/bronzewall/edge/token_waits.py
@@ -0,0 +1,117 @@
+"""Requests that wait for a token of their account."""
+
+from collections import Counter, deque
+from collections.abc import Callable
+
+import attrs
+import structlog
+
+from bronzewall.edge.model import EdgeAccount
+from bronzewall.edge.rate_limits import Admission
+from bronzewall.errors import RateExceededError
+from bronzewall.ports import Clock
+
+# Longest wait, seconds: two statuses of the leader (0.25 s each), in which
+# tokens of another zone arrive.
+_MAX_WAIT_S = 0.5
+# Fraction of the time left that a request may wait; the rest is for the
+# instance.
+_MAX_WAIT_FRACTION = 0.25
+# Time between two attempts, seconds; statuses come at most every 0.05 s.
+_POLL_S = 0.02
+# Most requests of one account, and of all, that wait on this VM. An account
+# far over its rate is refused at once beyond that.
+_MAX_WAITING = 8
+_MAX_WAITING_TOTAL = 200
+_LOG = structlog.get_logger()
+
+
+@attrs.define(kw_only=True, eq=False)
+class TokenWaits:
+    """Admits requests in the order of their arrival, account by account.
+
+    :param on_short: called when a request finds no token, so that the leader
+        hears of the demand.
+    :param events: counters by name.
+    """
+
+    clock: Clock
+    admission: Admission
+    on_short: Callable[[], None]
+    events: Counter[str]
+    _queues_by_id: dict[str, deque[object]] = attrs.field(factory=dict)
+    _waiting: int = 0
+
+    async def admit(self, account: EdgeAccount, *, deadline: float) -> None:
+        """Consume one token, once one is there.
+
+        :param deadline: clock time by which the answer is due.
+        :raises RateExceededError: no token came in time, or too many wait.
+        """
+        self.admission.count(account)
+        now = self.clock.now()
+        queue = self._queues_by_id.get(account.account_id)
+        if queue is None:
+            if self._is_admitted(account, now):
+                return
+            self.on_short()
+        wait = min(_MAX_WAIT_S, (deadline - now) * _MAX_WAIT_FRACTION)
+        if wait <= 0 or self._is_full(queue):
+            self.events['token_wait_full'] += 1
+            self.admission.admit(account, now=now)
+            return
+        await self._wait(account, ends_at=now + wait)
+
+    def _is_full(self, queue: deque[object] | None) -> bool:
+        waiting = 0 if queue is None else len(queue)
+        return waiting >= _MAX_WAITING or self._waiting >= _MAX_WAITING_TOTAL
+
+    async def _wait(self, account: EdgeAccount, *, ends_at: float) -> None:
+        queue = self._queues_by_id.setdefault(account.account_id, deque())
+        place = object()
+        queue.append(place)
+        self._waiting += 1
+        began_at = self.clock.now()
+        try:
+            await self._take(account, queue, place, ends_at)
+        except RateExceededError:
+            self.events['token_wait_refused'] += 1
+            raise
+        finally:
+            self._waiting -= 1
+            queue.remove(place)
+            if not queue:
+                self._queues_by_id.pop(account.account_id, None)
+        self.events['token_wait_served'] += 1
+        _LOG.info(
+            'token_waited',
+            account=account.account_id,
+            seconds=round(self.clock.now() - began_at, 3),
+        )
+
+    async def _take(
+        self,
+        account: EdgeAccount,
+        queue: deque[object],
+        place: object,
+        ends_at: float,
+    ) -> None:
+        """Try again and again once no other request is before this one.
+
+        :raises RateExceededError: no token came in time.
+        """
+        while True:
+            await self.clock.sleep(_POLL_S)
+            now = self.clock.now()
+            if now >= ends_at:
+                self.admission.admit(account, now=now)
+                return
+            if queue[0] is place and self._is_admitted(account, now):
+                return
+
+    def _is_admitted(self, account: EdgeAccount, now: float) -> bool:
+        try:
+            self.admission.admit(account, now=now)
+        except RateExceededError:
+            return False
+        return True
--- a/src/bronzewall/edge/zone_leader.py
+++ b/src/bronzewall/edge/zone_leader.py
@@ -14,6 +14,7 @@
 from bronzewall.edge.freshness import KeyFreshness
 from bronzewall.edge.knowledge_age import KnowledgeAge
 from bronzewall.edge.older_builds import OlderBuilds
+from bronzewall.edge.own_quota import usable_fraction
 from bronzewall.edge.zone_messages import (
     BrokenRequest,
     MemberReport,
@@ -35,12 +36,6 @@
 # A VM without a report for this long is left out of the zone's in-flight
 # counts, seconds.
 REPORT_TIMEOUT_S = 1.5
-# A VM of the zone without a report for this long counts as departed, and the
-# others use its quota share, seconds. The first time applies to a leader that
-# hears most of the zone, the second one to any other: the VMs that it does not
-# hear may be the greater part, with a leader of their own.
-_DEPARTURE_TIMEOUT_S = 15.0
-_MINORITY_DEPARTURE_TIMEOUT_S = 60.0
 # Data that a VM lacks is resent if its reports do not confirm it, seconds.
 _RESEND_INTERVAL_S = 0.5
 # An instance is announced to other zones as suspected above the first and
@@ -201,9 +196,11 @@
 
     def take_over(self) -> None:
         """Continue the rate limits of the leader before."""
-        self.pools.take_over(
-            self.state.admission.zone_levels(), now=self.clock.now()
+        now = self.clock.now()
+        levels = self.state.admission.zone_levels(
+            self.directory.accounts_by_id, now=now
         )
+        self.pools.take_over(levels, now=now)
 
     def send_statuses(self) -> None:
         """Send the zone status to every VM of the zone."""
@@ -219,6 +216,7 @@
         self.state.admission.update_from_leader(
             tokens=quota.levels(accounts),
             refill=quota.rates(accounts),
+            answered_at=now,
             now=now,
         )
         estimates = self.state.zone_estimates.significant(now=now)
@@ -355,32 +353,21 @@
                 del self._reporters_by_id[vm_id]
 
     def _quota_fraction(self, now: float) -> float:
-        """Return the fraction of the zone's quota that this leader may use.
-
-        VMs without recent reports may be partitioned from this one and have
-        a leader of their own; after a time they count as departed.
-        """
+        """Return the fraction of the zone's quota that this leader may use."""
         zone_vm_ids = {entry.vm_id for entry in self.fleet.zone_vms()}
         reporting = {self.fleet.own.vm_id, *self._reporters_by_id}
         missing = zone_vm_ids - reporting
         if now - self._statuses_sent_at > REPORT_TIMEOUT_S:
-            # A leader that has just started has received no reports yet.
             self._missing_since = {}
         self._statuses_sent_at = now
         self._missing_since = {
             vm_id: self._missing_since.get(vm_id, now) for vm_id in missing
         }
-        present = len(zone_vm_ids) - len(missing)
-        timeout = (
-            _DEPARTURE_TIMEOUT_S
-            if present > len(missing)
-            else _MINORITY_DEPARTURE_TIMEOUT_S
-        )
-        partitioned = sum(
-            REPORT_TIMEOUT_S <= now - since < timeout
-            for since in self._missing_since.values()
+        return usable_fraction(
+            present=len(zone_vm_ids) - len(missing),
+            missing_since=self._missing_since,
+            now=now,
         )
-        return present / (present + partitioned)
 
     def _in_flight_totals(self) -> Counter[str]:
         totals: Counter[str] = Counter()
--- a/src/bronzewall/edge/zone_pools.py
+++ b/src/bronzewall/edge/zone_pools.py
@@ -6,7 +6,7 @@
 import attrs
 
 from bronzewall.edge.model import EdgeAccount
-from bronzewall.edge.token_bucket import Bucket
+from bronzewall.edge.token_bucket import Bucket, KnownLevel
 from bronzewall.types import AccountId
 
 # A zone's share of a small burst can be less than one request. The zones may
@@ -17,6 +17,14 @@
 # Initial fill of a zone's buckets. A new process has no record of what
 # was admitted before its start.
 _INITIAL_FILL_FRACTION = 0.5
+# VMs that follow a new leader report to it within this time, seconds; later
+# ones count as having used their own part.
+_FIRST_REPORTS_S = 1.5
+# They report what they admitted without a leader within this time, seconds: a
+# status and a report, each at most 0.25 s after the other.
+_LATE_REPORTS_S = 0.5
+# Fraction of the zone that a new leader has to hear.
+_MAJORITY = 0.5
 # A demand below this is dropped, requests a second.
 _MIN_DEMAND_PER_S = 0.001
 # Decay time of the demand by account, seconds.
@@ -112,22 +120,41 @@
     slack: float
     demand: Demand = attrs.field(factory=Demand)
     _buckets_by_id: dict[str, Bucket] = attrs.field(factory=dict)
+    _fraction: float = 1
+    # Tokens accrued between two leaders.
+    _gained_by_id: dict[str, float] = attrs.field(factory=dict)
+    # Tokens by account for VMs that a new leader has not heard yet.
+    _withheld_by_id: dict[str, float] = attrs.field(factory=dict)
+    _took_over_at: float = float('-inf')
 
-    def take_over(self, levels: Mapping[str, float], *, now: float) -> None:
+    def take_over(
+        self, levels: Mapping[str, KnownLevel], *, now: float
+    ) -> None:
         """Continue the buckets of the leader before.
 
         :param levels: its tokens by account, as far as they are known.
         """
         self._buckets_by_id = {
-            account_id: Bucket(level=level, at=now)
-            for account_id, level in levels.items()
+            account_id: Bucket(level=known.level, at=now)
+            for account_id, known in levels.items()
         }
+        self._gained_by_id = {
+            account_id: known.gained for account_id, known in levels.items()
+        }
+        self._fraction = 1
+        self._withheld_by_id = {}
+        self._took_over_at = now
 
     def consume(self, account_id: str, count: int) -> None:
         """Consume the tokens of requests that were admitted in the zone."""
         bucket = self._buckets_by_id.get(account_id)
         if bucket is not None:
-            bucket.level -= count
+            # What was admitted between two leaders used what accrued then.
+            gained = self._gained_by_id.get(account_id, 0)
+            paid = min(max(count, 0), gained * self._fraction)
+            if paid:
+                self._gained_by_id[account_id] = gained - paid
+            bucket.level -= count - paid
 
     def level(self, account_id: str) -> float:
         """Return the tokens of an account as of the last refill."""
@@ -152,6 +179,7 @@
 
         :param fraction: fraction of the zone's VMs that follow this leader.
         """
+        self._divide(fraction, now)
         quota = ZoneQuota(
             share=fraction / self.zone_count,
             extra=self._rounding_tokens() * fraction,
@@ -165,11 +193,67 @@
             if bucket is None:
                 bucket = Bucket(level=limit * _INITIAL_FILL_FRACTION, at=now)
                 self._buckets_by_id[account.account_id] = bucket
+            if self._is_doubtful(now):
+                rate = 0
+            gained = self._usable_gain(account.account_id, bucket, limit, now)
+            bucket.level += gained
             bucket.refill(rate=rate, limit=limit, now=now)
             if bucket.level != limit:
                 quota.tokens[account.account_id] = round(bucket.level, 2)
         return quota
 
+    def _divide(self, fraction: float, now: float) -> None:
+        """Give up the tokens of VMs that this leader does not hear.
+
+        They may use their own part. A new leader keeps the tokens for a time
+        in which the VMs may begin to report to it.
+        """
+        is_new = now - self._took_over_at < _FIRST_REPORTS_S
+        if not is_new:
+            self._withheld_by_id = {}
+        if now - self._took_over_at >= _LATE_REPORTS_S:
+            self._gained_by_id = {}
+        if fraction < self._fraction:
+            self._shrink(fraction / self._fraction, is_new=is_new)
+        elif fraction > self._fraction:
+            self._release((fraction - self._fraction) / (1 - self._fraction))
+        self._fraction = fraction
+
+    def _is_doubtful(self, now: float) -> bool:
+        """Return whether another leader may still hand out the rate.
+
+        A leader that hears less than half of its zone may be cut off from the
+        rest, whose leader leaves it out only after some time.
+        """
+        is_new = now - self._took_over_at < _FIRST_REPORTS_S
+        return is_new and self._fraction < _MAJORITY
+
+    def _usable_gain(
+        self, account_id: str, bucket: Bucket, limit: float, now: float
+    ) -> float:
+        """Take the tokens that accrued between two leaders and that fit."""
+        gained = self._gained_by_id.get(account_id, 0)
+        if not gained or self._is_doubtful(now):
+            return 0
+        usable = max(0, min(gained * self._fraction, limit - bucket.level))
+        self._gained_by_id[account_id] = gained - usable
+        return usable
+
+    def _shrink(self, kept: float, *, is_new: bool) -> None:
+        for account_id, bucket in self._buckets_by_id.items():
+            withheld = max(0, bucket.level) * (1 - kept)
+            bucket.level -= withheld
+            if is_new:
+                held = self._withheld_by_id.get(account_id, 0)
+                self._withheld_by_id[account_id] = held + withheld
+
+    def _release(self, released: float) -> None:
+        for account_id, withheld in self._withheld_by_id.items():
+            bucket = self._buckets_by_id.get(account_id)
+            if bucket is not None:
+                bucket.level += withheld * released
+            self._withheld_by_id[account_id] = withheld * (1 - released)
+
     def _rounding_tokens(self) -> float:
         return min(
             _MAX_ROUNDING_TOKENS, self.slack * _SLACK_FRACTION / self.zone_count
--- a/src/bronzewall/edge/zone_state.py
+++ b/src/bronzewall/edge/zone_state.py
@@ -49,6 +49,11 @@
     has_updates: bool = False
     has_urgent_updates: bool = False
 
+    def request_update(self) -> None:
+        """Report at once, because a request of an account found no token."""
+        self.has_updates = True
+        self.has_urgent_updates = True
+
     def add_in_flight(self, instance_id: InstanceId) -> None:
         """Count a request as in flight at an instance."""
         self.own_in_flight[instance_id] += 1
