edge: new processes begin with the rate and without a burst

A zone's bucket began half full, and a VM's own bucket full and, until the entries of the other VMs were read, with the quota of the whole fleet. The same cause sat in ZonePools.consume, which ignored requests that were reported before the account had a bucket.

Change: a zone's bucket holds what has accrued since the start of the process; an account that is added later has its whole burst, as no process can have admitted its requests. Early reports are charged when the bucket is created.

Weighed: the store could keep what was used, but a value that is at most half a second old costs two writes a second of each zone while calls are dear, and it would be missing exactly when the store is away. Starting with the rate costs an account at most its unused burst, once, after all processes ended.

--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -133,7 +133,11 @@
         freshness=freshness,
         age=age,
         state=state,
-        pools=ZonePools(zone_count=zone_count, slack=settings.rate_slack),
+        pools=ZonePools(
+            zone_count=zone_count,
+            slack=settings.rate_slack,
+            started_at=clock.now(),
+        ),
         is_leader=lambda: election.is_leader,
         find_leader=lambda: election.current_leader(now=clock.now()),
     )
--- a/src/bronzewall/edge/zone_pools.py
+++ b/src/bronzewall/edge/zone_pools.py
@@ -1,6 +1,7 @@
 """Token buckets of accounts that a zone leader keeps for its zone."""
 
 import math
+from collections import Counter
 from collections.abc import Mapping
 
 import attrs
@@ -14,9 +15,6 @@
 # shares; the rest covers messages in transit.
 _SLACK_FRACTION = 0.8
 _MAX_ROUNDING_TOKENS = 2.5
-# Initial fill of a zone's buckets. A new process has no record of what
-# was admitted before its start.
-_INITIAL_FILL_FRACTION = 0.5
 # VMs that follow a new leader report to it within this time, seconds; later
 # ones count as having used their own part.
 _FIRST_REPORTS_S = 1.5
@@ -114,12 +112,18 @@
 
     :param zone_count: number of zones.
     :param slack: requests that the fleet may admit beyond burst and rate.
+    :param started_at: clock time of the start of the process. Buckets that no
+        leader before has told of are empty then: nobody is left to ask what
+        was admitted earlier.
     """
 
     zone_count: int
     slack: float
+    started_at: float
     demand: Demand = attrs.field(factory=Demand)
     _buckets_by_id: dict[str, Bucket] = attrs.field(factory=dict)
+    # Admitted requests of accounts that have no bucket yet.
+    _uncharged: Counter[str] = attrs.field(factory=Counter)
     _fraction: float = 1
     # Tokens accrued between two leaders.
     _gained_by_id: dict[str, float] = attrs.field(factory=dict)
@@ -148,7 +152,10 @@
     def consume(self, account_id: str, count: int) -> None:
         """Consume the tokens of requests that were admitted in the zone."""
         bucket = self._buckets_by_id.get(account_id)
-        if bucket is not None:
+        if bucket is None:
+            # Reports come before the first status that creates the bucket.
+            self._uncharged[account_id] += count
+        else:
             # What was admitted between two leaders used what accrued then.
             gained = self._gained_by_id.get(account_id, 0)
             paid = min(max(count, 0), gained * self._fraction)
@@ -191,13 +198,14 @@
             rate = quota.rate(account)
             bucket = self._buckets_by_id.get(account.account_id)
             if bucket is None:
-                bucket = Bucket(level=limit * _INITIAL_FILL_FRACTION, at=now)
+                bucket = Bucket(level=0, at=self.started_at)
                 self._buckets_by_id[account.account_id] = bucket
             if self._is_doubtful(now):
                 rate = 0
             gained = self._usable_gain(account.account_id, bucket, limit, now)
             bucket.level += gained
             bucket.refill(rate=rate, limit=limit, now=now)
+            bucket.level -= self._uncharged.pop(account.account_id, 0)
             if bucket.level != limit:
                 quota.tokens[account.account_id] = round(bucket.level, 2)
         return quota
--- a/tests/test_edge_allowances.py
+++ b/tests/test_edge_allowances.py
@@ -58,3 +58,30 @@
         assert over_admitted(fleet, account) <= 0
 
     run_virtual(main())
+
+
+@pytest.mark.parametrize('seed', range(3))
+def test_restart_of_all_vms_grants_no_second_burst(seed: int) -> None:
+    # Pattern: all processes are killed and start again while one account
+    # sends eight times its usual. Nothing of what was admitted outlasts them,
+    # and each began with full buckets (review, case 4).
+    async def main() -> None:
+        fleet = DemandFleet(zones=6, vms_by_zone=6)
+        account = a_limited_account(rate=40, burst=80)
+        fleet.publish_accounts(2, account)
+        await fleet.start()
+        await asyncio.sleep(6)
+        demand = Demand(
+            account_id='hot',
+            per_s=account.rate * _HOT_FACTOR,
+            weights_by_vm=dict.fromkeys(fleet.vms, 1),
+        )
+        drawn = random.Random(seed)
+        sending = asyncio.ensure_future(fleet.send(demand, 9, drawn))
+        await asyncio.sleep(2)
+        await fleet.restart_all(0.1)
+        await sending
+        await fleet.stop()
+        assert over_admitted(fleet, account) <= 0
+
+    run_virtual(main())
--- a/tests/test_edge_status_size.py
+++ b/tests/test_edge_status_size.py
@@ -68,8 +68,8 @@
 
 def test_only_accounts_in_use_are_listed() -> None:
     by_id = {one.account_id: one for one in accounts(3)}
-    pools = ZonePools(zone_count=2, slack=20)
-    # The buckets start half full.
+    pools = ZonePools(zone_count=2, slack=20, started_at=0)
+    # The buckets start empty.
     assert len(pools.quota(by_id, fraction=1, now=0).tokens) == 3
     assert not pools.quota(by_id, fraction=1, now=9).tokens
     pools.consume('account-1', 2)
