--- a/src/bronzewall/edge/member.py
+++ b/src/bronzewall/edge/member.py
@@ -9,7 +9,6 @@
 from bronzewall.edge.freshness import KeyFreshness
 from bronzewall.edge.leader_election import LeaderElection
 from bronzewall.edge.ports import FleetStore
-from bronzewall.edge.rate_limits import ZoneQuota
 from bronzewall.edge.zone_leader import ZoneLeader
 from bronzewall.edge.zone_messages import MemberReport, ZoneStatus
 from bronzewall.edge.zone_packing import (
@@ -17,6 +16,7 @@
     unpack_instances,
     unpack_vms,
 )
+from bronzewall.edge.zone_pools import ZoneQuota
 from bronzewall.edge.zone_state import ZoneState
 from bronzewall.errors import StoreEntryError
 from bronzewall.messages import Envelope
@@ -67,9 +67,8 @@
             [],
         )
         broken, state.unreported_breaks = state.unreported_breaks, []
-        admitted = dict(state.admission.admitted)
+        admitted = state.admission.take_admitted(now=now)
         requested = dict(state.admission.requested)
-        state.admission.admitted.clear()
         state.admission.requested.clear()
         if self.election.is_leader:
             # The list that this VM reads replaces that of the leader before.
@@ -117,6 +116,7 @@
                 'hub_followed', hub=followed, before=self._followed_leader
             )
             self._followed_leader = followed
+            self.state.admission.report_again()
             self._is_known_to_leader = False
             self._catalog_revision = -1
             self._members_revision = -1
@@ -189,6 +189,7 @@
         self._update_catalog(status)
         if status.members is not None and status.members_revision >= 0:
             self._members_revision = status.members_revision
+            self.fleet.record_list()
             self.state.has_updates = True
         state.other_in_flight = status.in_flight
         self._apply_estimates(status.beliefs, now)
@@ -206,7 +207,7 @@
             accounts = self.directory.accounts_by_id
             tokens, refill = quota.levels(accounts), quota.rates(accounts)
         self.state.admission.update_from_leader(
-            tokens=tokens, refill=refill, now=now
+            tokens=tokens, refill=refill, answered_at=status.echo, now=now
         )
 
     def _apply_estimates(
--- a/src/bronzewall/edge/request_path.py
+++ b/src/bronzewall/edge/request_path.py
@@ -157,7 +157,7 @@
         self.gate.check(exchange)
         with self.room.hold(exchange) as held:
             if not self._is_admitted(arrival):
-                self.gate.admit(exchange)
+                await self.gate.admit(exchange)
             try:
                 answer = await self.sender.run(exchange)
             except RefusalError:
