Stop the header timer at the end of a block; return tokens of callers who leave

(1) A header block whose last empty line came alone left its timer running: the request got a 408 while it ran, or an unasked one after its answer. (2) A caller who left while its request waited for room kept a token of its account although nothing had run. Tests: test_header_block_that_ends_by_itself_is_complete and test_caller_that_leaves_while_waiting_returns_its_token failed before.

--- a/src/bronzewall/adapters/entry_protocol.py
+++ b/src/bronzewall/adapters/entry_protocol.py
@@ -137,8 +137,9 @@
         is_idle = self._is_waiting()
         super().data_received(data)
         # Empty lines before a request line are not a part of it (RFC 9112,
-        # 2.2); some callers end a body with one.
-        if is_idle and data.strip(b'\r\n'):
+        # 2.2); some callers end a body with one. One ends a header block.
+        is_timed = self._header_timer is not None
+        if is_idle and (is_timed or data.strip(b'\r\n')):
             self._time_header()
         now = self._loop.time()
         messages = tuple(self._messages)
--- a/src/bronzewall/edge/request_path.py
+++ b/src/bronzewall/edge/request_path.py
@@ -160,7 +160,7 @@
                 await self.gate.admit(exchange)
             try:
                 answer = await self.sender.run(exchange)
-            except RefusalError:
+            except (RefusalError, asyncio.CancelledError):
                 if not exchange.runs:
                     self.gate.refund(exchange)
                 raise
--- a/tests/test_caller_timeouts.py
+++ b/tests/test_caller_timeouts.py
@@ -63,6 +63,22 @@
         assert not server.metrics.refusals
 
 
+async def test_header_block_that_ends_by_itself_is_complete(
+    unused_tcp_port: int,
+) -> None:
+    # Guards against a 408 for a request that runs, or after its answer, because
+    # the empty line that ends its header block came alone.
+    limits = CallerTimeouts(header=_SHORT_S, idle=_LONG_S)
+    async with a_raw_server(unused_tcp_port, limits) as server:
+        caller = await server.connect()
+        for _ in range(2):
+            caller.writer.write(HEAD[:-2])
+            await asyncio.sleep(_SHORT_S / 4)
+            assert b' 200 ' in await caller.ask(HEAD[-2:])
+            await asyncio.sleep(_SHORT_S * 1.5)
+        assert not server.metrics.refusals
+
+
 async def test_empty_lines_between_requests_are_not_timed(
     unused_tcp_port: int,
 ) -> None:
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -265,6 +265,31 @@
     run_virtual(main())
 
 
+def test_caller_that_leaves_while_waiting_returns_its_token() -> None:
+    # Failure: callers that give up while their requests wait use up the rate of
+    # their account although nothing has run.
+    account = an_edge_account(rate=10, burst=10)
+
+    async def main() -> None:
+        vm, _ = a_scheduling_vm(instances=1, accounts=(account,))
+        tasks = [
+            asyncio.create_task(timed_ask(vm, a_ranked_request(number)))
+            for number in range(8)
+        ]
+        await asyncio.sleep(0.05)
+        admission = vm.state.admission
+        before = admission.tokens(account, now=vm.clock.now())
+        waiting = len(vm.scheduler.rooms_by_service['drafts'].requests)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        after = admission.tokens(account, now=vm.clock.now())
+        assert waiting
+        assert after - before >= waiting - 0.1
+
+    run_virtual(main())
+
+
 def test_instances_that_leave_end_the_wait() -> None:
     # Failure: requests wait until their deadline for instances that are gone.
     async def main() -> None:
