Bound the answers that wait behind a slow one

They now have a budget of 32 MB, as answers that are being received and request bodies have. A request is started ahead of its turn only if its answer is expected to fit, by the size of the largest recent ones; otherwise it waits for its turn and needs no buffer, so that nothing is lost. Until large answers are known, one that does not fit becomes a 502 (answer_lost, logged and counted): it has run and may not run again. Space is given back when the answer is sent, fails, or its connection ends.

Where else: the head of an answer and the write buffer of a caller that reads slowly are not counted, at most one answer a connection; the product's daemon does not run pipelined requests ahead.

--- a/src/bronzewall/adapters/body_budget.py
+++ b/src/bronzewall/adapters/body_budget.py
@@ -25,7 +25,7 @@
         try:
             yield counted
         finally:
-            self.total -= counted.count
+            counted.release()
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -48,3 +48,8 @@
             )
         self.budget.total += added
         self.count += added
+
+    def release(self) -> None:
+        """Give the room back; more calls do nothing."""
+        self.budget.total -= self.count
+        self.count = 0
--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -16,6 +16,8 @@
 from bronzewall.adapters.body_budget import BodyBudget, BodyBytes
 from bronzewall.adapters.buffered_answers import (
     BufferedAnswer,
+    BufferSpace,
+    drop_answer,
     start_buffered_answer,
 )
 from bronzewall.adapters.entry_protocol import (
@@ -137,6 +139,7 @@
     :param max_line_bytes: largest line of a header block.
     :param is_parallel: handle pipelined requests without a body
         concurrently and buffer their answers until they may be sent.
+    :param buffers: space for the answers to pipelined requests.
     :param options: further options of aiohttp's server.
     """
 
@@ -147,6 +150,7 @@
     max_total_body_bytes: float = math.inf
     max_line_bytes: int = _MAX_LINE_BYTES
     is_parallel: bool = False
+    buffers: BufferSpace = attrs.field(factory=BufferSpace)
     options: Mapping[str, Any] = attrs.field(factory=dict)
     _bodies: BodyBudget = attrs.field(
         default=attrs.Factory(
@@ -277,8 +281,8 @@
     def _start_buffered_answer(
         self, message: RawRequestMessage
     ) -> 'asyncio.Task[BufferedAnswer] | None':
-        if self._is_draining:
-            # The answer before it closes the connection.
+        # While this VM stops, the answer before it closes the connection.
+        if self._is_draining or not self.buffers.has_room():
             return None
         request = CallerRequest(
             method=message.method,
@@ -287,7 +291,7 @@
             headers=tuple(message.headers.items()),
             read_body=_no_body,
         )
-        return start_buffered_answer(self.handler, request)
+        return start_buffered_answer(self.handler, request, self.buffers)
 
     def _caller_request(
         self, request: web.BaseRequest, waited: float, counted: BodyBytes
@@ -350,6 +354,9 @@
     try:
         answer = await answer_task
     except asyncio.CancelledError:
-        answer_task.cancel()
+        drop_answer(answer_task)
         raise
-    await answer.deliver(writer)
+    try:
+        await answer.deliver(writer)
+    finally:
+        answer.release()
--- a/src/bronzewall/adapters/entry_protocol.py
+++ b/src/bronzewall/adapters/entry_protocol.py
@@ -14,7 +14,7 @@
 from aiohttp.web_protocol import RequestHandler
 from multidict import CIMultiDict
 
-from bronzewall.adapters.buffered_answers import BufferedAnswer
+from bronzewall.adapters.buffered_answers import BufferedAnswer, drop_answer
 from bronzewall.problems import Problem
 
 # Limit for the first header block of a connection. The load balancer in front
@@ -99,7 +99,7 @@
             self._header_timer.cancel()
         for pending in self._pending_requests:
             if pending.answer_task is not None:
-                pending.answer_task.cancel()
+                drop_answer(pending.answer_task)
         if self._lingering is not None:
             self._lingering.set()
         super().connection_lost(exc)
