--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -17,6 +17,8 @@
 from bronzewall.adapters.body_budget import BodyBudget, BodyBytes
 from bronzewall.adapters.buffered_answers import (
     BufferedAnswer,
+    BufferSpace,
+    drop_answer,
     start_buffered_answer,
 )
 from bronzewall.adapters.caller_timeouts import CallerTimeouts
@@ -145,6 +147,7 @@
         concurrently and buffer their answers until they may be sent.
     :param timeouts: time limits of connections.
     :param events: counts connections that were closed.
+    :param buffers: space for the answers to pipelined requests.
     :param options: further options of aiohttp's server.
     """
 
@@ -157,6 +160,7 @@
     is_parallel: bool = False
     timeouts: CallerTimeouts = CallerTimeouts()
     events: Counter[str] = attrs.field(factory=Counter)
+    buffers: BufferSpace = attrs.field(factory=BufferSpace)
     options: Mapping[str, Any] = attrs.field(factory=dict)
     _bodies: BodyBudget = attrs.field(
         default=attrs.Factory(
@@ -298,8 +302,8 @@
     def _start_buffered_answer(
         self, message: RawRequestMessage
     ) -> 'asyncio.Task[BufferedAnswer] | None':
-        if self._is_draining:
-            # The answer before it closes the connection.
+        # While this VM stops, the answer before it closes the connection.
+        if self._is_draining or not self.buffers.has_room():
             return None
         request = CallerRequest(
             method=message.method,
@@ -308,7 +312,7 @@
             headers=tuple(message.headers.items()),
             read_body=_no_body,
         )
-        return start_buffered_answer(self.handler, request)
+        return start_buffered_answer(self.handler, request, self.buffers)
 
     def _caller_request(
         self, request: web.BaseRequest, waited: float, counted: BodyBytes
@@ -374,6 +378,9 @@
     try:
         answer = await answer_task
     except asyncio.CancelledError:
-        answer_task.cancel()
+        drop_answer(answer_task)
         raise
-    await answer.deliver(writer)
+    try:
+        await answer.deliver(writer)
+    finally:
+        answer.release()
