edge: builds before read what this one sends about evacuations and permits

Cause: the evacuated zones were a new field of the zone status and of the refresh reply, and a cold limit one of the permit request.

Change: both are messages of their own, edge-evacuations and edge-cold-permit-request, which such builds drop.

--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -8,6 +8,7 @@
 from bronzewall.edge.catalog import Catalog
 from bronzewall.edge.cold_starts import ColdStarts
 from bronzewall.edge.directory import Directory
+from bronzewall.edge.evacuation_sharing import EvacuationSharing
 from bronzewall.edge.fleet_view import FleetView
 from bronzewall.edge.freshness import KeyFreshness
 from bronzewall.edge.gate import Gate
@@ -70,6 +71,7 @@
     cold_starts: ColdStarts
     limits: InstanceLimits
     limit_sharing: LimitSharing
+    evacuation_sharing: EvacuationSharing
     leader: ZoneLeader
     member: Member
     reader: StoreReader
@@ -193,6 +195,9 @@
         metrics=ports.metrics,
     )
     limit_sharing = LimitSharing(limits=limits, leader=leader)
+    evacuation_sharing = EvacuationSharing(
+        evacuations=state.evacuations, leader=leader
+    )
     permits = LimitPermits(
         limits=limits,
         leader=leader,
@@ -204,6 +209,7 @@
         transfers,
         refresher,
         limit_sharing,
+        evacuation_sharing,
         permits,
     )
     for component in components:
@@ -278,6 +284,7 @@
         cold_starts=cold_starts,
         limits=limits,
         limit_sharing=limit_sharing,
+        evacuation_sharing=evacuation_sharing,
         leader=leader,
         member=member,
         reader=reader,
--- a/src/bronzewall/edge/composition.py
+++ b/src/bronzewall/edge/composition.py
@@ -136,6 +136,7 @@
         leader=components.leader,
         transfers=components.transfers,
         limit_sharing=components.limit_sharing,
+        evacuation_sharing=components.evacuation_sharing,
         instance_paths=components.instance_paths,
         reader=components.reader,
         refresher=components.refresher,
--- a/src/bronzewall/edge/daemon.py
+++ b/src/bronzewall/edge/daemon.py
@@ -14,6 +14,7 @@
 from bronzewall.adapters.report_http import Page, PageBuilder, ReportServer
 from bronzewall.adapters.websocket_link import WebSocketLink
 from bronzewall.build import build_id
+from bronzewall.edge.evacuation_sharing import EvacuationSharing
 from bronzewall.edge.fleet_view import FleetView
 from bronzewall.edge.instance_paths import InstancePaths
 from bronzewall.edge.limit_sharing import LimitSharing
@@ -72,6 +73,7 @@
     leader: ZoneLeader
     transfers: TokenTransfers
     limit_sharing: LimitSharing
+    evacuation_sharing: EvacuationSharing
     instance_paths: InstancePaths
     reader: StoreReader
     refresher: Refresher
@@ -167,6 +169,7 @@
             )
             self.reader.update_role(self.member.election.decide(now=now))
             self.limit_sharing.send_updates()
+            self.evacuation_sharing.send_updates()
             state = self.member.state
             if state.has_updates or now - reported_at >= _REPORT_INTERVAL_S:
                 reported_at = now
--- a/src/bronzewall/edge/limit_messages.py
+++ b/src/bronzewall/edge/limit_messages.py
@@ -26,8 +26,6 @@
 
     :param limit: requests a second, as the sender knows it.
     :param max_wait: seconds for which the request can wait.
-    :param is_stated: the instance's answers state it; otherwise the instance
-        is cold, which the receiver learns from its own list.
     :param hops: VMs that have passed the permit request on.
     """
 
@@ -35,7 +33,16 @@
     limit: float
     max_wait: float
     hops: int = 0
-    is_stated: bool = True
+
+
+@message('edge-cold-permit-request')
+@attrs.frozen(kw_only=True)
+class ColdPermitRequest(PermitRequest):
+    """Requests the same of an instance that is cold and states no such limit.
+
+    Its limit is not passed on to other VMs, which have it from their lists. A
+    build that does not know this message grants nothing.
+    """
 
 
 @message('edge-permit-reply')
--- a/src/bronzewall/edge/limit_permits.py
+++ b/src/bronzewall/edge/limit_permits.py
@@ -12,6 +12,7 @@
 
 from bronzewall.edge.instance_limits import InstanceLimits
 from bronzewall.edge.limit_messages import (
+    ColdPermitRequest,
     LimitUpdate,
     PermitReply,
     PermitRequest,
@@ -90,7 +91,8 @@
 
     def serve(self) -> None:
         """Handle permit requests of other VMs."""
-        self.leader.endpoint.serve(PermitRequest, self.handle_request)
+        for kind in (PermitRequest, ColdPermitRequest):
+            self.leader.endpoint.serve(kind, self.handle_request)
 
     async def acquire(
         self, instance: EdgeInstance, *, max_wait: float
@@ -104,13 +106,10 @@
         limit = self.limits.limit(instance_id)
         if limit is None:
             return 0
+        is_stated = self.limits.stated_limit(instance_id) == limit
+        kind = PermitRequest if is_stated else ColdPermitRequest
         reply = await self._find_permit(
-            PermitRequest(
-                instance_id=instance_id,
-                limit=limit,
-                max_wait=max_wait,
-                is_stated=self.limits.stated_limit(instance_id) == limit,
-            ),
+            kind(instance_id=instance_id, limit=limit, max_wait=max_wait),
             instance.placement.zone,
         )
         if reply.is_granted:
@@ -130,7 +129,7 @@
         instance = self.find_instance(request.instance_id)
         if instance is None:
             return _refusal()
-        if request.is_stated:
+        if not isinstance(request, ColdPermitRequest):
             self.limits.apply_update(
                 LimitUpdate(limits={request.instance_id: request.limit}),
                 now=self.leader.clock.now(),
--- a/src/bronzewall/edge/member.py
+++ b/src/bronzewall/edge/member.py
@@ -107,8 +107,6 @@
             envelope.sender, has_store=status.has_store, now=now
         )
         self._apply_configuration(status)
-        if status.evacuations is not None:
-            self.state.evacuations.accept(status.evacuations, source='hub')
         if status.echo is not None:
             self._confirm_freshness(status)
         followed = self.election.current_leader(now=now)
--- a/src/bronzewall/edge/refresh.py
+++ b/src/bronzewall/edge/refresh.py
@@ -75,6 +75,10 @@
     def handle_request(self, envelope: Envelope) -> RefreshReply:
         """Return what this VM knows and the asking VM does not."""
         request: RefreshRequest = envelope.body
+        if self.evacuations.known is not None:
+            self.endpoint.send(
+                to=envelope.sender, message=self.evacuations.known
+            )
         list_age = self.age.list_age()
         is_list_newer = list_age < request.list_age
         is_newer = self.directory.version > request.version
@@ -86,7 +90,6 @@
             catalog=pack_instances(self.catalog.instances_by_id.values())
             if is_list_newer
             else None,
-            evacuations=self.evacuations.known,
         )
 
     async def run(self) -> None:
@@ -156,8 +159,6 @@
         Ages count from when the question was sent, because the other VM
         answered later.
         """
-        if reply.evacuations is not None:
-            self.evacuations.accept(reply.evacuations, source='vm')
         if reply.raw is not None:
             raw = unpack_configuration(reply.raw)
             self.directory.accept(
--- a/src/bronzewall/edge/zone_leader.py
+++ b/src/bronzewall/edge/zone_leader.py
@@ -240,7 +240,6 @@
                 quota_share=quota.share,
                 quota_extra=quota.extra,
                 crashing=crashing,
-                evacuations=self.state.evacuations.known,
             )
             if self.older_builds.needs_older_status(entry.vm_id, now=now):
                 status = attrs.evolve(
@@ -251,7 +250,8 @@
                     refill=quota.rates(accounts),
                 )
             if reporter is None:
-                # A VM that could not read the store gets its leader here.
+                # A VM that could not read the store gets the entry of its
+                # leader here.
                 status = attrs.evolve(
                     status, members=pack_vms((self.fleet.own,))
                 )
--- a/src/bronzewall/edge/zone_messages.py
+++ b/src/bronzewall/edge/zone_messages.py
@@ -18,6 +18,7 @@
     instance_id: str
 
 
+@message('edge-evacuations')
 @attrs.frozen(kw_only=True)
 class EvacuationList:
     """Zones that are evacuated, as of a revision of the store.
@@ -90,7 +91,6 @@
     :param quota_share: the zone's fraction of each account's rate and burst.
     :param quota_extra: tokens of a full bucket beyond that of the burst.
     :param crashing: fingerprints of requests that crash instances.
-    :param evacuations: evacuated zones as the leader knows them.
     :param is_leaving: the sender stops being a leader.
     """
 
@@ -111,7 +111,6 @@
     quota_share: float | None = None
     quota_extra: float = 0
     crashing: list[bytes] = attrs.field(factory=list)
-    evacuations: EvacuationList | None = None
     is_leaving: bool = False
 
 
@@ -157,7 +156,6 @@
     :param raw: the configuration, if the receiver's is older.
     :param list_age: seconds since the list of instances was confirmed.
     :param catalog: packed instances, if the receiver's list is older.
-    :param evacuations: evacuated zones.
     """
 
     version: int = -1
@@ -165,7 +163,6 @@
     raw: bytes | None = None
     list_age: float | None = None
     catalog: bytes | None = None
-    evacuations: EvacuationList | None = None
 
 
 @message('edge-token-ask', label='TokenAsk')
--- a/tests/edge_builders.py
+++ b/tests/edge_builders.py
@@ -167,6 +167,7 @@
         is_acting = self.election.decide(now=self.clock.now())
         self.reader.update_role(is_acting)
         self.limit_sharing.send_updates()
+        self.evacuation_sharing.send_updates()
         self.member.report()
         if is_acting:
             self.transfers.request_missing_tokens()
