--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -11,6 +11,7 @@
 from bronzewall.edge.cold_starts import ColdStarts
 from bronzewall.edge.connection_shares import ConnectionShares
 from bronzewall.edge.directory import Directory
+from bronzewall.edge.evacuation_sharing import EvacuationSharing
 from bronzewall.edge.fleet_view import FleetView
 from bronzewall.edge.freshness import KeyFreshness
 from bronzewall.edge.gate import Gate
@@ -80,6 +81,7 @@
     cold_starts: ColdStarts
     limits: InstanceLimits
     limit_sharing: LimitSharing
+    evacuation_sharing: EvacuationSharing
     leader: ZoneLeader
     member: Member
     reader: StoreReader
@@ -224,6 +226,9 @@
         metrics=ports.metrics,
     )
     limit_sharing = LimitSharing(limits=limits, leader=leader)
+    evacuation_sharing = EvacuationSharing(
+        evacuations=state.evacuations, leader=leader
+    )
     permits = LimitPermits(
         limits=limits,
         leader=leader,
@@ -235,6 +240,7 @@
         transfers,
         refresher,
         limit_sharing,
+        evacuation_sharing,
         permits,
     )
     for component in components:
@@ -352,6 +358,7 @@
         cold_starts=cold_starts,
         limits=limits,
         limit_sharing=limit_sharing,
+        evacuation_sharing=evacuation_sharing,
         leader=leader,
         member=member,
         reader=reader,
