--- a/src/bronzewall/edge/directory.py
+++ b/src/bronzewall/edge/directory.py
@@ -102,10 +102,9 @@
         self.accounts_by_id = {
             account.account_id: account for account in configuration.accounts
         }
-        rates = [item.rate for item in configuration.accounts if item.rate]
-        self.usual_rate = statistics.fmean(rates) if rates else 1
+        self.usual_rate = _mean_rate(configuration)
         self.has_bulk_routes = any(
-            route.is_bulk for route in configuration.routes
+            item.is_bulk for item in configuration.routes
         )
         self.connection_limits = {
             found.service: found.max_connections
@@ -145,6 +144,12 @@
         return None if account_id is None else self.accounts_by_id[account_id]
 
 
+def _mean_rate(configuration: EdgeConfiguration) -> float:
+    """Return the mean rate of the accounts that have a limit, else 1."""
+    rates = [item.rate for item in configuration.accounts if item.rate]
+    return statistics.fmean(rates) if rates else 1
+
+
 def _host_name(host: str) -> str:
     """Return the host without a port, in lower case."""
     name, _, port = host.rpartition(':')
--- a/src/bronzewall/edge/scheduling/order.py
+++ b/src/bronzewall/edge/scheduling/order.py
@@ -51,7 +51,7 @@
 
 
 def hopeless(
-    ordered: Iterable[WaitingRequest],
+    ordered: Sequence[WaitingRequest],
     *,
     gap: float,
     is_overloaded: bool,
@@ -67,11 +67,10 @@
     :param is_overloaded: more requests come than are sent.
     """
     found: list[WaitingRequest] = []
-    ahead = less_urgent = 0
-    first_rank: int | None = None
+    ahead = 0
+    less_urgent = 0
+    first_rank = min((item.rank for item in ordered), default=0)
     for item in ordered:
-        if first_rank is None:
-            first_rank = item.rank
         turns = ahead
         if item.rank > first_rank:
             turns = min(ahead, TURNS_PER_LESS_URGENT * (less_urgent + 1))
--- a/src/bronzewall/edge/scheduling/pace.py
+++ b/src/bronzewall/edge/scheduling/pace.py
@@ -4,8 +4,7 @@
 
 import attrs
 
-# Time after which a mean is no longer used, seconds: the instances, or the load,
-# may have changed.
+# Time after which a mean is no longer used, seconds: the load may have changed.
 MAX_AGE_S = 1.5
 # Weight of a new value in the mean: the last five or so events count.
 _SMOOTHING_FACTOR = 0.2
--- a/src/bronzewall/edge/scheduling/scheduler.py
+++ b/src/bronzewall/edge/scheduling/scheduler.py
@@ -42,9 +42,9 @@
 # Time between two checks whether waiting requests can be sent, seconds. Other
 # VMs' requests end without a message to this one.
 _RECHECK_S = 0.02
-# Kinds of bounds (home regions, instances already tried) that are tried for each
-# request that is sent. Requests whose own instances have no room must not block
-# those behind them.
+# Kinds of bounds (home regions, instances already tried) that are tried for
+# each request that is sent. Requests whose own instances have no room must not
+# block those behind them.
 _MAX_TRIED = 6
 _LOG = structlog.get_logger()
 
@@ -144,14 +144,6 @@
             raise
         return self._take(exchange, room, item, reason)
 
-    def _join(
-        self, room: WaitingRoom, item: WaitingRequest, now: float
-    ) -> None:
-        displaced = room.join(item, now=now)
-        if displaced is not None:
-            displaced.end(WaitEnd.DISPLACED)
-        self._dispatch(item.profile.service, room)
-
     def preview(
         self, exchange: EdgeExchange, profile: RequestProfile
     ) -> Preview:
@@ -181,6 +173,14 @@
             is_hopeless=candidate is None and item in late,
         )
 
+    def _join(
+        self, room: WaitingRoom, item: WaitingRequest, now: float
+    ) -> None:
+        displaced = room.join(item, now=now)
+        if displaced is not None:
+            displaced.end(WaitEnd.DISPLACED)
+        self._dispatch(item.profile.service, room)
+
     def _take(
         self,
         exchange: EdgeExchange,
--- a/tests/test_scheduling_scheduler.py
+++ b/tests/test_scheduling_scheduler.py
@@ -302,8 +302,8 @@
 
 
 def test_three_ranks_beyond_the_capacity() -> None:
-    # Pattern: the most urgent rank alone exceeds the capacity; a rank in between
-    # must not be served less than the least urgent one.
+    # Pattern: the most urgent rank alone exceeds the capacity; a rank in
+    # between must not be served less than the least urgent one.
     async def main() -> None:
         vm, _ = a_scheduling_vm()
         found = await asyncio.gather(
--- a/tests/test_scheduling_use_floor.py
+++ b/tests/test_scheduling_use_floor.py
@@ -108,7 +108,8 @@
     # Failure: an instance without recent requests is never chosen, since those
     # that have just answered look a little better.
     at_risk, usual = a_floor(), a_floor(is_at_risk=False)
-    assert at_risk.tolerance('drafts') > 0.065 > usual.tolerance('drafts')
+    gap = 0.065
+    assert usual.tolerance('drafts') < gap < at_risk.tolerance('drafts')
 
 
 def test_requests_bound_elsewhere_do_not_delay_probes() -> None:
