--- a/tests/edge_demand.py
+++ b/tests/edge_demand.py
@@ -43,7 +43,9 @@
         super().__init__()
         self.vms.clear()
         for number in range(zones * vms_by_zone):
-            zone = f'{"muscat" if number % 2 else "dhofar"}-{number % zones}'
+            zone_number = number % zones
+            region = 'muscat' if zone_number % 2 else 'dhofar'
+            zone = f'{region}-{zone_number}'
             self.add(
                 f'vm-{number:03}',
                 zone=zone,
