--- a/src/bronzewall/edge/rate_limits.py
+++ b/src/bronzewall/edge/rate_limits.py
@@ -121,23 +121,9 @@
         if not account.rate:
             return
         account_id = account.account_id
-        bucket, rate = self._bucket(account, now)
+        bucket, _ = self._bucket(account, now)
         if bucket.level < 1:
-            seconds_to_token = (
-                (1 - bucket.level) / rate if rate else _MAX_RETRY_AFTER_S
-            )
-            raise RateExceededError(
-                retry_after=min(
-                    _MAX_RETRY_AFTER_S,
-                    max(_MIN_RETRY_AFTER_S, seconds_to_token),
-                ),
-                detail=(
-                    f'{account_id}: {bucket.level:.2f} tokens,'
-                    f' {rate:.2f}/s here of {account.rate:g}/s,'
-                    ' last contact with a zone leader'
-                    f' {now - self._last_contact_at:.2f} s ago'
-                ),
-            )
+            raise self.refusal(account, now=now)
         bucket.level -= 1
         if self._is_counted(now):
             self.admitted[account_id] += 1
@@ -146,6 +132,27 @@
             own_rate = self._own_rates_by_id.setdefault(account_id, OwnRate())
             own_rate.count(now=now)
 
+    def refusal(
+        self, account: EdgeAccount, *, now: float
+    ) -> RateExceededError:
+        """Return the refusal of a request for which no token is left."""
+        bucket, rate = self._bucket(account, now)
+        seconds_to_token = (
+            (1 - bucket.level) / rate if rate else _MAX_RETRY_AFTER_S
+        )
+        return RateExceededError(
+            retry_after=min(
+                _MAX_RETRY_AFTER_S,
+                max(_MIN_RETRY_AFTER_S, seconds_to_token),
+            ),
+            detail=(
+                f'{account.account_id}: {bucket.level:.2f} tokens,'
+                f' {rate:.2f}/s here of {account.rate:g}/s,'
+                ' last contact with a zone leader'
+                f' {now - self._last_contact_at:.2f} s ago'
+            ),
+        )
+
     def tokens(self, account: EdgeAccount, *, now: float) -> float:
         """Return how many requests of an account could be admitted now."""
         return self._bucket(account, now)[0].level
--- a/src/bronzewall/edge/token_waits.py
+++ b/src/bronzewall/edge/token_waits.py
@@ -23,6 +23,10 @@
 # far over its rate is refused at once beyond that.
 _MAX_WAITING = 8
 _MAX_WAITING_TOTAL = 200
+# Time after a wait without a token in which no further request of the account
+# waits, seconds: it asks for more than its rate, and a wait would only delay
+# refusals and the requests that do get a token.
+_PAUSE_S = 2.0
 _LOG = structlog.get_logger()
 
 
@@ -40,6 +44,7 @@
     on_short: Callable[[], None]
     events: Counter[str]
     _queues_by_id: dict[str, deque[object]] = attrs.field(factory=dict)
+    _refused_at_by_id: dict[str, float] = attrs.field(factory=dict)
     _waiting: int = 0
 
     async def admit(self, account: EdgeAccount, *, deadline: float) -> None:
@@ -56,16 +61,23 @@
                 return
             self.on_short()
         wait = min(_MAX_WAIT_S, (deadline - now) * _MAX_WAIT_FRACTION)
-        if wait <= 0 or self._is_full(queue):
+        if wait <= 0 or self._is_full(queue) or self._is_paused(account, now):
             self.events['token_wait_full'] += 1
-            self.admission.admit(account, now=now)
-            return
+            # A token that comes now belongs to the requests that wait.
+            raise self.admission.refusal(account, now=now)
         await self._wait(account, ends_at=now + wait)
 
     def _is_full(self, queue: deque[object] | None) -> bool:
         waiting = 0 if queue is None else len(queue)
         return waiting >= _MAX_WAITING or self._waiting >= _MAX_WAITING_TOTAL
 
+    def _is_paused(self, account: EdgeAccount, now: float) -> bool:
+        refused_at = self._refused_at_by_id.get(account.account_id)
+        if refused_at is None or now - refused_at < _PAUSE_S:
+            return refused_at is not None
+        del self._refused_at_by_id[account.account_id]
+        return False
+
     async def _wait(self, account: EdgeAccount, *, ends_at: float) -> None:
         queue = self._queues_by_id.setdefault(account.account_id, deque())
         place = object()
@@ -76,6 +88,7 @@
             await self._take(account, queue, place, ends_at)
         except RateExceededError:
             self.events['token_wait_refused'] += 1
+            self._refused_at_by_id[account.account_id] = self.clock.now()
             raise
         finally:
             self._waiting -= 1
