--- a/src/bronzewall/edge/rate_limits.py
+++ b/src/bronzewall/edge/rate_limits.py
@@ -132,9 +132,7 @@
             own_rate = self._own_rates_by_id.setdefault(account_id, OwnRate())
             own_rate.count(now=now)
 
-    def refusal(
-        self, account: EdgeAccount, *, now: float
-    ) -> RateExceededError:
+    def refusal(self, account: EdgeAccount, *, now: float) -> RateExceededError:
         """Return the refusal of a request for which no token is left."""
         bucket, rate = self._bucket(account, now)
         seconds_to_token = (
--- a/src/bronzewall/edge/zone_pools.py
+++ b/src/bronzewall/edge/zone_pools.py
@@ -113,8 +113,8 @@
     :param zone_count: number of zones.
     :param slack: requests that the fleet may admit beyond burst and rate.
     :param started_at: clock time of the start of the process. Buckets that no
-        leader before has told of are empty then: nobody is left to ask what
-        was admitted earlier.
+        leader before has told of hold no burst then: nobody is left to ask
+        what was admitted earlier.
     """
 
     zone_count: int
@@ -198,7 +198,8 @@
             rate = quota.rate(account)
             bucket = self._buckets_by_id.get(account.account_id)
             if bucket is None:
-                bucket = Bucket(level=0, at=self.started_at)
+                # The fleet's slack covers what is there beyond the burst.
+                bucket = Bucket(level=quota.extra, at=self.started_at)
                 self._buckets_by_id[account.account_id] = bucket
             if self._is_doubtful(now):
                 rate = 0
