Wait longer for tokens while no leader is heard

A VM that has just started, or whose leader is lost, has tokens only once it follows a leader. Its requests waited for 0.5 s and were then refused although their time bore more. They may wait for up to 1.5 s and 0.6 of the time left. tests/test_edge_token_waits.py.

--- a/src/bronzewall/edge/token_waits.py
+++ b/src/bronzewall/edge/token_waits.py
@@ -14,6 +14,10 @@
 # Longest wait, seconds: two statuses of the leader (0.25 s each), in which
 # tokens of another zone arrive.
 _MAX_WAIT_S = 0.5
+# The same without contact to a leader, which brings the zone's tokens: after a
+# start or the loss of a leader, VMs follow one within this time.
+_MAX_WAIT_ALONE_S = 1.5
+_MAX_WAIT_FRACTION_ALONE = 0.6
 # Fraction of the time left that a request may wait; the rest is for the
 # instance.
 _MAX_WAIT_FRACTION = 0.25
@@ -60,7 +64,7 @@
             if self._is_admitted(account, now):
                 return
             self.on_short()
-        wait = min(_MAX_WAIT_S, (deadline - now) * _MAX_WAIT_FRACTION)
+        wait = self._longest_wait(deadline - now, now)
         if wait <= 0 or self._is_full(queue) or self._is_paused(account, now):
             self.events['token_wait_full'] += 1
             # A token that comes now belongs to the requests that wait.
@@ -71,6 +75,15 @@
         waiting = 0 if queue is None else len(queue)
         return waiting >= _MAX_WAITING or self._waiting >= _MAX_WAITING_TOTAL
 
+    def _longest_wait(self, remaining: float, now: float) -> float:
+        """Return the seconds for which a request may wait.
+
+        :param remaining: seconds until its deadline.
+        """
+        if self.admission.uses_zone_pool(now=now):
+            return min(_MAX_WAIT_S, remaining * _MAX_WAIT_FRACTION)
+        return min(_MAX_WAIT_ALONE_S, remaining * _MAX_WAIT_FRACTION_ALONE)
+
     def _is_paused(self, account: EdgeAccount, now: float) -> bool:
         refused_at = self._refused_at_by_id.get(account.account_id)
         if refused_at is None or now - refused_at < _PAUSE_S:
@@ -88,7 +101,9 @@
             await self._take(account, queue, place, ends_at)
         except RateExceededError:
             self.events['token_wait_refused'] += 1
-            self._refused_at_by_id[account.account_id] = self.clock.now()
+            now = self.clock.now()
+            if self.admission.uses_zone_pool(now=now):
+                self._refused_at_by_id[account.account_id] = now
             raise
         finally:
             self._waiting -= 1
--- a/tests/test_edge_token_waits.py
+++ b/tests/test_edge_token_waits.py
@@ -109,3 +109,65 @@
         assert wait <= asyncio.get_running_loop().time() <= wait + 0.03
 
     run_virtual(main())
+
+
+def test_vm_that_has_just_started_waits_for_its_leader() -> None:
+    # Pattern: all VMs lose power and start again; requests come before the
+    # first status of a zone leader.
+    async def main() -> None:
+        admission = Admission()
+        waits = some_waits(admission)
+        account = an_edge_account(rate=10, burst=10)
+        tasks = [
+            asyncio.ensure_future(waits.admit(account, deadline=_PATIENT_S))
+            for _ in range(3)
+        ]
+        await asyncio.sleep(1)
+        tell(admission, 3, now=1)
+        await asyncio.gather(*tasks)
+        assert waits.events['token_wait_served'] == 3
+
+    run_virtual(main())
+
+
+def test_account_over_its_rate_is_not_delayed_again_and_again() -> None:
+    # Failure: each request of an account over its rate waits in vain, and the
+    # refusals come late.
+    async def main() -> None:
+        admission = Admission()
+        tell(admission, 0)
+        waits = some_waits(admission)
+        account = an_edge_account(rate=10, burst=10)
+        task = asyncio.ensure_future(waits.admit(account, deadline=_PATIENT_S))
+        while not task.done():
+            tell(admission, 0, now=waits.clock.now())
+            await asyncio.sleep(0.1)
+        assert isinstance(task.exception(), RateExceededError)
+        now = waits.clock.now()
+        tell(admission, 0, now=now)
+        with pytest.raises(RateExceededError):
+            await waits.admit(account, deadline=now + _PATIENT_S)
+        assert waits.clock.now() == now
+
+    run_virtual(main())
+
+
+def test_full_queue_leaves_tokens_to_those_that_wait() -> None:
+    # Failure: a newcomer that finds the queue full takes the token of a
+    # request that has waited.
+    async def main() -> None:
+        admission = Admission()
+        tell(admission, 0)
+        waits = some_waits(admission)
+        account = an_edge_account(rate=10, burst=10)
+        tasks = [
+            asyncio.ensure_future(waits.admit(account, deadline=_PATIENT_S))
+            for _ in range(8)
+        ]
+        await asyncio.sleep(0.1)
+        tell(admission, 8, now=0.1)
+        with pytest.raises(RateExceededError):
+            await waits.admit(account, deadline=_PATIENT_S)
+        await asyncio.gather(*tasks)
+
+    run_virtual(main())
