Compare the whole state of rate limits by value

test_refused_request_takes_no_token compared objects without equality after the merge of the VM's own quota; it now compares all nested fields.

--- a/tests/test_edge_answer_room.py
+++ b/tests/test_edge_answer_room.py
@@ -201,9 +201,9 @@
         world = some_readers()
         await world.fill()
         admission = world.vm.state.admission
-        before = copy.deepcopy(admission.__getstate__())
+        before = copy.deepcopy(attrs.asdict(admission))
         assert (await world.ask()).status == 503
-        assert admission.__getstate__() == before
+        assert attrs.asdict(admission) == before
 
     run_virtual(main())
 
