--- a/src/bronzewall/edge/scheduling/scheduler.py
+++ b/src/bronzewall/edge/scheduling/scheduler.py
@@ -7,7 +7,6 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
 
 import attrs
 import structlog
@@ -26,6 +25,7 @@
     QUEUE_TIME_WEIGHT,
     Candidate,
     RequestProfile,
+    RoomBounds,
     Selector,
     least_time,
     target_latency,
@@ -157,7 +157,7 @@
         candidate = None
         if not room.requests:
             candidate = self.selector.best_with_room(
-                profile, now=now, **self._bounds(room, item)
+                profile, self._bounds(room, item), now=now
             )
         gap = self._gap(room, item)
         late = hopeless(
@@ -320,20 +320,18 @@
         each request that goes there shortens the wait of all behind it.
         """
         return self.selector.choose_with_room(
-            item.profile, now=now, **self._bounds(room, item)
+            item.profile, self._bounds(room, item), now=now
         )
 
-    def _bounds(
-        self, room: WaitingRoom, item: WaitingRequest
-    ) -> dict[str, Any]:
+    def _bounds(self, room: WaitingRoom, item: WaitingRequest) -> RoomBounds:
         """Return which instances a request may be sent to now."""
         profile = item.profile
         backlog = room.backlog(gap=self._gap(room, item))
-        return {
-            'excluded': item.excluded,
-            'max_queue_time': profile.expected_time * _QUEUED_PER_SLOT,
-            'extra_loss': QUEUE_TIME_WEIGHT * backlog / target_latency(profile),
-        }
+        return RoomBounds(
+            excluded=item.excluded,
+            max_queue_time=profile.expected_time * _QUEUED_PER_SLOT,
+            extra_loss=QUEUE_TIME_WEIGHT * backlog / target_latency(profile),
+        )
 
     def _send(
         self,
--- a/src/bronzewall/edge/selection.py
+++ b/src/bronzewall/edge/selection.py
@@ -90,6 +90,22 @@
     locality: Locality
 
 
+@attrs.frozen(kw_only=True)
+class RoomBounds:
+    """Which instances have room for a request.
+
+    :param excluded: instances that it was already sent to.
+    :param max_queue_time: longest expected time in an instance's queue,
+        seconds.
+    :param extra_loss: largest difference to the loss at the best instance with
+        any queue.
+    """
+
+    excluded: Collection[InstanceId]
+    max_queue_time: float
+    extra_loss: float
+
+
 def _usual_tolerance(_service: ServiceName) -> float:
     return LOSS_TOLERANCE
 
@@ -188,43 +204,29 @@
         return self._best(candidates, profile)
 
     def choose_with_room(
-        self,
-        profile: RequestProfile,
-        *,
-        excluded: Collection[InstanceId],
-        now: float,
-        max_queue_time: float,
-        extra_loss: float,
+        self, profile: RequestProfile, bounds: RoomBounds, *, now: float
     ) -> Candidate | None:
-        """Return the best instance with a short queue, if there is one.
-
-        :param max_queue_time: longest expected time in its queue, seconds.
-        :param extra_loss: largest difference to the loss at the best instance
-            with any queue.
-        """
-        candidates = self._candidates(profile, excluded=excluded, now=now)
-        free = _with_room(candidates, max_queue_time)
-        best = self.due_probe(
-            profile, candidates, free, now
-        ) or self._best_near(candidates, free, profile, extra_loss)
+        """Return the best instance with a short queue, if there is one."""
+        candidates = self._candidates(
+            profile, excluded=bounds.excluded, now=now
+        )
+        free = _with_room(candidates, bounds)
+        best = self.due_probe(profile, candidates, free, now)
+        best = best or self._best_near(candidates, free, profile, bounds)
         return None if best is None else self._use(best, now)
 
     def best_with_room(
-        self,
-        profile: RequestProfile,
-        *,
-        excluded: Collection[InstanceId],
-        now: float,
-        max_queue_time: float,
-        extra_loss: float,
+        self, profile: RequestProfile, bounds: RoomBounds, *, now: float
     ) -> Candidate | None:
         """Return what ``choose_with_room`` would, without counting it as used.
 
         Probes of suspected instances are not looked at.
         """
-        candidates = self._candidates(profile, excluded=excluded, now=now)
-        free = _with_room(candidates, max_queue_time)
-        return self._best_near(candidates, free, profile, extra_loss)
+        candidates = self._candidates(
+            profile, excluded=bounds.excluded, now=now
+        )
+        free = _with_room(candidates, bounds)
+        return self._best_near(candidates, free, profile, bounds)
 
     def has_any(
         self,
@@ -378,14 +380,11 @@
         candidates: Collection[Candidate],
         free: Collection[Candidate],
         profile: RequestProfile,
-        extra_loss: float,
+        bounds: RoomBounds,
     ) -> Candidate | None:
-        """Return the best free candidate unless its loss is much larger.
-
-        :param extra_loss: largest difference to the loss of any candidate.
-        """
+        """Return the best free candidate unless its loss is much larger."""
         least = min((item.loss for item in candidates), default=0)
-        max_loss = least + extra_loss + self.tolerance(profile.service)
+        max_loss = least + bounds.extra_loss + self.tolerance(profile.service)
         return self._best(
             [item for item in free if item.loss <= max_loss], profile
         )
@@ -462,9 +461,11 @@
 
 
 def _with_room(
-    candidates: Iterable[Candidate], max_queue_time: float
+    candidates: Iterable[Candidate], bounds: RoomBounds
 ) -> list[Candidate]:
-    return [item for item in candidates if item.queue_time <= max_queue_time]
+    return [
+        item for item in candidates if item.queue_time <= bounds.max_queue_time
+    ]
 
 
 def target_latency(profile: RequestProfile) -> float:
