--- /dev/null
+++ b/review/8/case.py
@@ -0,0 +1,102 @@
+"""A request that crashes each instance that runs it comes again each 21 s."""
+
+import asyncio
+import pathlib
+import sys
+import time
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / 'harness'))
+import fleet as bench  # noqa: E402
+
+# Retries that may reach an instance, sent later than the stability after the
+# third crash.
+ALLOWED_RETRIES = 3
+INTERVAL_S = 21.0
+TIMES = 6
+POISON = '/read/poison'
+# "The instance is back after some seconds."
+DOWN_S = 3.0
+HERE = pathlib.Path(__file__).resolve().parent
+
+
+async def case(trouble):
+    fleet = bench.Fleet(zones={'a': 'r'})
+    await fleet.store.start()
+    fleet.publish(
+        routes=[bench.a_route('read', '/read/', 'idempotent', 'drafts')],
+        tenants=[{'name': 'tenant-1', 'apiKeys': ['key-1']}],
+    )
+    crashes, tasks = [], []
+
+    async def restart(instance, number):
+        await instance.crash()
+        await asyncio.sleep(DOWN_S)
+        fleet.store.drop('servers', instance.instance_id)
+        await fleet.add_instance(f'{instance.instance_id}-{number}', 'drafts', zone=instance.zone, behave=behave)
+
+    async def behave(instance, request, arrival, _echo):
+        if trouble and request.raw_path == POISON:
+            crashes.append((arrival['at'], instance.instance_id, arrival['attempt']))
+            arrival['outcome'] = 'crashed'
+            tasks.append(asyncio.create_task(restart(instance, len(crashes))))
+            # The process ends while it works on the request.
+            await asyncio.sleep(5)
+
+    for number in range(8):
+        await fleet.add_instance(f'i-{number}', 'drafts', behave=behave)
+    for number in range(4):
+        fleet.add_vm(f'front-a-{number + 1}', 'a')
+    try:
+        await fleet.start_vms()
+        return await play(fleet, crashes, tasks)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await fleet.stop()
+
+
+async def play(fleet, crashes, tasks):
+    usual, poison = bench.Client(fleet), bench.Client(fleet)
+    began = time.monotonic()
+    is_over = False
+
+    async def work():
+        number = 0
+        while not is_over:
+            tasks.append(asyncio.create_task(
+                usual.send(fleet.vms[number % len(fleet.vms)], f'/read/item-{number}')
+            ))
+            number += 1
+            await asyncio.sleep(0.1)
+
+    worker = asyncio.create_task(work())
+    await asyncio.sleep(1)
+    first = time.monotonic()
+    for number in range(TIMES):
+        await asyncio.sleep(max(0, first + number * INTERVAL_S - time.monotonic()))
+        await poison.send(fleet.vms[number % len(fleet.vms)], POISON)
+    is_over = True
+    await worker
+    return judge(fleet, usual, poison, crashes, began)
+
+
+def judge(fleet, usual, poison, crashes, began):
+    third_at = crashes[2][0] if len(crashes) > 2 else float('inf')
+    reached = {attempt for _, _, attempt in crashes}
+    late = [
+        one for one in poison.sent
+        if one['attempt'] in reached and one['at'] > third_at + bench.STABILITY_S
+    ]
+    served = sum(one['status'] == 200 for one in usual.sent)
+    lines = [
+        f'the request was sent {len(poison.sent)} times, {INTERVAL_S} s apart; {len(crashes)} instances crashed',
+        *(f"{one['at'] - began:.2f} s: sent to {one['vm']}, answered {one['status']}" for one in poison.sent),
+        *(f'{at - began:.2f} s: {name} crashes in attempt {attempt}' for at, name, attempt in crashes),
+        f'retries that reached an instance over {bench.STABILITY_S} s after the third crash: {len(late)},'
+        f' {ALLOWED_RETRIES} are allowed',
+        f'other requests: {len(usual.sent)}, served {served}',
+    ]
+    return bench.finish(HERE, lines, is_broken=len(late) > ALLOWED_RETRIES)
+
+
+bench.main(case)
