Case 6: count only requests that no instance took

The check looked at the last arrival of a request only, so that a second attempt that was turned away would have hidden one that ran.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -97,9 +97,9 @@
 
 
 def judge(fleet, client, stopped_at, began):
-    last = {}
+    arrivals = {}
     for run in fleet.runs:
-        last[run['attempt']] = run
+        arrivals.setdefault(run['attempt'], []).append(run)
     lost = []
     for one in client.sent:
         if one['status'] or one.get('error') in {'TimeoutError', 'ConnectionRefusedError'}:
@@ -107,10 +107,11 @@
         if stopped_at is not None and one['ended'] > stopped_at + GRACE_S + 1:
             continue
         held = one['ended'] - one['at']
-        run = last.get(one['attempt'])
-        # Counted: read as a whole, and no instance was at work on it when it ended.
-        if held > LOSS_SLACK_S and held < TIMEOUT_S and (run is None or run['outcome'] == 'rejected'):
-            lost.append((one, held, run is not None))
+        tries = arrivals.get(one['attempt'], [])
+        # Counted: read as a whole, and no instance ever took it; all that it reached turned it away.
+        is_untaken = all(run['outcome'] == 'rejected' for run in tries)
+        if LOSS_SLACK_S < held < TIMEOUT_S and is_untaken:
+            lost.append((one, held, bool(tries)))
     ends = Counter(one['status'] or one.get('error') for one in client.sent if one['vm'] == 'front-a-1')
     lines = [
         f'sent to the stopping VM: {ends}',
