--- a/review/8/case.py
+++ b/review/8/case.py
@@ -72,7 +72,7 @@
         for at in RESETS_AT if trouble else ():
             await asyncio.sleep(max(0, began + at - time.monotonic()))
             mine = [one for one, vm in connections.items() if vm == others[0].name and not one.is_closing()]
-            chosen = mine[::round(1 / RESET_SHARE)]
+            chosen = mine[::round(1 / RESET_SHARE)][:int(len(mine) * RESET_SHARE)]
             resets.append((time.monotonic(), len(chosen), len(mine)))
             for transport in chosen:
                 transport.abort()
