Complete a planned stop only when no connection is left

Cause: the stop took "no request in progress" for "nothing can come any more". Between that look and the end of the process the listener was closed. asyncio (3.11) accepts a connection in two steps; if its listener is closed between them, the second step fails, nothing owns the connection, and it stays open until the process ends. The balancer uses all VMs of a zone while fewer than half of them are in rotation, so stops in series meet new connections at that moment.

Change: ConnectionDrain ends a stop: after the balancer's notice idle connections are closed; once nothing is in progress the VM stops accepting, waits until each accepted connection is known, and ends when none is left, or at the limit, where the rest is cut. A half-read header counts as a request in progress. Both daemons use it.

--- a/src/bronzewall/adapters/entry_http.py
+++ b/src/bronzewall/adapters/entry_http.py
@@ -27,7 +27,6 @@
     ProblemRequestHandler,
     ProblemServer,
 )
-from bronzewall.adapters.listening import listen_on
 from bronzewall.errors import (
     BodyTimeoutError,
     BodyTooLargeError,
@@ -45,6 +44,11 @@
 # 0 seconds, closing the socket resets the connection.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 _ORDERLY_CLOSE = struct.pack('ii', 0, 0)
+# Connections that the kernel keeps until they are accepted.
+_BACKLOG = 128
+# Event loop iterations from accepting a connection to ``connection_made``, with
+# one to spare: asyncio starts a task, which makes the transport.
+_ACCEPT_STEPS = 4
 _LOG = structlog.get_logger()
 
 
@@ -170,6 +174,7 @@
     )
     _is_draining: bool = False
     _runner: web.ServerRunner | None = None
+    _listener: asyncio.Server | None = None
 
     async def start(self) -> None:
         """Listen for callers."""
@@ -191,7 +196,11 @@
             **self.options,
         )
         self._runner = web.ServerRunner(server)
-        await listen_on(self._runner, self.listen)
+        await self._runner.setup()
+        host, _, port = self.listen.rpartition(':')
+        self._listener = await asyncio.get_running_loop().create_server(
+            server, host, int(port), backlog=_BACKLOG
+        )
 
     def drain(self) -> None:
         """Close each connection after its next answer.
@@ -240,6 +249,22 @@
             connection.close_if_idle() for connection in self.connections()
         )
 
+    async def stop_listening(self) -> None:
+        """Accept no further connection; all accepted ones are known then.
+
+        asyncio forgets a connection, and leaves it open, if its listener is
+        closed between the two steps in which it is accepted.
+        """
+        listener, self._listener = self._listener, None
+        if listener is None:
+            return
+        loop = asyncio.get_running_loop()
+        for listening in listener.sockets:
+            loop.remove_reader(listening)
+        for _ in range(_ACCEPT_STEPS):
+            await asyncio.sleep(0)
+        listener.close()
+
     async def stop(self, timeout: float | None = None) -> None:
         """Close idle connections and wait for requests in progress.
 
@@ -247,11 +272,15 @@
         """
         if self._runner is None:
             return
+        await self.stop_listening()
         try:
             async with asyncio.timeout(timeout):
                 await self._runner.cleanup()
         except TimeoutError:
-            _LOG.warning('connections_cut', connections=len(self.connections()))
+            connections = self.connections()
+            _LOG.warning('connections_cut', connections=len(connections))
+            for connection in connections:
+                connection.abort()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         assert isinstance(request.protocol, ProblemRequestHandler)
--- a/src/bronzewall/adapters/entry_protocol.py
+++ b/src/bronzewall/adapters/entry_protocol.py
@@ -219,17 +219,25 @@
     def close_if_idle(self) -> bool:
         """Close the connection unless a request is in progress on it.
 
-        A request is in progress until its whole answer is sent. A new
-        connection is left open, because its first request is on its way.
+        A request is in progress from its first byte until its whole answer is
+        sent. A new connection is left open, because its first request is on
+        its way.
 
         :return: whether it was closed.
         """
         is_new = self._loop.time() - self._opened_at <= _FIRST_REQUEST_S
-        if not self._is_waiting() or is_new or self.has_unsent_answers():
+        is_idle = self._is_waiting() and self._header_timer is None
+        if not is_idle or is_new or self.has_unsent_answers():
             return False
         self.close()
         return True
 
+    def abort(self) -> None:
+        """Drop the connection with what the caller does not take."""
+        transport = self.transport
+        if transport is not None:
+            transport.abort()
+
     def apply_timeouts(self) -> None:
         """Check at once, and from now on, the idle time allowed now."""
         if self._keepalive_handle is not None:
@@ -329,12 +337,6 @@
             self._taken_bytes = taken
         return now - self._stalled_at >= self._find_timeouts().idle
 
-    def _abort(self) -> None:
-        """Drop the connection with what the caller does not take."""
-        transport = self.transport
-        if transport is not None:
-            transport.abort()
-
     def _process_keepalive(self) -> None:
         """Close the connection if it has been idle for too long.
 
@@ -349,7 +351,7 @@
         if self._is_stalled(now):
             self.events['stalled_callers_cut'] += 1
             _LOG.warning('caller_stalled', untaken=self.untaken_bytes())
-            self._abort()
+            self.abort()
             return
         # A caller that still takes an answer cannot send the next request yet.
         is_idle = (
--- a/src/bronzewall/daemon.py
+++ b/src/bronzewall/daemon.py
@@ -13,6 +13,7 @@
 from bronzewall.adapters.entry_http import EntryServer
 from bronzewall.adapters.websocket_link import WebSocketLink
 from bronzewall.admin import AdminView
+from bronzewall.connection_drain import ConnectionDrain
 from bronzewall.control_plane import ControlPlane
 from bronzewall.ejection import Ejections
 from bronzewall.instance_suspicions import Suspicions
@@ -28,7 +29,6 @@
 from bronzewall.settings import Origin, Settings
 from bronzewall.types import RequestId, VmState
 
-_DRAIN_CHECK_S = 0.05
 # Time for which answers may still end after a stop has waited, seconds.
 _LAST_ANSWERS_S = 0.5
 _LOG = structlog.get_logger()
@@ -129,16 +129,16 @@
         self.is_stopping = True
         self.control.heartbeats.announce_stop()
         _LOG.info('stopping', in_flight=len(self.path.in_flight_by_request))
-        drain_end = self.clock.now() + self.settings.stop_limit_s
-        notice_end = self.clock.now() + self.settings.notice_s
-        while not stop_forced.is_set() and self.clock.now() < drain_end:
-            is_noticed = self.clock.now() >= notice_end
-            is_busy = (
-                self.path.in_flight_by_request or entry.has_unsent_answers()
-            )
-            if is_noticed and not is_busy:
-                return
-            await self.clock.sleep(_DRAIN_CHECK_S)
+        drain = ConnectionDrain(
+            clock=self.clock,
+            entry=entry,
+            count_requests=lambda: len(self.path.in_flight_by_request),
+            notice=self.settings.notice_s,
+            limit=self.settings.stop_limit_s,
+            is_forced=stop_forced.is_set,
+        )
+        if await drain.run():
+            return
         for request_id, route in self.path.in_flight_by_request.items():
             _LOG.warning(
                 'request_cut', request_id=request_id, route=route.route_id
--- a/src/bronzewall/edge/daemon.py
+++ b/src/bronzewall/edge/daemon.py
@@ -20,6 +20,7 @@
 )
 from bronzewall.adapters.websocket_link import WebSocketLink
 from bronzewall.build import build_id
+from bronzewall.connection_drain import ConnectionDrain
 from bronzewall.edge.evacuation_sharing import EvacuationSharing
 from bronzewall.edge.fleet_view import FleetView
 from bronzewall.edge.instance_paths import InstancePaths
@@ -275,21 +276,19 @@
             self.leader.announce_leaving()
         self.member.report()
         _LOG.info('stopping', in_flight=self.path.in_flight)
-        drain_started_at = self.clock.now()
-        limit = drain_started_at + self.settings.stop_limit * _STOP_FRACTION
-        self.path.gate.last_start = drain_started_at + _BALANCER_NOTICE_S
-        self.path.gate.stops_at = limit
-        while self.clock.now() < limit:
-            is_noticed = (
-                self.clock.now() - drain_started_at >= _BALANCER_NOTICE_S
-            )
-            if is_noticed:
-                # A request that comes later may not end in time.
-                self._close_idle()
-            is_busy = self.path.in_flight or self.entry.has_unsent_answers()
-            if is_noticed and not is_busy:
-                return
-            await self.clock.sleep(_TICK_S)
+        limit = self.settings.stop_limit * _STOP_FRACTION
+        now = self.clock.now()
+        self.path.gate.last_start = now + _BALANCER_NOTICE_S
+        self.path.gate.stops_at = now + limit
+        drain = ConnectionDrain(
+            clock=self.clock,
+            entry=self.entry,
+            count_requests=lambda: self.path.in_flight,
+            notice=_BALANCER_NOTICE_S,
+            limit=limit,
+        )
+        if await drain.run():
+            return
         _LOG.warning('requests_cut', in_flight=self.path.in_flight)
         for request in self.path.unfinished()[:_MAX_LOGGED_REQUESTS]:
             _LOG.warning(
@@ -299,12 +298,6 @@
                 seconds=round(request.seconds, 3),
             )
 
-    def _close_idle(self) -> None:
-        """Close the connections without a request in progress."""
-        closed = self.entry.close_idle()
-        if closed:
-            _LOG.info('idle_connections_closed', connections=closed)
-
 
 def status_page(report: Callable[[], dict[str, Any]]) -> PageBuilder:
     """Return a page that shows a report as JSON."""
