Refuse requests that wait while a VM stops, before they are cut off

Cause: only requests that came after the balancer's notice were compared with the end of the stop. Those before it may wait in the waiting room, for a token, a permit or a connection until their own deadline, which the stop did not limit.

Change: StopLimit is one limit that each wait of a request without an instance runs under: body, token, choice of an instance. It ends the wait with the true refusal (503 and "not run" where no instance has it) at the moment from which an instance would lack the time (twice its expected time), at once if that has passed. What an instance runs is still waited for until the end.

--- a/src/bronzewall/edge/daemon.py
+++ b/src/bronzewall/edge/daemon.py
@@ -277,9 +277,7 @@
         self.member.report()
         _LOG.info('stopping', in_flight=self.path.in_flight)
         limit = self.settings.stop_limit * _STOP_FRACTION
-        now = self.clock.now()
-        self.path.gate.last_start = now + _BALANCER_NOTICE_S
-        self.path.gate.stops_at = now + limit
+        self.path.gate.stop.begin(notice=_BALANCER_NOTICE_S, limit=limit)
         drain = ConnectionDrain(
             clock=self.clock,
             entry=self.entry,
--- a/src/bronzewall/edge/gate.py
+++ b/src/bronzewall/edge/gate.py
@@ -1,7 +1,5 @@
 """Finds the route and account of a request and checks its admission."""
 
-import math
-
 import attrs
 
 from bronzewall import headers as header_rules
@@ -9,6 +7,7 @@
 from bronzewall.edge.exchange import EdgeExchange
 from bronzewall.edge.freshness import KeyFreshness
 from bronzewall.edge.model import EdgeAccount, EdgeConfiguration, EdgeRoute
+from bronzewall.edge.stop_limit import StopLimit
 from bronzewall.edge.token_waits import TokenWaits
 from bronzewall.edge.traffic_splits import TrafficSplits
 from bronzewall.edge.zone_state import ZoneState
@@ -26,9 +25,6 @@
 # Retry-After while this VM cannot serve, seconds. It is short because another
 # VM may be able to serve the retry.
 _RETRY_AFTER_S = 0.2
-# The same of a request that comes too late in a planned stop. Any other VM can
-# take it.
-_STOP_RETRY_AFTER_S = 0.1
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -37,10 +33,7 @@
 
     :param deadline_header: header with the milliseconds that a caller
         waits.
-    :param stops_at: clock time at which the process ends at the latest, once a
-        planned stop has begun.
-    :param last_start: requests whose last byte came after this clock time are
-        sent only if their deadline is before the end of the process.
+    :param stop: end of a planned stop.
     """
 
     clock: Clock
@@ -50,8 +43,11 @@
     state: ZoneState
     waits: TokenWaits
     deadline_header: str
-    stops_at: float = math.inf
-    last_start: float = math.inf
+    stop: StopLimit = attrs.field(
+        default=attrs.Factory(
+            lambda gate: StopLimit(clock=gate.clock), takes_self=True
+        )
+    )
 
     def open(
         self, request: CallerRequest, request_id: RequestId, started: float
@@ -89,8 +85,7 @@
         :raises RefusalError: the request must not be sent to an instance.
         """
         now = self.clock.now()
-        if exchange.received_at > self.last_start:
-            self._check_stop(exchange, now)
+        self.stop.check_arrival(exchange)
         if self.state.crashes.is_refused(exchange.fingerprint, now=now):
             raise exchange.refusal(Reason.CRASH_SUSPECT)
         if exchange.account is None:
@@ -112,7 +107,10 @@
             return
         arrived_at = self.clock.now()
         try:
-            await self.waits.admit(exchange.account, deadline=exchange.deadline)
+            async with self.stop.waiting(exchange):
+                await self.waits.admit(
+                    exchange.account, deadline=exchange.deadline
+                )
         except RateExceededError as exc:
             raise RefusalError(
                 reason=Reason.RATE_EXCEEDED,
@@ -140,18 +138,6 @@
             self.refund(exchange)
             raise
 
-    def _check_stop(self, exchange: EdgeExchange, now: float) -> None:
-        """Check that the end of the process cannot cut a request off.
-
-        :raises RefusalError: it could.
-        """
-        if exchange.deadline > self.stops_at:
-            raise exchange.refusal(
-                Reason.STOPPING,
-                detail=f'this VM stops in {self.stops_at - now:.2f} s',
-                retry_after=_STOP_RETRY_AFTER_S,
-            )
-
     def _find_route(
         self, configuration: EdgeConfiguration, request: CallerRequest
     ) -> EdgeRoute:
--- a/src/bronzewall/edge/request_path.py
+++ b/src/bronzewall/edge/request_path.py
@@ -151,7 +151,8 @@
         request = arrival.request
         exchange = self._open(arrival)
         arrival.exchange = exchange
-        exchange.attach_body(await read_whole_body(request))
+        async with self.gate.stop.waiting(exchange):
+            exchange.attach_body(await read_whole_body(request))
         if exchange.body:
             exchange.received_at = self.clock.now()
         self.gate.check(exchange)
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -51,6 +51,9 @@
 # An overdue request is also sent to a second instance if the expected loss
 # there is at most this fraction of the value of the answer.
 _MAX_HEDGE_LOSS = 0.25
+# In a planned stop, a request is sent only if this many times the time that it
+# is expected to need are left.
+_STOP_MARGIN = 2.0
 _LOG = structlog.get_logger()
 
 _REASONS_BY_ERROR: dict[type[UpstreamError], Reason] = {
@@ -107,9 +110,7 @@
         :raises RefusalError: no instance has answered, and none is left.
         """
         try:
-            candidate = await self.chooser.choose(
-                exchange, self._profile(exchange)
-            )
+            candidate = await self._choose(exchange)
         except RefusalError:
             if exchange.last_answer is None:
                 raise
@@ -128,6 +129,16 @@
         self._count_retry(exchange, f'status_{answer.status}')
         return None
 
+    async def _choose(self, exchange: EdgeExchange) -> Candidate:
+        """Return an instance that the request may be sent to now.
+
+        :raises RefusalError: there is none, or a planned stop ends too soon.
+        """
+        profile = self._profile(exchange)
+        needed = profile.expected_time * profile.queue_factor * _STOP_MARGIN
+        async with self.gate.stop.waiting(exchange, needed=needed):
+            return await self.chooser.choose(exchange, profile)
+
     async def _relay(self, exchange: EdgeExchange) -> InstanceAnswer:
         """Return the answer that another VM got.
 
--- a/tests/test_stop_until_end.py
+++ b/tests/test_stop_until_end.py
@@ -7,6 +7,7 @@
 import attrs
 import pytest
 from stopping_vm import (
+    BODY,
     Caller,
     Stop,
     request_text,
@@ -155,3 +156,18 @@
         async with asyncio.timeout(_SETTLE_S):
             await caller.read_answer('crossing')
     assert_answered_if_read(stop, connections)
+
+
+# Guards against a request whose body is not complete at the end of the stop and
+# whose connection is closed without a refusal.
+async def test_request_without_its_body_is_refused_at_the_end() -> None:
+    async with stopping_vm() as stop:
+        caller = await stop.connect()
+        text = request_text('unfinished', BODY)
+        caller.writer.write(text[:-900])
+        await asyncio.sleep(0.1)
+        stop.signal()
+        await caller.read_answer('unfinished')
+    assert [(one.status, one.reason) for one in stop.outcomes] == [
+        (503, 'stopping')
+    ]
