Count a broken connection as a crash only if the instance has ended

Cause: each connection that broke counted as a crash of its instance by the request on it. A page in progress on connections to three instances that are reset at once was taken for a request that crashes instances.

Change: CrashEvidence connects to the instance once after a break (breaks of one moment share the connection). An instance that accepts it has not ended, and the break says nothing of the request.

Not covered: an instance that is back before the connection, or whose listening process outlives a crashed worker.

--- a/src/bronzewall/edge/attempt_outcomes.py
+++ b/src/bronzewall/edge/attempt_outcomes.py
@@ -7,6 +7,7 @@
 import structlog
 
 from bronzewall.edge.catalog import Catalog
+from bronzewall.edge.crash_evidence import CrashEvidence
 from bronzewall.edge.exchange import EdgeExchange
 from bronzewall.edge.failure_estimates import Observation
 from bronzewall.edge.instance_paths import InstancePaths
@@ -69,6 +70,7 @@
     paths: InstancePaths
     limits: LimitSharing
     scheduler: Scheduler
+    crashes: CrashEvidence
     work: RemainingWork
     uses_costs: Callable[[], bool]
     response_times: ResponseTimes = attrs.field(factory=ResponseTimes)
@@ -156,7 +158,7 @@
                 exchange.service, exchange.home_regions
             ).record_if_intact(
                 functools.partial(
-                    self._record_failure, exchange, instance_id, exc
+                    self._record_failure, exchange, candidate, exc
                 ),
                 sent_at=sent_at,
                 is_connected=not isinstance(exc, ConnectFailedError),
@@ -283,17 +285,16 @@
     def _record_failure(
         self,
         exchange: EdgeExchange,
-        instance_id: InstanceId,
+        candidate: Candidate,
         exc: UpstreamError,
     ) -> None:
         """Record that an instance was not reached or broke an exchange."""
+        instance_id = candidate.instance.instance_id
         if isinstance(exc, ConnectFailedError):
             self._observe(instance_id, Observation.UNREACHABLE)
         elif isinstance(exc, UpstreamBrokenError):
             self._observe(instance_id, Observation.FAILED)
-            self.state.record_broken_request(
-                exchange.fingerprint, instance_id, now=self.clock.now()
-            )
+            self.crashes.record_break(exchange.fingerprint, candidate.instance)
 
     def _observe(
         self, instance_id: InstanceId, observation: Observation
--- a/src/bronzewall/edge/components.py
+++ b/src/bronzewall/edge/components.py
@@ -10,6 +10,7 @@
 from bronzewall.edge.catalog import Catalog
 from bronzewall.edge.cold_starts import ColdStarts
 from bronzewall.edge.connection_shares import ConnectionShares
+from bronzewall.edge.crash_evidence import CrashEvidence
 from bronzewall.edge.directory import Directory
 from bronzewall.edge.evacuation_sharing import EvacuationSharing
 from bronzewall.edge.fleet_view import FleetView
@@ -329,6 +330,12 @@
             paths=instance_paths,
             limits=limit_sharing,
             scheduler=scheduler,
+            crashes=CrashEvidence(
+                clock=clock,
+                instances=ports.instances,
+                state=state,
+                metrics=ports.metrics,
+            ),
             work=work,
             uses_costs=uses_costs,
         ),
