Divide what accrued between two leaders once

A VM that was cut off alone had nearly all of its zone's within 0.5 s, and so had each other one.

Change: what has been taken is counted against the part, not against the rest.

Fails before: test_what_accrued_between_two_leaders_is_divided_once.

--- a/src/bronzewall/edge/zone_pools.py
+++ b/src/bronzewall/edge/zone_pools.py
@@ -1,7 +1,7 @@
 """Token buckets of accounts that a zone leader keeps for its zone."""
 
 import math
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Mapping
 
 import attrs
@@ -127,8 +127,11 @@
     # Admitted requests of accounts that have no bucket yet.
     _uncharged: Counter[str] = attrs.field(factory=Counter)
     _fraction: float = 1
-    # Tokens accrued between two leaders.
+    # Tokens accrued between two leaders, and those taken of them.
     _gained_by_id: dict[str, float] = attrs.field(factory=dict)
+    _taken_gains: defaultdict[str, float] = attrs.field(
+        factory=lambda: defaultdict(float)
+    )
     # Tokens by account for VMs that a new leader has not heard yet.
     _withheld_by_id: dict[str, float] = attrs.field(factory=dict)
     _took_over_at: float = float('-inf')
@@ -148,6 +151,7 @@
             account_id: known.gained for account_id, known in levels.items()
         }
         self._fraction = 1
+        self._taken_gains.clear()
         self._withheld_by_id = {}
         self._took_over_at = now
 
@@ -159,11 +163,7 @@
             self._uncharged[account_id] += count
         else:
             # What was admitted between two leaders used what accrued then.
-            gained = self._gained_by_id.get(account_id, 0)
-            paid = min(max(count, 0), gained * self._fraction)
-            if paid:
-                self._gained_by_id[account_id] = gained - paid
-            bucket.level -= count - paid
+            bucket.level -= count - self._take_gain(account_id, count)
 
     def level(self, account_id: str) -> float:
         """Return the tokens of an account as of the last refill."""
@@ -256,12 +256,17 @@
         self, account_id: str, bucket: Bucket, limit: float, now: float
     ) -> float:
         """Take the tokens that accrued between two leaders and that fit."""
-        gained = self._gained_by_id.get(account_id, 0)
-        if not gained or self._is_doubtful(now):
+        if self._is_doubtful(now):
             return 0
-        usable = max(0, min(gained * self._fraction, limit - bucket.level))
-        self._gained_by_id[account_id] = gained - usable
-        return usable
+        return self._take_gain(account_id, limit - bucket.level)
+
+    def _take_gain(self, account_id: str, wanted: float) -> float:
+        """Take what accrued between two leaders for the VMs that are heard."""
+        gained = self._gained_by_id.get(account_id, 0)
+        left = gained * self._fraction - self._taken_gains[account_id]
+        taken = max(0, min(wanted, left))
+        self._taken_gains[account_id] += taken
+        return taken
 
     def _shrink(self, kept: float, *, is_new: bool) -> None:
         for account_id, bucket in self._buckets_by_id.items():
--- a/tests/test_edge_zone_pools.py
+++ b/tests/test_edge_zone_pools.py
@@ -62,6 +62,16 @@
     assert level(pools, 50) == 30
 
 
+def test_what_accrued_between_two_leaders_is_divided_once() -> None:
+    # Guards against several leaders that each take nearly all of it, a part
+    # with each status.
+    pools = ZonePools(zone_count=2, slack=0, started_at=0)
+    known = KnownLevel(level=0, gained=8)
+    pools.take_over({_ACCOUNT.account_id: known}, now=50)
+    found = [level(pools, 50, 0.75) for _ in range(20)]
+    assert found[-1] == 8 * 0.75
+
+
 def test_lowered_burst_binds_a_full_bucket() -> None:
     # Guards against an account that keeps the tokens of a burst that operators
     # have lowered, for as long as it does not use them.
