Let a retry wait for the breaks of its own request only

CrashEvidence.settle waited for the probes of all instances, up to 0.3 s each, so that a request that failed at one instance could wait for another one's. What its next attempt is checked against is its own fingerprint.

--- a/src/bronzewall/edge/crash_evidence.py
+++ b/src/bronzewall/edge/crash_evidence.py
@@ -29,7 +29,9 @@
     _probes_by_address: dict[str, 'asyncio.Task[bool]'] = attrs.field(
         factory=dict
     )
-    _records: set['asyncio.Task[None]'] = attrs.field(factory=set)
+    _fingerprints_by_record: dict['asyncio.Task[None]', bytes] = attrs.field(
+        factory=dict
+    )
 
     def record_break(self, fingerprint: bytes, instance: EdgeInstance) -> None:
         """Record a request during which a connection broke.
@@ -43,13 +45,18 @@
             )
             self._probes_by_address[instance.address] = probe
         record = asyncio.create_task(self._decide(fingerprint, instance, probe))
-        self._records.add(record)
-        record.add_done_callback(self._records.discard)
+        self._fingerprints_by_record[record] = fingerprint
+        record.add_done_callback(self._fingerprints_by_record.pop)
 
-    async def settle(self) -> None:
-        """Wait until the breaks so far are recorded or dropped."""
-        if self._records:
-            await asyncio.wait(tuple(self._records))
+    async def settle(self, fingerprint: bytes) -> None:
+        """Wait until a request's breaks so far are recorded or dropped."""
+        records = [
+            record
+            for record, found in self._fingerprints_by_record.items()
+            if found == fingerprint
+        ]
+        if records:
+            await asyncio.wait(records)
 
     async def _decide(
         self,
--- a/src/bronzewall/edge/sending.py
+++ b/src/bronzewall/edge/sending.py
@@ -122,7 +122,7 @@
                 return self._fallback_answer(exchange, exc)
             self._count_retry(exchange, type(exc).__name__)
             await self._path(exchange).settle()
-            await self.outcomes.crashes.settle()
+            await self.outcomes.crashes.settle(exchange.fingerprint)
             return None
         if not self._may_retry_answer(exchange, answer):
             return answer
--- a/tests/test_edge_crash_evidence.py
+++ b/tests/test_edge_crash_evidence.py
@@ -106,7 +106,25 @@
         evidence = vm.sender.outcomes.crashes
         for number in range(20):
             evidence.record_break(bytes([number]), instance)
-        await evidence.settle()
+        for number in range(20):
+            await evidence.settle(bytes([number]))
         assert len(probes) == 1
 
     run_virtual(main())
+
+
+# Guards against a retry that waits for the probe of another request's instance.
+def test_request_waits_for_its_own_breaks_only() -> None:
+    async def main() -> None:
+        vm = an_edge_vm()
+        vm.serve_alone(an_edge_instance())
+        vm.instances.connect_time = _WORK_S
+        evidence = vm.sender.outcomes.crashes
+        evidence.record_break(b'other', an_edge_instance())
+        began_at = vm.clock.now()
+        await evidence.settle(b'own')
+        assert vm.clock.now() == began_at
+        await evidence.settle(b'other')
+        assert vm.clock.now() == began_at + _WORK_S
+
+    run_virtual(main())
